--- /dev/null
+++ b/src/wigeonfront/clock.py
@@ -0,0 +1,75 @@
+"""Time, passed in as an interface.
+
+Durations are ``float`` seconds, as in the standard library's `time` module.
+"""
+
+import threading
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """What the system asks of a clock."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go backwards; the origin is arbitrary."""
+
+    def time(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+    def sleep(self, seconds: float) -> None:
+        """Block the calling thread for `seconds`."""
+
+
+class SystemClock:
+    """The machine's own clock."""
+
+    def monotonic(self) -> float:
+        """Return `time.monotonic`."""
+        return time.monotonic()
+
+    def time(self) -> float:
+        """Return `time.time`."""
+        return time.time()
+
+    def sleep(self, seconds: float) -> None:
+        """Block the calling thread for `seconds`."""
+        time.sleep(seconds)
+
+
+class ManualClock:
+    """A clock that moves only when told, for tests and models.
+
+    Parameters
+    ----------
+    start : float
+        First reading, in seconds.
+
+    Examples
+    --------
+    >>> clock = ManualClock()
+    >>> clock.advance(2.5)
+    >>> clock.monotonic()
+    2.5
+    """
+
+    def __init__(self, start: float = 0.0) -> None:
+        self._now = start
+        self._lock = threading.Lock()
+
+    def monotonic(self) -> float:
+        """Return the present reading."""
+        return self._now
+
+    def time(self) -> float:
+        """Return the present reading."""
+        return self._now
+
+    def sleep(self, seconds: float) -> None:
+        """Advance the clock instead of blocking."""
+        self.advance(seconds)
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward by `seconds`."""
+        with self._lock:
+            self._now += seconds
--- /dev/null
+++ b/src/wigeonfront/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""coordination."""
--- /dev/null
+++ b/src/wigeonfront/logs.py
@@ -0,0 +1,72 @@
+"""Structured logs: one line of key=value pairs for each event.
+
+Call `event` with the logger, the event's name and its fields. A value with a
+space, a quote or an equals sign is written as a JSON string.
+"""
+
+import json
+import logging
+import sys
+from typing import Any
+
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/+,@%*[]<>"
+)
+
+
+def format_value(value: Any) -> str:
+    """Return `value` as the right-hand side of a key=value pair."""
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    text = str(value)
+    if text and _PLAIN.issuperset(text):
+        return text
+    return json.dumps(text)
+
+
+def format_pairs(fields: dict[str, Any]) -> str:
+    """Return `fields` as key=value pairs joined by spaces."""
+    return " ".join(f"{name}={format_value(value)}" for name, value in fields.items())
+
+
+def event(
+    logger: logging.Logger, name: str, *, level: int = logging.INFO, **fields: Any
+) -> None:
+    """Log one event.
+
+    Parameters
+    ----------
+    logger : logging.Logger
+        Where to.
+    name : str
+        Event name in snake case.
+    level : int
+        A level of `logging`.
+    **fields
+        The event's key=value pairs.
+    """
+    if logger.isEnabledFor(level):
+        logger.log(level, "%s", format_pairs({"event": name, **fields}))
+
+
+def configure(process: str, level: str = "info", path: str = "") -> None:
+    """Send logs as key=value lines to standard error, or to the file `path`.
+
+    Parameters
+    ----------
+    process : str
+        Name written with each line.
+    level : str
+        Lowest level written.
+    path : str
+        File to append to; empty for standard error.
+    """
+    handler: logging.Handler
+    handler = logging.FileHandler(path) if path else logging.StreamHandler(sys.stderr)
+    pattern = "time=%(created).3f level=%(levelname)s process="
+    handler.setFormatter(
+        logging.Formatter(pattern + process.replace("%", "%%") + " %(message)s")
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
