--- /dev/null
+++ b/src/wigeonfront/http.py
@@ -0,0 +1,483 @@
+"""HTTP by library: a small routing layer over cheroot and a pool over urllib3.
+
+A handler takes a `Call` and returns a `Reply` or a `Stream`. Bodies are decoded
+into messages; a body that does not decode is answered with a precise 4xx before
+the handler's own work begins.
+"""
+
+import logging
+import select
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+from urllib.parse import parse_qs
+
+import msgspec
+import urllib3
+from cheroot import wsgi
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NameResolutionError,
+    NewConnectionError,
+)
+
+from wigeonfront.logs import event
+from wigeonfront.messages import ErrorReply
+
+logger = logging.getLogger(__name__)
+
+JSON_TYPE = "application/json"
+DEFAULT_MAX_BODY = 8 * 1024 * 1024
+SOCKET_SECONDS = 30.0
+STOP_SECONDS = 5.0
+_SOCKET_KEY = "wigeonfront.socket"
+
+Decoded = TypeVar("Decoded")
+_encoder = msgspec.json.Encoder()
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole response.
+
+    Attributes
+    ----------
+    status : int
+    body : Any
+        A message or JSON data, encoded here; ``bytes`` are sent as they are.
+    headers : dict
+    content_type : str
+    """
+
+    status: int
+    body: Any = None
+    headers: dict[str, str] = field(default_factory=dict)
+    content_type: str = JSON_TYPE
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """A chunked response; every item is one write to the connection."""
+
+    chunks: Iterator[bytes]
+
+
+class BadCall(Exception):  # noqa: N818
+    """A malformed call, answered with `status`; raised only while decoding."""
+
+    def __init__(self, status: int, error: str, detail: str = "") -> None:
+        super().__init__(error, detail)
+        self.reply = Reply(status, ErrorReply(error=error, detail=detail))
+
+
+class Call:
+    """One call on the server.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    max_body : int
+        Largest body accepted, in bytes.
+    """
+
+    def __init__(self, environ: dict[str, Any], max_body: int) -> None:
+        self._environ = environ
+        self._max_body = max_body
+        self.arguments: tuple[str, ...] = ()
+
+    @property
+    def method(self) -> str:
+        """The HTTP method."""
+        return self._environ["REQUEST_METHOD"]
+
+    @property
+    def path(self) -> str:
+        """The decoded path."""
+        return self._environ.get("PATH_INFO", "/")
+
+    def query(self, name: str, default: str = "") -> str:
+        """Return the last value of a query parameter."""
+        values = parse_qs(self._environ.get("QUERY_STRING", "")).get(name)
+        return values[-1] if values else default
+
+    def header(self, name: str) -> str:
+        """Return a request header, or an empty string."""
+        return self._environ.get("HTTP_" + name.upper().replace("-", "_"), "")
+
+    def body(self) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        BadCall
+            413 when it is too large, 400 when it was cut off.
+        """
+        length_text = self._environ.get("CONTENT_LENGTH") or ""
+        if length_text and not length_text.isdigit():
+            raise BadCall(400, "bad_content_length", length_text[:100])
+        length = int(length_text) if length_text else None
+        if length is not None and length > self._max_body:
+            raise BadCall(413, "body_too_large", f"at most {self._max_body} bytes")
+        stream = self._environ["wsgi.input"]
+        limit = self._max_body + 1 if length is None else length
+        if length is None and not self._environ.get("HTTP_TRANSFER_ENCODING"):
+            return b""
+        try:
+            body = stream.read(limit)
+        except (OSError, ValueError) as error:
+            raise BadCall(400, "body_cut_off", str(error)) from error
+        if len(body) > self._max_body:
+            raise BadCall(413, "body_too_large", f"at most {self._max_body} bytes")
+        if length is not None and len(body) < length:
+            raise BadCall(400, "body_cut_off", f"{len(body)} of {length} bytes")
+        return body
+
+    def decode(self, kind: type[Decoded]) -> Decoded:
+        """Return the body as a message of `kind`.
+
+        Raises
+        ------
+        BadCall
+            400 for malformed JSON, 422 for a wrong type or value.
+        """
+        body = self.body()
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.ValidationError as error:
+            raise BadCall(422, "bad_field", str(error)) from error
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise BadCall(400, "malformed_json", str(error)) from error
+
+    def caller_gone(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        connection: socket.socket | None = self._environ.get(_SOCKET_KEY)
+        if connection is None:
+            return False
+        try:
+            poll = select.poll()
+            poll.register(connection, select.POLLIN | select.POLLHUP)
+            if not poll.poll(0):
+                return False
+            return connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except (OSError, ValueError):
+            return True
+
+
+Handler = Callable[[Call], Reply | Stream]
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Hands the caller's socket to the application, to notice that it closed."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[_SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
+class Application:
+    """A WSGI application that routes on method and path.
+
+    Parameters
+    ----------
+    max_body : int
+        Largest request body, in bytes.
+    """
+
+    def __init__(self, max_body: int = DEFAULT_MAX_BODY) -> None:
+        self._routes: list[tuple[str, list[str], Handler]] = []
+        self._max_body = max_body
+        self.closing = False
+
+    def route(self, method: str, pattern: str, handler: Handler) -> None:
+        """Serve `pattern` by `handler`; a ``*`` segment becomes an argument."""
+        self._routes.append((method, pattern.strip("/").split("/"), handler))
+
+    def __call__(self, environ: dict[str, Any], start_response: Callable) -> Any:
+        """Serve one call (WSGI)."""
+        call = Call(environ, self._max_body)
+        try:
+            result = self._handle(call)
+        except BadCall as bad:
+            result = bad.reply
+        except Exception:
+            logger.exception("event=handler_failed path=%s", call.path)
+            result = Reply(500, ErrorReply(error="internal"))
+        if isinstance(result, Stream):
+            start_response("200 OK", [("Content-Type", "application/x-ndjson")])
+            return result.chunks
+        return self._respond(result, start_response)
+
+    def _handle(self, call: Call) -> Reply | Stream:
+        segments = call.path.strip("/").split("/")
+        known_path = False
+        for method, pattern, handler in self._routes:
+            arguments = _match(pattern, segments)
+            if arguments is None:
+                continue
+            known_path = True
+            if method == call.method:
+                call.arguments = arguments
+                return handler(call)
+        if known_path:
+            return Reply(405, ErrorReply(error="method_not_allowed"))
+        return Reply(404, ErrorReply(error="no_such_path", detail=call.path[:200]))
+
+    def _respond(self, reply: Reply, start_response: Callable) -> list[bytes]:
+        body = reply.body if isinstance(reply.body, bytes) else encode(reply.body)
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(body))),
+            *reply.headers.items(),
+        ]
+        # After a refused body the rest of the stream is not worth reading.
+        if self.closing or reply.status in (400, 413):
+            headers.append(("Connection", "close"))
+        start_response(f"{reply.status} {_reason(reply.status)}", headers)
+        return [body]
+
+
+def _match(pattern: list[str], segments: list[str]) -> tuple[str, ...] | None:
+    if len(pattern) != len(segments):
+        return None
+    arguments = []
+    for expected, segment in zip(pattern, segments, strict=True):
+        if expected == "*":
+            arguments.append(segment)
+        elif expected != segment:
+            return None
+    return tuple(arguments)
+
+
+def _reason(status: int) -> str:
+    return "OK" if status < 400 else "Error"
+
+
+def encode(value: Any) -> bytes:
+    """Return `value` as JSON."""
+    return _encoder.encode(value)
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Server:
+    """A cheroot server with a pool of its own.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` to listen on.
+    application : Application
+    threads : int
+        Size of the pool; it never grows.
+    """
+
+    def __init__(self, address: str, application: Application, threads: int) -> None:
+        self._application = application
+        self._server = wsgi.Server(
+            parse_address(address),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=128,
+            timeout=SOCKET_SECONDS,
+            shutdown_timeout=STOP_SECONDS,
+        )
+        self._server.gateway = _Gateway
+        self._server.error_log = _log_server_error
+
+    def bind(self) -> None:
+        """Listen; raises `OSError` when the address can't be had."""
+        self._server.prepare()
+
+    def run(self, stop: threading.Event) -> None:
+        """Serve until `close` is called (a supervisor's task)."""
+        self._server.serve()
+
+    def close_kept_alive(self) -> None:
+        """Close each connection after the answer to its present request."""
+        self._application.closing = True
+
+    def close(self) -> None:
+        """Stop listening and end the pool."""
+        self._server.stop()
+
+
+def _log_server_error(message: str = "", level: int = 20, traceback: bool = False):
+    if message:
+        event(logger, "server_error", level=logging.WARNING, detail=message[:300])
+
+
+# --- client ------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The call certainly did not reach the other end."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The call was sent at least in part and no whole answer came."""
+
+    reason: str
+
+
+class Pool:
+    """Connections to one address, without any automatic retry.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``, or a URL.
+    connect_seconds, read_seconds : float
+        Longest silence while connecting and while reading.
+    size : int
+        Idle connections kept.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_seconds: float = 1.0,
+        read_seconds: float = 5.0,
+        size: int = 4,
+    ) -> None:
+        text = address.removeprefix("http://").rstrip("/")
+        self._host, self._port = parse_address(text)
+        self._connect_seconds = connect_seconds
+        self._read_seconds = read_seconds
+        self._size = size
+        self._pool = self._make_pool()
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the other end."""
+        return f"{self._host}:{self._port}"
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._host, self._port, maxsize=self._size, block=False, retries=False
+        )
+
+    def reset(self) -> None:
+        """Forget every connection; the next call opens a new one."""
+        old, self._pool = self._pool, self._make_pool()
+        old.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout: float | None = None,
+    ) -> Answer | NotSent | Lost:
+        """Make one call and return its end as a value."""
+        read = self._read_seconds if timeout is None else timeout
+        try:
+            response = self._request(method, path, body, headers, read, preload=True)
+        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
+            return NotSent(type(error).__name__)
+        except (HTTPError, OSError) as error:
+            return Lost(type(error).__name__)
+        retry_after = _seconds(response.headers.get("Retry-After", ""))
+        return Answer(response.status, response.data, retry_after)
+
+    def open_stream(
+        self,
+        path: str,
+        body: Any,
+        read_seconds: float,
+        fresh: bool = True,
+    ) -> urllib3.BaseHTTPResponse | NotSent | Lost:
+        """POST `body` and return the response with its body unread.
+
+        Parameters
+        ----------
+        read_seconds : float
+            Longest silence between two chunks.
+        fresh : bool
+            Open a new connection instead of an idle one.
+        """
+        if fresh:
+            self.reset()
+        try:
+            return self._request("POST", path, body, None, read_seconds, preload=False)
+        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
+            return NotSent(type(error).__name__)
+        except (HTTPError, OSError) as error:
+            return Lost(type(error).__name__)
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        headers: dict[str, str] | None,
+        read_seconds: float,
+        preload: bool,
+    ) -> urllib3.BaseHTTPResponse:
+        timeout = urllib3.Timeout(connect=self._connect_seconds, read=read_seconds)
+        data = None
+        all_headers = dict(headers or {})
+        if body is not None:
+            data = body if isinstance(body, bytes) else encode(body)
+            all_headers.setdefault("Content-Type", JSON_TYPE)
+        return self._pool.urlopen(
+            method,
+            path,
+            body=data,
+            headers=all_headers,
+            timeout=timeout,
+            retries=False,
+            redirect=False,
+            preload_content=preload,
+        )
+
+
+def _seconds(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return 0.0
+
+
+def lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the lines of an NDJSON response as they arrive.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        When the stream is cut or silent for longer than its read timeout.
+    """
+    rest = b""
+    for chunk in response.stream(65_536):
+        rest += chunk
+        *whole, rest = rest.split(b"\n")
+        yield from whole
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -15,6 +15,7 @@
     Completed,
     Expired,
     Failed,
+    Interrupted,
     NotRun,
     Outcome,
     Unknown,
@@ -53,6 +54,10 @@
         ``False``: runs at most once, whatever fails.
     timeout : float
         Seconds within which the caller wants its answer.
+    submission : int
+        1 when this is the first time that the caller sends its idempotency key,
+        higher when it repeats it, 0 when it doesn't say. A key's first submission
+        may run even where the record of earlier keys was lost.
     prefix : str
         Requests of the same prefix share cached prompt tokens.
     max_tokens : int
@@ -65,6 +70,7 @@
     catalogue_entry: Name
     idempotent: bool = True
     timeout: Seconds = 30.0
+    submission: Count = 0
     prefix: str = ""
     max_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 64
     version: Count | None = None
@@ -147,7 +153,9 @@
 class OutcomeFrame(Message, frozen=True, kw_only=True):
     """An outcome on the wire; `kind` names its class."""
 
-    kind: Literal["completed", "not_run", "unknown", "failed", "expired"]
+    kind: Literal[
+        "completed", "not_run", "unknown", "failed", "expired", "interrupted"
+    ]
     payload: Any = None
     versions: list[SpanFrame] = []
     target: str = ""
@@ -228,6 +236,8 @@
         Idempotency key, or the Lot's key and the sample, or empty.
     epoch : int
         Epoch of the key's slot, as the entry knows it; 0 without ownership.
+    first : bool
+        The caller says that the key was never sent before.
     work_class : str
         Decides admission and engine priority.
     trainer : str
@@ -249,6 +259,7 @@
     idempotent: bool = True
     key: str = ""
     epoch: int = 0
+    first: bool = False
     work_class: WorkClass = "interactive"
     trainer: str = ""
     remaining: float = 30.0
@@ -415,6 +426,19 @@
 # --- conversion --------------------------------------------------------------
 
 
+def to_span_frames(spans: tuple[VersionSpan, ...]) -> list[SpanFrame]:
+    """Return `spans` as messages."""
+    return [
+        SpanFrame(version=span.version, start=span.start, end=span.end)
+        for span in spans
+    ]
+
+
+def from_span_frames(frames: list[SpanFrame]) -> tuple[VersionSpan, ...]:
+    """Return the spans that `frames` carry."""
+    return tuple(VersionSpan(frame.version, frame.start, frame.end) for frame in frames)
+
+
 @singledispatch
 def to_wire(outcome: Outcome) -> OutcomeFrame:
     """Return `outcome` as a message.
@@ -429,18 +453,24 @@
 
 @to_wire.register
 def _(outcome: Completed) -> OutcomeFrame:
-    spans = [
-        SpanFrame(version=span.version, start=span.start, end=span.end)
-        for span in outcome.versions
-    ]
     return OutcomeFrame(
         kind="completed",
         payload=outcome.payload,
-        versions=spans,
+        versions=to_span_frames(outcome.versions),
         target=outcome.target,
     )
 
 
+@to_wire.register
+def _(outcome: Interrupted) -> OutcomeFrame:
+    return OutcomeFrame(
+        kind="interrupted",
+        payload=list(outcome.tokens),
+        versions=to_span_frames(outcome.versions),
+        reason=outcome.reason,
+    )
+
+
 @to_wire.register
 def _(outcome: NotRun) -> OutcomeFrame:
     return OutcomeFrame(
@@ -471,10 +501,11 @@
 def from_wire(frame: OutcomeFrame) -> Outcome:
     """Return the outcome that `frame` carries."""
     if frame.kind == "completed":
-        spans = tuple(
-            VersionSpan(span.version, span.start, span.end) for span in frame.versions
-        )
+        spans = from_span_frames(frame.versions)
         return Completed(frame.payload, spans, frame.target)
+    if frame.kind == "interrupted":
+        spans = from_span_frames(frame.versions)
+        return Interrupted(frame.reason, tuple(frame.payload or ()), spans)
     if frame.kind == "not_run":
         return NotRun(frame.reason, frame.retry_after, frame.warning)
     if frame.kind == "unknown":
--- a/src/wigeonfront/outcomes.py
+++ b/src/wigeonfront/outcomes.py
@@ -1,7 +1,7 @@
 """Outcomes of attempts and requests, as values.
 
-Every request ends in exactly one of the five classes below. They are plain
-data classes; `http_status` says how each is told to a caller.
+Every request ends in exactly one of the first five classes below; `http_status`
+says how each is told to a caller. An attempt may also end as `Interrupted`.
 """
 
 from dataclasses import dataclass
@@ -109,7 +109,28 @@
     retry_after: float = 1.0
 
 
-Outcome = Completed | NotRun | Unknown | Failed | Expired
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """A generation ended early; what it produced can be resumed elsewhere.
+
+    It travels between the system's processes and never to a caller.
+
+    Attributes
+    ----------
+    reason : str
+        ``cancelled``, ``stream_cut`` or ``preempted``.
+    tokens : tuple
+        Tokens produced so far.
+    versions : tuple of VersionSpan
+        Which versions produced them.
+    """
+
+    reason: str
+    tokens: tuple[Any, ...] = ()
+    versions: tuple[VersionSpan, ...] = ()
+
+
+Outcome = Completed | NotRun | Unknown | Failed | Expired | Interrupted
 
 
 @singledispatch
@@ -153,3 +174,8 @@
 @http_status.register
 def _(outcome: Expired) -> int:
     return 504
+
+
+@http_status.register
+def _(outcome: Interrupted) -> int:
+    return 502
