--- /dev/null
+++ b/src/wigeonfront/entry/peers.py
@@ -0,0 +1,451 @@
+"""Peers: an entry's sessions with the sides, one task for each side.
+
+A session is a long response that the entry reads; results and heartbeats come on
+it. Dispatches are short calls that name the session. When the stream is silent
+for three heartbeats, or a dispatch is lost, the entry opens a new session on a
+new connection and lists what it believes outstanding. The side refuses older
+sessions from then on, so an attempt it has never seen has certainly not run.
+
+Every outstanding attempt is resolved once: whoever takes it out of the table
+tells its sink.
+"""
+
+import logging
+import random
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgspec
+from urllib3.exceptions import HTTPError
+
+from wigeonfront.clock import Clock
+from wigeonfront.http import Answer, Lost, NotSent, Pool, lines
+from wigeonfront.logs import event
+from wigeonfront.messages import (
+    Attempt,
+    Beat,
+    DeliveryReply,
+    DeliveryRequest,
+    Dispatch,
+    DispatchReply,
+    Fate,
+    Opened,
+    OpenSession,
+    Result,
+    StreamFrame,
+    from_wire,
+)
+from wigeonfront.outcomes import NotRun, Outcome, Unknown
+from wigeonfront.platform import Vm
+
+logger = logging.getLogger(__name__)
+
+SILENT_BEATS = 3
+DISPATCH_SECONDS = 2.0
+CONNECT_SECONDS = 1.0
+LONGEST_PAUSE = 2.0
+FIRST_PAUSE = 0.05
+ACKNOWLEDGE_SECONDS = 5.0
+UNKNOWN_GRACE_SECONDS = 5.0
+RETRY_SECONDS = 1.0
+SPARE_CONNECTIONS = 8
+# Given before the side has looked at the attempts.
+REFUSED_STATUSES = frozenset({400, 404, 405, 413, 422, 503})
+
+_frame_decoder = msgspec.json.Decoder(StreamFrame)
+_reply_decoder = msgspec.json.Decoder(DispatchReply)
+_delivery_decoder = msgspec.json.Decoder(DeliveryReply)
+
+
+class Sink(Protocol):
+    """Where outcomes of attempts go; `queue.SimpleQueue` wrapped by a caller."""
+
+    def put(self, attempt: str, outcome: Outcome, side: str) -> None:
+        """Take the one outcome of an attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who an entry is: its name and the incarnation of this process."""
+
+    name: str
+    incarnation: str
+
+
+@dataclass(slots=True)
+class _Outstanding:
+    attempt: Attempt
+    sink: Sink
+    side_incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """What an entry knows of a side.
+
+    Attributes
+    ----------
+    vm : Vm
+    connected : bool
+        A session is open and not silent.
+    beat : Beat or None
+        The newest heartbeat.
+    beat_time : float
+        When it came, by the monotonic clock.
+    sent_tokens : int
+        Tokens dispatched by this entry and still outstanding.
+    disconnected_since : float or None
+        When the last session ended, by the monotonic clock.
+    """
+
+    vm: Vm
+    connected: bool
+    beat: Beat | None
+    beat_time: float
+    sent_tokens: int
+    disconnected_since: float | None
+
+
+class Peer:
+    """One side, as seen by this entry.
+
+    Parameters
+    ----------
+    vm : Vm
+        Where the side is.
+    identity : Identity
+        Of this entry.
+    clock : Clock
+    beat_seconds : float
+        Interval of the side's heartbeats.
+    announced : callable
+        Returns the newest weight version announced for each service.
+    on_beat : callable
+        Told of each heartbeat.
+    """
+
+    def __init__(
+        self,
+        vm: Vm,
+        identity: Identity,
+        clock: Clock,
+        beat_seconds: float,
+        announced: Callable[[], dict[str, int]] = dict,
+        on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
+    ) -> None:
+        self._vm = vm
+        self._identity = identity
+        self._clock = clock
+        self._beat_seconds = beat_seconds
+        self._announced = announced
+        self._on_beat = on_beat
+        self._lock = threading.Lock()
+        self._session = 0
+        self._cursor = 0
+        self._acknowledged = 0
+        self._acknowledged_at = clock.monotonic()
+        self._incarnation = ""
+        self._connected = False
+        self._beat: Beat | None = None
+        self._beat_time = 0.0
+        self._disconnected_since: float | None = clock.monotonic()
+        self._outstanding: dict[str, _Outstanding] = {}
+        self._sent_tokens = 0
+        self._response: Any = None
+        self._stream_pool = Pool(vm.address, CONNECT_SECONDS, size=1)
+        self._pool = Pool(
+            vm.address, CONNECT_SECONDS, DISPATCH_SECONDS, SPARE_CONNECTIONS
+        )
+        self.dropped_frames = 0
+
+    @property
+    def vm(self) -> Vm:
+        """The VM of the side."""
+        return self._vm
+
+    @property
+    def state(self) -> PeerState:
+        """What is known of the side now."""
+        with self._lock:
+            return PeerState(
+                self._vm,
+                self._connected,
+                self._beat,
+                self._beat_time,
+                self._sent_tokens,
+                self._disconnected_since,
+            )
+
+    def run(self, stop: threading.Event) -> None:
+        """Keep a session open until `stop` (a supervisor's task)."""
+        pause = FIRST_PAUSE
+        while not stop.is_set():
+            opened = self._read_session(stop)
+            self._disconnect()
+            if stop.is_set():
+                break
+            pause = FIRST_PAUSE if opened else min(LONGEST_PAUSE, pause * 2)
+            self._give_up_outstanding()
+            stop.wait(random.uniform(pause / 2, pause))
+        self._resolve_all(Unknown("side_gone"))
+        self._pool.close()
+        self._stream_pool.close()
+
+    def dispatch(self, attempts: list[Attempt], sink: Sink) -> None:
+        """Send `attempts` to the side; each gets one outcome at `sink`."""
+        with self._lock:
+            connected = self._connected
+            header = self._header()
+            if connected:
+                for attempt in attempts:
+                    self._outstanding[attempt.attempt] = _Outstanding(
+                        attempt, sink, self._incarnation
+                    )
+                    self._sent_tokens += attempt.max_tokens
+        if not connected:
+            for attempt in attempts:
+                sink.put(
+                    attempt.attempt,
+                    NotRun("peer_disconnected", RETRY_SECONDS),
+                    self._vm.name,
+                )
+            return
+        message = msgspec.structs.replace(header, attempts=attempts)
+        answer = self._pool.call("POST", "/peer/dispatch", message)
+        self._settle_dispatch(attempts, answer)
+
+    def cancel(self, attempts: Iterable[str]) -> None:
+        """Tell the side that nobody waits for `attempts` any more."""
+        names = list(attempts)
+        with self._lock:
+            for name in names:
+                self._pop(name)
+            header = self._header()
+            connected = self._connected
+        if connected and names:
+            message = msgspec.structs.replace(header, cancel=names)
+            self._pool.call("POST", "/peer/dispatch", message)
+
+    def deliver(
+        self, request: DeliveryRequest, timeout: float = DISPATCH_SECONDS
+    ) -> DeliveryReply:
+        """Speak for a Lot to this side as the owner of its slot."""
+        answer = self._pool.call("POST", "/peer/delivery", request, timeout=timeout)
+        if isinstance(answer, Answer) and answer.status == 200:
+            return _delivery_decoder.decode(answer.body)
+        if isinstance(answer, Lost):
+            self.reset()
+        return DeliveryReply(status="unavailable")
+
+    def gone(self) -> None:
+        """Resolve everything outstanding: the VM is gone for good."""
+        self._resolve_all(Unknown("side_gone"))
+
+    def reset(self) -> None:
+        """End the session; the task opens a new one on a new connection."""
+        self._pool.reset()
+        with self._lock:
+            response = self._response
+        if response is not None:
+            try:
+                response.shutdown()
+            except (OSError, RuntimeError, ValueError, AttributeError):
+                pass
+
+    # --- the session's task --------------------------------------------------
+
+    def _read_session(self, stop: threading.Event) -> bool:
+        message = self._open_message()
+        silence = SILENT_BEATS * self._beat_seconds
+        response = self._stream_pool.open_stream("/peer/open", message, silence)
+        if isinstance(response, NotSent | Lost):
+            return False
+        if response.status != 200:
+            response.close()
+            return False
+        with self._lock:
+            self._response = response
+        opened = False
+        try:
+            for line in lines(response):
+                self._take(_frame_decoder.decode(line), message)
+                opened = True
+                if stop.is_set():
+                    break
+        except (HTTPError, OSError, msgspec.DecodeError) as error:
+            self._log("session_ended", reason=type(error).__name__)
+        finally:
+            with self._lock:
+                self._response = None
+            response.close()
+        return opened
+
+    def _open_message(self) -> OpenSession:
+        with self._lock:
+            self._session += 1
+            return OpenSession(
+                entry=self._identity.name,
+                entry_incarnation=self._identity.incarnation,
+                session=self._session,
+                cursor=self._cursor,
+                outstanding=list(self._outstanding),
+                side_incarnation=self._incarnation,
+                versions=self._announced(),
+            )
+
+    def _take(self, frame: StreamFrame, message: OpenSession) -> None:
+        if frame.session != message.session:
+            self.dropped_frames += 1
+            return
+        if isinstance(frame, Opened):
+            self._take_opened(frame, message)
+        elif frame.incarnation != self._incarnation:
+            self.dropped_frames += 1
+        elif isinstance(frame, Beat):
+            self._take_beat(frame)
+        else:
+            self._take_result(frame)
+
+    def _take_opened(self, frame: Opened, message: OpenSession) -> None:
+        if frame.side != self._vm.name:
+            self.dropped_frames += 1
+            raise HTTPError(f"answered by {frame.side}")
+        with self._lock:
+            restarted = frame.incarnation != self._incarnation
+            if restarted:
+                self._cursor = 0
+                self._acknowledged = 0
+            self._incarnation = frame.incarnation
+            self._connected = True
+            self._disconnected_since = None
+        self._log("session_opened", session=frame.session, restarted=restarted)
+        self._settle_fates(frame, message)
+
+    def _settle_fates(self, frame: Opened, message: OpenSession) -> None:
+        fates = {fate.attempt: fate for fate in frame.fates}
+        for name in message.outstanding:
+            with self._lock:
+                waiting = self._outstanding.get(name)
+            if waiting is None:
+                continue
+            if waiting.side_incarnation != frame.incarnation:
+                self._resolve(name, Unknown("side_restarted"))
+            elif _never_seen(fates.get(name)):
+                self._resolve(name, NotRun("not_delivered", 0.0))
+
+    def _take_beat(self, frame: Beat) -> None:
+        now = self._clock.monotonic()
+        with self._lock:
+            self._beat = frame
+            self._beat_time = now
+            due = (
+                self._cursor > self._acknowledged
+                and now - self._acknowledged_at >= ACKNOWLEDGE_SECONDS
+            )
+            header = self._header()
+        self._on_beat(self._vm.name, frame)
+        if due:
+            answer = self._pool.call("POST", "/peer/dispatch", header)
+            if isinstance(answer, Answer):
+                self._note_acknowledged(header.cursor)
+
+    def _take_result(self, frame: Result) -> None:
+        with self._lock:
+            if frame.sequence <= self._cursor:
+                self.dropped_frames += 1
+                return
+            self._cursor = frame.sequence
+        if not self._resolve(frame.attempt, from_wire(frame.outcome)):
+            self.dropped_frames += 1
+
+    def _disconnect(self) -> None:
+        with self._lock:
+            if self._connected or self._disconnected_since is None:
+                self._disconnected_since = self._clock.monotonic()
+            self._connected = False
+        self._pool.reset()
+
+    def _give_up_outstanding(self) -> None:
+        """Resolve what need not, or can't, wait for the side to come back."""
+        now = self._clock.monotonic()
+        with self._lock:
+            since = self._disconnected_since or now
+            waiting = list(self._outstanding.values())
+        grace_over = now - since >= UNKNOWN_GRACE_SECONDS
+        for one in waiting:
+            if grace_over or (one.attempt.idempotent and now - since > 0.5):
+                self._resolve(one.attempt.attempt, Unknown("peer_lost"))
+
+    # --- helpers -------------------------------------------------------------
+
+    def _settle_dispatch(
+        self, attempts: list[Attempt], answer: Answer | NotSent | Lost
+    ) -> None:
+        if isinstance(answer, Lost):
+            # Whether the side has it is told by the fates of the next session.
+            self.reset()
+            return
+        if isinstance(answer, NotSent):
+            self._refuse_all(attempts, NotRun("peer_unreachable", RETRY_SECONDS))
+            self.reset()
+            return
+        if answer.status in REFUSED_STATUSES:
+            self._refuse_all(attempts, NotRun("peer_refused", RETRY_SECONDS))
+            return
+        if answer.status != 200:
+            self.reset()
+            return
+        reply = _reply_decoder.decode(answer.body)
+        if reply.stale:
+            self._refuse_all(attempts, NotRun("stale_session", 0.0))
+            return
+        for refusal in reply.refused:
+            self._resolve(refusal.attempt, from_wire(refusal.outcome))
+
+    def _refuse_all(self, attempts: list[Attempt], outcome: NotRun) -> None:
+        for attempt in attempts:
+            self._resolve(attempt.attempt, outcome)
+
+    def _resolve(self, name: str, outcome: Outcome) -> bool:
+        with self._lock:
+            waiting = self._pop(name)
+        if waiting is None:
+            return False
+        waiting.sink.put(name, outcome, self._vm.name)
+        return True
+
+    def _pop(self, name: str) -> _Outstanding | None:
+        waiting = self._outstanding.pop(name, None)
+        if waiting is not None:
+            self._sent_tokens -= waiting.attempt.max_tokens
+        return waiting
+
+    def _resolve_all(self, outcome: Outcome) -> None:
+        with self._lock:
+            names = list(self._outstanding)
+        for name in names:
+            self._resolve(name, outcome)
+
+    def _header(self) -> Dispatch:
+        return Dispatch(
+            entry=self._identity.name,
+            entry_incarnation=self._identity.incarnation,
+            session=self._session,
+            side_incarnation=self._incarnation,
+            cursor=self._cursor,
+            versions=self._announced(),
+        )
+
+    def _note_acknowledged(self, cursor: int) -> None:
+        with self._lock:
+            self._acknowledged = max(self._acknowledged, cursor)
+            self._acknowledged_at = self._clock.monotonic()
+
+    def _log(self, name: str, **fields: Any) -> None:
+        event(logger, name, side=self._vm.name, **fields)
+
+
+def _never_seen(fate: Fate | None) -> bool:
+    return fate is None or fate.state == "never_seen"
