--- /dev/null
+++ b/src/wigeonfront/entry/directory.py
@@ -0,0 +1,233 @@
+"""The sides that this entry knows: the VM list turned into peers.
+
+The VM list lags and errs, so it only adds peers and marks the end of those whose
+session is lost as well: a side that still sends heartbeats stays, listed or not.
+"""
+
+import logging
+import random
+import threading
+from collections.abc import Callable, Iterable
+
+from wigeonfront.clock import Clock
+from wigeonfront.entry.peers import Identity, Peer, PeerState
+from wigeonfront.logs import event
+from wigeonfront.messages import Beat
+from wigeonfront.outcomes import Outcome
+from wigeonfront.platform import Unavailable, Vm, VmList
+from wigeonfront.policy.circuit import CircuitChange, Circuits
+from wigeonfront.policy.placement import SideView
+from wigeonfront.supervisor import Supervisor
+
+logger = logging.getLogger(__name__)
+
+POLL_SECONDS = 2.0
+GONE_SECONDS = 10.0
+
+
+class Announcements:
+    """The newest weight version announced for each service."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._versions: dict[str, int] = {}
+
+    def announce(self, service: str, version: int) -> None:
+        """Note `version`; a lower one than known is ignored."""
+        with self._lock:
+            if version > self._versions.get(service, -1):
+                self._versions[service] = version
+
+    def newest(self) -> dict[str, int]:
+        """Return the newest version of each service."""
+        with self._lock:
+            return dict(self._versions)
+
+
+class Directory:
+    """Peers by service, with their circuits.
+
+    Parameters
+    ----------
+    supervisor : Supervisor
+        Runs one task for each peer.
+    identity : Identity
+        Of this entry.
+    clock : Clock
+    beat_seconds : float
+        Interval of heartbeats.
+    announcements : Announcements
+    select : callable
+        Chooses this entry's subset among the sides of a service.
+    on_beat : callable
+        Told of each heartbeat.
+    """
+
+    def __init__(
+        self,
+        supervisor: Supervisor,
+        identity: Identity,
+        clock: Clock,
+        beat_seconds: float,
+        announcements: Announcements,
+        select: Callable[[str, list[Vm]], list[Vm]] = lambda service, vms: vms,
+        on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
+    ) -> None:
+        self._supervisor = supervisor
+        self._identity = identity
+        self._clock = clock
+        self._beat_seconds = beat_seconds
+        self._announcements = announcements
+        self._select = select
+        self._on_beat = on_beat
+        self._lock = threading.Lock()
+        self._peers: dict[str, Peer] = {}
+        self._by_service: dict[str, list[Peer]] = {}
+        self._circuits: dict[str, Circuits] = {}
+        self._vms: dict[str, Vm] = {}
+
+    @property
+    def services(self) -> set[str]:
+        """Services with at least one side."""
+        with self._lock:
+            return {service for service, peers in self._by_service.items() if peers}
+
+    @property
+    def vms(self) -> tuple[Vm, ...]:
+        """The VMs of the last good listing."""
+        with self._lock:
+            return tuple(self._vms.values())
+
+    def peer(self, name: str) -> Peer | None:
+        """Return the peer of the side `name`."""
+        with self._lock:
+            return self._peers.get(name)
+
+    def peers(self, service: str) -> list[Peer]:
+        """Return the peers of a service."""
+        with self._lock:
+            return list(self._by_service.get(service, ()))
+
+    def views(self, service: str) -> list[SideView]:
+        """Return what placement needs to know of a service's sides."""
+        now = self._clock.monotonic()
+        circuits = self._circuits_of(service)
+        return [
+            _view(peer.state, now, circuits.is_open(peer.vm.name))
+            for peer in self.peers(service)
+        ]
+
+    def record(self, service: str, side: str, outcome: Outcome) -> None:
+        """Tell the side's circuit how an attempt ended."""
+        change = self._circuits_of(service).record(side, outcome)
+        if isinstance(change, CircuitChange):
+            event(
+                logger,
+                "circuit",
+                side=side,
+                state=change.state,
+                reason=change.reason,
+                rate=change.rate,
+                pause=change.pause,
+            )
+
+    def update(self, listed: Iterable[Vm]) -> None:
+        """Start peers of newly listed sides; end those gone and silent."""
+        vms = {vm.name: vm for vm in listed}
+        wanted = self._wanted(vms)
+        with self._lock:
+            self._vms = vms
+            known = dict(self._peers)
+        for name, vm in wanted.items():
+            peer = known.get(name)
+            if peer is not None and peer.vm.address != vm.address:
+                self._remove(peer)
+                peer = None
+            if peer is None:
+                self._add(vm)
+        for name, peer in known.items():
+            if name not in wanted and self._silent(peer):
+                self._remove(peer)
+
+    def watch(self, vm_list: VmList, stop: threading.Event) -> None:
+        """Poll the VM list until `stop` (a supervisor's task)."""
+        reachable = True
+        while not stop.is_set():
+            answer = vm_list.vms()
+            if isinstance(answer, Unavailable):
+                if reachable:
+                    event(logger, "vm_list_unavailable", reason=answer.reason)
+                reachable = False
+            else:
+                reachable = True
+                self.update(answer)
+            stop.wait(random.uniform(0.75, 1.25) * POLL_SECONDS)
+
+    def _wanted(self, vms: dict[str, Vm]) -> dict[str, Vm]:
+        by_service: dict[str, list[Vm]] = {}
+        for vm in vms.values():
+            if vm.role == "side":
+                by_service.setdefault(vm.service, []).append(vm)
+        return {
+            vm.name: vm
+            for service, members in by_service.items()
+            for vm in self._select(service, members)
+        }
+
+    def _add(self, vm: Vm) -> None:
+        peer = Peer(
+            vm,
+            self._identity,
+            self._clock,
+            self._beat_seconds,
+            self._announcements.newest,
+            self._on_beat,
+        )
+        with self._lock:
+            self._peers[vm.name] = peer
+            self._by_service.setdefault(vm.service, []).append(peer)
+        event(logger, "peer_added", side=vm.name, address=vm.address)
+        self._supervisor.start(vm.name, peer.run)
+
+    def _remove(self, peer: Peer) -> None:
+        name = peer.vm.name
+        with self._lock:
+            if self._peers.get(name) is peer:
+                del self._peers[name]
+            peers = self._by_service.get(peer.vm.service, [])
+            if peer in peers:
+                peers.remove(peer)
+        event(logger, "peer_removed", side=name)
+        self._supervisor.stop_task(name)
+        peer.gone()
+
+    def _silent(self, peer: Peer) -> bool:
+        since = peer.state.disconnected_since
+        return since is not None and self._clock.monotonic() - since > GONE_SECONDS
+
+    def _circuits_of(self, service: str) -> Circuits:
+        with self._lock:
+            circuits = self._circuits.get(service)
+            if circuits is None:
+                circuits = Circuits(self._clock, random.Random())
+                self._circuits[service] = circuits
+            return circuits
+
+
+def _view(state: PeerState, now: float, circuit_open: bool) -> SideView:
+    beat = state.beat or Beat(incarnation="", session=0)
+    return SideView(
+        name=state.vm.name,
+        failure_domain=state.vm.failure_domain,
+        connected=state.connected and state.beat is not None,
+        serving=beat.serving,
+        leaving=beat.leaving or state.vm.leaving,
+        version=beat.version,
+        capacity=beat.capacity,
+        running=beat.running,
+        queued=beat.queued,
+        queued_tokens=beat.queued_tokens,
+        sent_tokens=state.sent_tokens,
+        age=now - state.beat_time,
+        circuit_open=circuit_open,
+    )
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -95,7 +95,7 @@
     beat_time : float
         When it came, by the monotonic clock.
     sent_tokens : int
-        Tokens dispatched by this entry and still outstanding.
+        Tokens dispatched by this entry since that heartbeat.
     disconnected_since : float or None
         When the last session ended, by the monotonic clock.
     """
@@ -221,7 +221,7 @@
         names = list(attempts)
         with self._lock:
             for name in names:
-                self._pop(name)
+                self._outstanding.pop(name, None)
             header = self._header()
             connected = self._connected
         if connected and names:
@@ -340,6 +340,7 @@
         with self._lock:
             self._beat = frame
             self._beat_time = now
+            self._sent_tokens = 0
             due = (
                 self._cursor > self._acknowledged
                 and now - self._acknowledged_at >= ACKNOWLEDGE_SECONDS
@@ -410,17 +411,12 @@
 
     def _resolve(self, name: str, outcome: Outcome) -> bool:
         with self._lock:
-            waiting = self._pop(name)
+            waiting = self._outstanding.pop(name, None)
         if waiting is None:
             return False
         waiting.sink.put(name, outcome, self._vm.name)
         return True
 
-    def _pop(self, name: str) -> _Outstanding | None:
-        waiting = self._outstanding.pop(name, None)
-        if waiting is not None:
-            self._sent_tokens -= waiting.attempt.max_tokens
-        return waiting
 
     def _resolve_all(self, outcome: Outcome) -> None:
         with self._lock:
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -226,8 +226,6 @@
         Unique for ever: entry, incarnation and a counter.
     request : str
         Identifier of the caller's request, for logs.
-    kind : {"generate", "call"}
-        For a model engine or a plain service.
     idempotent : bool
         ``False``: the side may run it at most once.
     key : str
@@ -252,7 +250,6 @@
 
     attempt: str
     request: str
-    kind: Literal["generate", "call"] = "generate"
     payload: Any = None
     idempotent: bool = True
     key: str = ""
