--- /dev/null
+++ b/src/wigeonfront/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m wigeonfront``."""
+
+import sys
+
+from wigeonfront.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
