--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -51,6 +51,7 @@
 UNKNOWN_GRACE_SECONDS = 5.0
 RETRY_SECONDS = 1.0
 SPARE_CONNECTIONS = 8
+SESSION_ENDED_STATUS = 410
 # Given before the side has looked at the attempts.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 422, 503})
 
@@ -263,6 +264,7 @@
         if isinstance(response, NotSent | Lost):
             return False
         if response.status != 200:
+            self._note_refused(response.status)
             response.close()
             return False
         with self._lock:
@@ -282,6 +284,17 @@
             response.close()
         return opened
 
+    def _note_refused(self, status: int) -> None:
+        """Forget the side's incarnation when it has forgotten this entry."""
+        self._log("session_refused", status=status)
+        if status != SESSION_ENDED_STATUS:
+            return
+        with self._lock:
+            self._incarnation = ""
+            self._cursor = 0
+            self._acknowledged = 0
+        self._resolve_all(Unknown("side_forgot"))
+
     def _open_message(self) -> OpenSession:
         with self._lock:
             self._session += 1
@@ -341,9 +354,8 @@
             self._beat = frame
             self._beat_time = now
             self._sent_tokens = 0
-            due = (
-                self._cursor > self._acknowledged
-                and now - self._acknowledged_at >= ACKNOWLEDGE_SECONDS
+            due = self._cursor > self._acknowledged and (
+                frame.leaving or now - self._acknowledged_at >= ACKNOWLEDGE_SECONDS
             )
             header = self._header()
         self._on_beat(self._vm.name, frame)
@@ -417,7 +429,6 @@
         waiting.sink.put(name, outcome, self._vm.name)
         return True
 
-
     def _resolve_all(self, outcome: Outcome) -> None:
         with self._lock:
             names = list(self._outstanding)
--- /dev/null
+++ b/src/wigeonfront/entry/server.py
@@ -0,0 +1,333 @@
+"""The entry's HTTP surface: callers, trainers and operators."""
+
+import logging
+import threading
+import uuid
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from math import ceil
+
+from wigeonfront.catalogue import CatalogueEntry
+from wigeonfront.clock import Clock
+from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.directory import Announcements, Directory
+from wigeonfront.entry.dispatch import Work
+from wigeonfront.entry.lots import Lots, LotTerms
+from wigeonfront.entry.peers import Identity
+from wigeonfront.entry.requests import Requests
+from wigeonfront.entry.slots import SlotView
+from wigeonfront.http import Application, Call, Reply
+from wigeonfront.logs import event
+from wigeonfront.messages import (
+    DeliveryRequest,
+    ErrorReply,
+    LotAcknowledgement,
+    LotBody,
+    LotReply,
+    RequestBody,
+    RequestReply,
+    to_wire,
+)
+from wigeonfront.metrics import Registry
+from wigeonfront.outcomes import Expired, NotRun, Outcome, http_status
+from wigeonfront.supervisor import Supervisor
+
+logger = logging.getLogger(__name__)
+
+LOT_STATUSES = {
+    "complete": 200,
+    "partial": 504,
+    "superseded": 409,
+    "already_delivered": 410,
+    "not_run": 503,
+}
+MAX_KEY_LENGTH = 200
+RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryParts:
+    """What the server of an entry speaks for."""
+
+    identity: Identity
+    clock: Clock
+    max_callers: int
+    catalogue: Catalogue
+    directory: Directory
+    announcements: Announcements
+    requests: Requests
+    lots: Lots
+    slots: SlotView
+    metrics: Registry
+    supervisor: Supervisor
+
+
+class EntryServer:
+    """Handlers of an entry's calls.
+
+    Parameters
+    ----------
+    parts : EntryParts
+    """
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+        self._lock = threading.Lock()
+        self._callers = 0
+        self._leaving = False
+        metrics = parts.metrics
+        self._answers = metrics.counter(
+            "wigeonfront_answers_total",
+            "Requests and Lots answered, by outcome.",
+            ("service", "outcome"),
+        )
+        self._seconds = metrics.histogram(
+            "wigeonfront_answer_seconds",
+            "Seconds from a call to its answer.",
+            ("service", "kind"),
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Callers being served."""
+        with self._lock:
+            return self._callers
+
+    def leave(self) -> None:
+        """Admit nothing new from now on."""
+        self._leaving = True
+        event(logger, "leaving", in_flight=self.in_flight)
+
+    def caller_routes(self, application: Application) -> None:
+        """Add the callers' routes."""
+        application.route("POST", "/v1/services/*/requests", self.request)
+        application.route("POST", "/v1/lots", self.lot)
+        application.route("POST", "/v1/lots/acknowledge", self.acknowledge)
+        application.route("GET", "/health", self.health)
+        application.route("GET", "/ready", self.ready)
+        application.route("GET", "/metrics", self.metrics)
+        application.route("GET", "/v1/status", self.status)
+
+    # --- callers -------------------------------------------------------------
+
+    def request(self, call: Call) -> Reply:
+        """Answer one request."""
+        service = call.arguments[0]
+        body = call.decode(RequestBody)
+        key = call.header("Idempotency-Key")
+        if len(key) > MAX_KEY_LENGTH:
+            return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
+        row = self._terms(body.catalogue_entry, service)
+        if isinstance(row, Reply):
+            return row
+        request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
+        started = self._parts.clock.monotonic()
+        with self._caller() as refusal:
+            if refusal is None:
+                work = self._work(service, body, row, key, request, started)
+                outcome = self._parts.requests.run(work, call.caller_gone)
+            else:
+                outcome = refusal
+        self._note(service, "request", type(outcome).__name__, started)
+        return _outcome_reply(request, outcome)
+
+    def lot(self, call: Call) -> Reply:
+        """Answer a Lot whole."""
+        body = call.decode(LotBody)
+        names = {sample.sample for sample in body.samples}
+        if len(names) != len(body.samples):
+            return _bad(422, "duplicate_sample", "a sample stands twice in the Lot")
+        row = self._terms(body.catalogue_entry, body.service)
+        if isinstance(row, Reply):
+            return row
+        if row.work_class != "rollout":
+            return _bad(403, "not_a_rollout_entry", body.catalogue_entry)
+        started = self._parts.clock.monotonic()
+        holder = f"lot-{uuid.uuid4().hex[:16]}"
+        with self._caller() as refusal:
+            if refusal is None:
+                reply = self._run_lot(body, row, holder, call)
+            else:
+                reply = _lot_not_run(body, refusal)
+        if reply is None:
+            return Reply(499, ErrorReply(error="caller_gone"))
+        self._note(body.service, "lot", reply.status, started)
+        headers = {"X-Request-Id": holder, **_retry_header(reply.retry_after)}
+        return Reply(LOT_STATUSES[reply.status], reply, headers)
+
+    def acknowledge(self, call: Call) -> Reply:
+        """End a Lot: its trainer has the whole answer."""
+        body = call.decode(LotAcknowledgement)
+        key = f"{body.trainer}/{body.lot}"
+        owner = self._parts.slots.owner(body.service, key)
+        peer = self._parts.directory.peer(owner.side) if owner else None
+        status = "unavailable"
+        if peer is not None:
+            request = DeliveryRequest(
+                step="acknowledge", key=key, service=body.service, epoch=owner.epoch
+            )
+            status = peer.deliver(request).status
+        event(logger, "acknowledged", lot=key, status=status)
+        if status in ("granted", "already_delivered"):
+            return Reply(200, {"status": "acknowledged"})
+        return Reply(
+            503,
+            ErrorReply(error="not_acknowledged", detail=status),
+            _retry_header(RETRY_SECONDS),
+        )
+
+    # --- operators -----------------------------------------------------------
+
+    def health(self, call: Call) -> Reply:
+        """Answer that the process runs."""
+        return Reply(200, {"status": "ok", "name": self._parts.identity.name})
+
+    def ready(self, call: Call) -> Reply:
+        """Answer whether new work is admitted, for the balancer."""
+        reason = self._not_ready()
+        body = {"ready": not reason, "reason": reason or "ok"}
+        return Reply(503 if reason else 200, body)
+
+    def metrics(self, call: Call) -> Reply:
+        """Answer with the metrics as text for a scraper."""
+        text = self._parts.metrics.render_text()
+        return Reply(200, text.encode(), content_type="text/plain; version=0.0.4")
+
+    def status(self, call: Call) -> Reply:
+        """Answer what an operator asks of an entry."""
+        parts = self._parts
+        sides = [
+            view
+            for service in sorted(parts.directory.services)
+            for view in parts.directory.views(service)
+        ]
+        return Reply(
+            200,
+            {
+                "name": parts.identity.name,
+                "incarnation": parts.identity.incarnation,
+                "leaving": self._leaving,
+                "in_flight": self.in_flight,
+                "catalogue_revision": parts.catalogue.revision,
+                "catalogue_age": parts.catalogue.age,
+                "bad_rows": parts.catalogue.bad_rows,
+                "sides": sides,
+                "metrics": parts.metrics.snapshot(),
+            },
+        )
+
+    # --- helpers -------------------------------------------------------------
+
+    def _terms(self, name: str, service: str) -> CatalogueEntry | Reply:
+        """Return the catalogue entry if it may draw on `service`."""
+        if not self._parts.catalogue.loaded:
+            return _outcome_reply("", NotRun("catalogue_not_loaded", RETRY_SECONDS))
+        row = self._parts.catalogue.get(name)
+        if row is None:
+            return _bad(403, "no_such_catalogue_entry", name)
+        if not row.enabled:
+            return _bad(403, "catalogue_entry_disabled", name)
+        if service not in row.services:
+            if service not in self._parts.directory.services:
+                return _bad(404, "no_such_service", service)
+            return _bad(403, "service_not_in_catalogue_entry", service)
+        return row
+
+    def _work(
+        self,
+        service: str,
+        body: RequestBody,
+        row: CatalogueEntry,
+        key: str,
+        request: str,
+        started: float,
+    ) -> Work:
+        min_version = -1
+        if body.version is not None:
+            min_version = max(0, body.version - _bound(row, body.bound))
+            self._parts.announcements.announce(service, body.version)
+        return Work(
+            request=request,
+            service=service,
+            payload=body.payload,
+            work_class=row.work_class,
+            deadline=started + body.timeout,
+            idempotent=body.idempotent,
+            key=f"{body.catalogue_entry}/{key}" if key else "",
+            first=body.submission == 1,
+            prefix=body.prefix,
+            max_tokens=body.max_tokens,
+            min_version=min_version,
+        )
+
+    def _run_lot(
+        self, body: LotBody, row: CatalogueEntry, holder: str, call: Call
+    ) -> LotReply | None:
+        self._parts.announcements.announce(body.service, body.version)
+        min_version = max(0, body.version - _bound(row, body.bound))
+        terms = LotTerms(body.catalogue_entry, min_version)
+        return self._parts.lots.run(body, terms, holder, call.caller_gone)
+
+    def _not_ready(self) -> str:
+        if self._leaving:
+            return "leaving"
+        if not self._parts.catalogue.loaded:
+            return "catalogue_not_loaded"
+        return ""
+
+    @contextmanager
+    def _caller(self) -> Iterator[NotRun | None]:
+        """Count a caller in, or say why it is refused."""
+        with self._lock:
+            refusal = None
+            if self._leaving:
+                refusal = NotRun("leaving", RETRY_SECONDS)
+            elif self._callers >= self._parts.max_callers:
+                refusal = NotRun("entry_full", RETRY_SECONDS)
+            else:
+                self._callers += 1
+        try:
+            yield refusal
+        finally:
+            if refusal is None:
+                with self._lock:
+                    self._callers -= 1
+
+    def _note(self, service: str, kind: str, outcome: str, started: float) -> None:
+        seconds = self._parts.clock.monotonic() - started
+        self._answers.increment(service=service, outcome=outcome.lower())
+        self._seconds.observe(seconds, service=service, kind=kind)
+
+
+def _bound(row: CatalogueEntry, asked: int) -> int:
+    return asked if row.bound is None else min(asked, row.bound)
+
+
+def _bad(status: int, error: str, detail: str) -> Reply:
+    return Reply(status, ErrorReply(error=error, detail=detail))
+
+
+def _retry_header(seconds: float) -> dict[str, str]:
+    return {"Retry-After": str(max(1, ceil(seconds)))} if seconds > 0 else {}
+
+
+def _outcome_reply(request: str, outcome: Outcome) -> Reply:
+    retry_after = 0.0
+    if isinstance(outcome, NotRun | Expired):
+        retry_after = outcome.retry_after
+    headers = {"X-Request-Id": request, **_retry_header(retry_after)}
+    reply = RequestReply(request=request, outcome=to_wire(outcome))
+    return Reply(http_status(outcome), reply, headers)
+
+
+def _lot_not_run(body: LotBody, refusal: NotRun) -> LotReply:
+    return LotReply(
+        trainer=body.trainer,
+        lot=body.lot,
+        submission=body.submission,
+        status="not_run",
+        missing=len(body.samples),
+        reason=refusal.reason,
+        retry_after=refusal.retry_after,
+    )
--- /dev/null
+++ b/src/wigeonfront/entry/supervisor.py
@@ -0,0 +1,148 @@
+"""The entry process: builds its parts and supervises their tasks.
+
+The tree::
+
+    entry
+    ├── server        callers, trainers and operators, one pool thread for each
+    ├── vm_list       polls the VM list
+    ├── catalogue     follows the catalogue
+    └── peers         one task for each side
+"""
+
+import logging
+import uuid
+
+from wigeonfront import logs
+from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.directory import Announcements, Directory
+from wigeonfront.entry.dispatch import Dispatcher
+from wigeonfront.entry.lots import Lots
+from wigeonfront.entry.peers import Identity
+from wigeonfront.entry.requests import Requests
+from wigeonfront.entry.server import EntryParts, EntryServer
+from wigeonfront.entry.slots import SlotView
+from wigeonfront.http import Application, Server
+from wigeonfront.metrics import Registry
+from wigeonfront.platform.key_value import HttpKeyValue
+from wigeonfront.platform.vm_list import HttpVmList
+from wigeonfront.settings import EntrySettings
+from wigeonfront.stopping import StopSignal, wait_until
+from wigeonfront.supervisor import Supervisor
+
+logger = logging.getLogger(__name__)
+
+# Callers that come on a kept-alive connection meanwhile still get an answer.
+LEAVING_SECONDS = 1.0
+EXIT_FAILED = 1
+
+
+class Entry:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    clock : Clock
+    """
+
+    def __init__(self, settings: EntrySettings, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._identity = Identity(settings.name, uuid.uuid4().hex[:12])
+        self._supervisor = Supervisor("entry", self._clock)
+        self._key_value = HttpKeyValue(settings.key_value)
+        self._vm_list = HttpVmList(settings.vm_list)
+        self._catalogue = Catalogue(self._clock)
+        announcements = Announcements()
+        self._directory = Directory(
+            self._supervisor.child("peers"),
+            self._identity,
+            self._clock,
+            settings.beat_seconds,
+            announcements,
+        )
+        slots = SlotView(self._listed_sides)
+        dispatcher = Dispatcher(
+            self._directory, self._identity, self._clock, settings.failure_domain
+        )
+        requests = Requests(
+            self._directory,
+            dispatcher,
+            slots,
+            self._clock,
+            settings.max_attempts,
+            settings.retry_budget,
+        )
+        lots = Lots(
+            self._directory, dispatcher, slots, self._clock, settings.hedge_budget
+        )
+        self._server = EntryServer(
+            EntryParts(
+                identity=self._identity,
+                clock=self._clock,
+                max_callers=settings.threads,
+                catalogue=self._catalogue,
+                directory=self._directory,
+                announcements=announcements,
+                requests=requests,
+                lots=lots,
+                slots=slots,
+                metrics=Registry(),
+                supervisor=self._supervisor,
+            )
+        )
+        application = Application(settings.max_body_bytes)
+        self._server.caller_routes(application)
+        threads = settings.threads + settings.control_threads
+        self._http = Server(str(settings.listen), application, threads)
+
+    def run(self, stop: StopSignal) -> int:
+        """Serve until `stop`; return the exit code."""
+        self._http.bind()
+        start = self._supervisor.start
+        start("server", self._http.run)
+        start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
+        start("catalogue", lambda end: self._catalogue.watch(self._key_value, end))
+        logs.event(
+            logger,
+            "started",
+            role="entry",
+            incarnation=self._identity.incarnation,
+            address=self._settings.listen,
+        )
+        while not stop.wait(0.2):
+            if self._supervisor.failed:
+                return EXIT_FAILED
+        self._drain()
+        return 0
+
+    def _drain(self) -> None:
+        """Answer every caller, then stop."""
+        self._server.leave()
+        self._http.close_kept_alive()
+        self._clock.sleep(LEAVING_SECONDS)
+        wait_until(
+            lambda: self._server.in_flight == 0,
+            self._settings.drain_seconds,
+            self._clock,
+            "callers",
+        )
+        self._http.close()
+        self._supervisor.stop()
+        logs.event(logger, "stopped", role="entry")
+
+    def _listed_sides(self, service: str) -> list[str]:
+        return [
+            vm.name
+            for vm in self._directory.vms
+            if vm.role == "side" and vm.service == service
+        ]
+
+
+def run(settings: EntrySettings) -> int:
+    """Run an entry until it is told to stop; return the exit code."""
+    logs.configure(settings.name, settings.log_level, settings.log_file)
+    stop = StopSignal()
+    stop.install()
+    return Entry(settings).run(stop)
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -265,6 +265,24 @@
     prior_versions: list[SpanFrame] = []
 
 
+class ServicePolicy(Message, frozen=True, kw_only=True):
+    """What a side follows of the catalogue, at a revision.
+
+    Attributes
+    ----------
+    revision : int
+        Highest catalogue revision that it was made from.
+    wave : float
+        Share of the service's engines that may load weights at once.
+    weights : dict
+        Weight of each trainer in the fair share.
+    """
+
+    revision: int
+    wave: float = 0.34
+    weights: dict[str, float] = {}
+
+
 class OpenSession(Message, frozen=True, kw_only=True):
     """An entry opens a session; sessions with a lower number end.
 
@@ -291,6 +309,7 @@
     outstanding: list[str] = []
     side_incarnation: str = ""
     versions: dict[str, int] = {}
+    policy: ServicePolicy | None = None
 
 
 class Fate(Message, frozen=True, kw_only=True):
@@ -367,7 +386,7 @@
     attempts: list[Attempt] = []
     cancel: list[str] = []
     versions: dict[str, int] = {}
-    revision: int = 0
+    policy: ServicePolicy | None = None
 
 
 class Refusal(Message, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/wigeonfront/side/execution.py
@@ -0,0 +1,240 @@
+"""Execution at a side: admitted attempts, run by a fixed number of tasks.
+
+The ledger decides whether an attempt may run, the admission queue when, and an
+executor task runs it at the target and reports its one outcome to the ledger.
+"""
+
+import logging
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wigeonfront.clock import Clock
+from wigeonfront.coordination.ledger import Admitted, AttemptLedger
+from wigeonfront.logs import event
+from wigeonfront.messages import Attempt
+from wigeonfront.outcomes import (
+    Completed,
+    Expired,
+    Failed,
+    Interrupted,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from wigeonfront.policy.admission import AdmissionItem, AdmissionQueue
+from wigeonfront.side.target import Run, Target
+from wigeonfront.supervisor import BrokenInvariant
+
+logger = logging.getLogger(__name__)
+
+TAKE_SECONDS = 0.5
+VERSION_RETRY_SECONDS = 2.0
+PREEMPTED = "preempted"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCondition:
+    """What the side knows of its target.
+
+    Attributes
+    ----------
+    version : int
+        Weight version served; -1 for a plain service or unusable weights.
+    serving : bool
+        ``False`` while the target takes no work.
+    """
+
+    version: int = -1
+    serving: bool = True
+
+
+class Execution:
+    """The attempts queued and running at one side.
+
+    Parameters
+    ----------
+    queue : AdmissionQueue
+    target : Target
+    clock : Clock
+    tokens_of : callable
+        Predicted tokens of an attempt; 1 for a plain service.
+    """
+
+    def __init__(
+        self, queue: AdmissionQueue, target: Target, clock: Clock, generates: bool
+    ) -> None:
+        self._queue = queue
+        self._target = target
+        self._clock = clock
+        self._generates = generates
+        self._ledger: AttemptLedger | None = None
+        self._lock = threading.Lock()
+        self._runs: dict[str, Run] = {}
+        self._condition = TargetCondition()
+        self._serving = threading.Event()
+        self._serving.set()
+
+    @property
+    def condition(self) -> TargetCondition:
+        """What is known of the target."""
+        return self._condition
+
+    @condition.setter
+    def condition(self, condition: TargetCondition) -> None:
+        self._condition = condition
+        if condition.serving:
+            self._serving.set()
+        else:
+            self._serving.clear()
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts queued and running."""
+        with self._lock:
+            return len(self._runs)
+
+    def connect(self, ledger: AttemptLedger) -> None:
+        """Set the ledger to which outcomes go; called once while building."""
+        self._ledger = ledger
+
+    def admit(self, attempt: Attempt) -> NotRun | None:
+        """Queue `attempt`, or say why not; the ledger calls it under its lock."""
+        if attempt.min_version > self._condition.version and self._generates:
+            return NotRun("version_behind", VERSION_RETRY_SECONDS)
+        deadline = self._clock.monotonic() + attempt.remaining
+        return self._offer(Run.of(attempt, deadline))
+
+    def again(self, admissions: Iterable[Admitted]) -> None:
+        """Queue runs that the ledger wants made again."""
+        for admitted in admissions:
+            refusal = self._offer(Run.of(admitted.attempt, admitted.deadline))
+            if refusal is not None:
+                self._finish(admitted.attempt.attempt, refusal)
+
+    def expired(self, item: AdmissionItem, outcome: Expired) -> None:
+        """Tell the ledger that `item` expired while waiting."""
+        self._forget(item.id)
+        self._finish(item.id, outcome)
+
+    def stop_runs(self, names: Iterable[str], reason: str = "cancelled") -> None:
+        """Stop runs that nobody waits for any more."""
+        for name in names:
+            if self._queue.cancel(name) == "queued":
+                self._forget(name)
+                continue
+            with self._lock:
+                run = self._runs.get(name)
+            if run is not None:
+                run.cancel(reason)
+
+    def run(self, stop: threading.Event) -> None:
+        """Run attempts one after the other until `stop` (a supervisor's task)."""
+        while not stop.is_set():
+            if not self._serving.wait(TAKE_SECONDS):
+                continue
+            item = self._queue.take(TAKE_SECONDS)
+            if item is not None:
+                self._execute(item)
+
+    def _offer(self, run: Run) -> NotRun | None:
+        attempt = run.attempt
+        item = AdmissionItem(
+            id=attempt.attempt,
+            work_class=attempt.work_class,
+            deadline=run.deadline,
+            tokens=self._tokens(run),
+            trainer=attempt.trainer,
+            idempotent=attempt.idempotent,
+            payload=run,
+        )
+        with self._lock:
+            self._runs[attempt.attempt] = run
+        decision = self._queue.offer(item)
+        admitted = not isinstance(decision, NotRun)
+        event(
+            logger,
+            "admitted" if admitted else "refused",
+            request=attempt.request,
+            attempt=attempt.attempt,
+            work_class=attempt.work_class,
+            reason=decision.reason,
+            **(decision.figures if admitted else {}),
+        )
+        if not admitted:
+            self._forget(attempt.attempt)
+            return decision
+        for yielding in decision.preempt:
+            self._preempt(yielding)
+        return None
+
+    def _preempt(self, item: AdmissionItem) -> None:
+        run: Run = item.payload
+        event(logger, "preempted", request=run.attempt.request, attempt=item.id)
+        run.cancel(PREEMPTED)
+
+    def _execute(self, item: AdmissionItem) -> None:
+        run: Run = item.payload
+        if not run.started and not self._ledger.start(item.id):
+            self._queue.finished(item)
+            self._forget(item.id)
+            return
+        run.started = True
+        outcome = self._run_target(run)
+        produced = _tokens_of(outcome) if self._generates else 1.0
+        self._queue.finished(item, produced if _measures(outcome) else None)
+        if self._resumes_here(run, outcome):
+            return
+        self._forget(item.id)
+        self._finish(item.id, outcome)
+        event(
+            logger,
+            "ran",
+            request=run.attempt.request,
+            attempt=item.id,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+            tokens=len(run.tokens),
+        )
+
+    def _run_target(self, run: Run) -> Outcome:
+        try:
+            outcome = self._target.run(run)
+        except BrokenInvariant:
+            raise
+        except Exception:
+            # The attempt's end must reach the ledger whatever went wrong here.
+            logger.exception("event=target_failed attempt=%s", run.attempt.attempt)
+            outcome = Unknown("side_error")
+        if isinstance(outcome, Interrupted) and not run.attempt.idempotent:
+            return Unknown(outcome.reason)
+        return outcome
+
+    def _resumes_here(self, run: Run, outcome: Outcome) -> bool:
+        """Queue a preempted run again, with the tokens that it has."""
+        if not isinstance(outcome, Interrupted) or outcome.reason != PREEMPTED:
+            return False
+        run.cancelled.clear()
+        return self._offer(run) is None
+
+    def _finish(self, name: str, outcome: Outcome) -> None:
+        self.again(self._ledger.finish(name, outcome))
+
+    def _forget(self, name: str) -> None:
+        with self._lock:
+            self._runs.pop(name, None)
+
+    def _tokens(self, run: Run) -> float:
+        if not self._generates:
+            return 1.0
+        return max(1.0, run.attempt.max_tokens - len(run.tokens))
+
+
+def _tokens_of(outcome: Outcome) -> float:
+    if isinstance(outcome, Completed):
+        return float(len(outcome.payload["tokens"]))
+    return 0.0
+
+
+def _measures(outcome: Outcome) -> bool:
+    return isinstance(outcome, Completed | Failed)
--- a/src/wigeonfront/side/target.py
+++ b/src/wigeonfront/side/target.py
@@ -45,6 +45,8 @@
         Set to end the run early.
     reason : str
         Why it was cancelled.
+    started : bool
+        The ledger has marked it as begun.
     tokens : list
         Tokens so far, those of earlier runs included.
     versions : list of VersionSpan
@@ -55,6 +57,7 @@
     deadline: float
     cancelled: threading.Event = field(default_factory=threading.Event)
     reason: str = "cancelled"
+    started: bool = False
     tokens: list[Any] = field(default_factory=list)
     versions: list[VersionSpan] = field(default_factory=list)
 
--- /dev/null
+++ b/src/wigeonfront/side/weights.py
@@ -0,0 +1,195 @@
+"""Weights at a side: when its engine loads a new version, without any leader.
+
+A side learns of a version from its peer sessions, or from the weight store as the
+backstop, and orders its own engine in the wave of its rank. After each order it
+reads the engine's state back, because some engines ignore fencing numbers and an
+order's answer may be lost. An engine that has no whole weights serves nothing.
+"""
+
+import logging
+import random
+import threading
+from collections.abc import Callable
+
+from wigeonfront.clock import Clock
+from wigeonfront.logs import event
+from wigeonfront.platform import Unavailable, Vm, VmList, WeightStore
+from wigeonfront.policy.waves import Peers, Swap, SwapSchedule, Wait, WaveSettings
+from wigeonfront.side.execution import Execution, TargetCondition
+from wigeonfront.side.target import EngineState, EngineTarget, Loaded
+
+logger = logging.getLogger(__name__)
+
+STATE_SECONDS = 1.0
+STORE_SECONDS = 30.0
+VM_LIST_SECONDS = 30.0
+LOAD_SECONDS = 120.0
+LOST_STATE_LIMIT = 3
+
+
+class WeightsKeeper:
+    """Keeps one engine on the newest version (one task of the side).
+
+    Parameters
+    ----------
+    name, service : str
+        This side and its service; the service's name is the model's.
+    engine : EngineTarget
+    execution : Execution
+        Told of the version served and of swaps.
+    store : WeightStore or None
+    vm_list : VmList
+        Names the other sides of the service.
+    fencing : callable
+        Returns this side's fencing number, or 0 while it has none.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        engine: EngineTarget,
+        execution: Execution,
+        store: WeightStore | None,
+        vm_list: VmList,
+        fencing: Callable[[], int],
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._engine = engine
+        self._execution = execution
+        self._store = store
+        self._vm_list = vm_list
+        self._fencing = fencing
+        self._clock = clock
+        self._schedule = SwapSchedule(
+            name, service, WaveSettings(), clock, random.Random()
+        )
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._members: tuple[str, ...] = (name,)
+        self._next_members = 0.0
+        self._next_store = 0.0
+        self._lost_states = 0
+        self._incarnation = ""
+
+    @property
+    def newest(self) -> int:
+        """Newest version that the side has learned of."""
+        return self._schedule.newest
+
+    def learned(self, version: int) -> None:
+        """Note that `version` exists; may be called from any thread."""
+        with self._lock:
+            news = self._schedule.learned(version)
+        if news:
+            event(logger, "version_learned", service=self._service, version=version)
+            self._wake.set()
+
+    def configure(self, wave: float) -> None:
+        """Follow the catalogue's wave width."""
+        with self._lock:
+            self._schedule.configure(WaveSettings(width=wave))
+
+    def run(self, stop: threading.Event) -> None:
+        """Watch the engine and swap when due (a supervisor's task)."""
+        while not stop.is_set():
+            pause = self._step()
+            self._wake.wait(pause)
+            self._wake.clear()
+
+    def _step(self) -> float:
+        """Read the engine's state and act on it; return seconds until the next."""
+        now = self._clock.monotonic()
+        self._refresh_members(now)
+        self._ask_store(now)
+        state = self._engine.state()
+        if not self._note_state(state):
+            return STATE_SECONDS
+        with self._lock:
+            decision = self._schedule.decide(state.version, Peers(self._members))
+        if isinstance(decision, Swap):
+            self._swap(decision)
+            return 0.0
+        if isinstance(decision, Wait):
+            return min(STATE_SECONDS, decision.seconds)
+        return STATE_SECONDS
+
+    def _note_state(self, state: EngineState | None) -> bool:
+        """Tell the execution what the engine serves; return whether it answered."""
+        if state is None:
+            self._lost_states += 1
+            if self._lost_states >= LOST_STATE_LIMIT:
+                self._set_condition(-1, False, "engine_silent")
+            return False
+        self._lost_states = 0
+        if state.incarnation != self._incarnation:
+            event(logger, "engine_incarnation", incarnation=state.incarnation)
+            self._incarnation = state.incarnation
+        usable = state.version >= 0 and state.loading is None
+        self._set_condition(state.version, usable, "state_read")
+        return state.loading is None
+
+    def _set_condition(self, version: int, serving: bool, reason: str) -> None:
+        condition = TargetCondition(version, serving)
+        if condition == self._execution.condition:
+            return
+        self._execution.condition = condition
+        event(logger, "target", version=version, serving=serving, reason=reason)
+
+    def _swap(self, swap: Swap) -> None:
+        fencing = self._fencing()
+        if not fencing:
+            event(logger, "swap_put_off", version=swap.version, reason="no_fencing")
+            with self._lock:
+                self._schedule.failed()
+            return
+        event(
+            logger,
+            "swap_ordered",
+            version=swap.version,
+            reason=swap.reason,
+            fencing=fencing,
+            **swap.figures,
+        )
+        started = self._clock.monotonic()
+        old = self._execution.condition.version
+        self._set_condition(old, False, "swap")
+        result = self._engine.load(swap.version, fencing, LOAD_SECONDS)
+        state = self._engine.state()
+        self._note_state(state)
+        proved = state is not None and state.version >= swap.version
+        event(
+            logger,
+            "swapped" if proved else "swap_failed",
+            version=swap.version,
+            read_back=-1 if state is None else state.version,
+            answer="loaded" if isinstance(result, Loaded) else result.reason,
+            seconds=self._clock.monotonic() - started,
+        )
+        if not proved:
+            with self._lock:
+                self._schedule.failed()
+
+    def _ask_store(self, now: float) -> None:
+        if self._store is None or now < self._next_store:
+            return
+        self._next_store = now + STORE_SECONDS * random.uniform(0.5, 1.5)
+        newest = self._store.newest(self._service)
+        if isinstance(newest, int):
+            self.learned(newest)
+
+    def _refresh_members(self, now: float) -> None:
+        if now < self._next_members:
+            return
+        self._next_members = now + VM_LIST_SECONDS * random.uniform(0.5, 1.5)
+        listed = self._vm_list.vms()
+        if isinstance(listed, Unavailable):
+            return
+        names = {vm.name for vm in listed if self._is_member(vm)}
+        self._members = tuple(sorted(names | {self._name}))
+
+    def _is_member(self, vm: Vm) -> bool:
+        return vm.role == "side" and vm.service == self._service and not vm.leaving
