--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -153,9 +153,7 @@
 class OutcomeFrame(Message, frozen=True, kw_only=True):
     """An outcome on the wire; `kind` names its class."""
 
-    kind: Literal[
-        "completed", "not_run", "unknown", "failed", "expired", "interrupted"
-    ]
+    kind: Literal["completed", "not_run", "unknown", "failed", "expired", "interrupted"]
     payload: Any = None
     versions: list[SpanFrame] = []
     target: str = ""
