--- /dev/null
+++ b/examples/quickstart/__init__.py
@@ -0,0 +1,1 @@
+"""The quickstart: both deployments on one machine, over stand-ins."""
--- a/examples/standins/vm_list.py
+++ b/examples/standins/vm_list.py
@@ -22,34 +22,25 @@
 
 
 class Vms(msgspec.Struct):
-    """The VMs, and the viewer that sees them so (empty: all others)."""
+    """Body of ``POST /vms`` and of the file."""
 
     vms: list[VmRow] = []
-    view: str = ""
 
 
 class VmList(StandIn):
-    """A list edited by ``POST /vms`` or kept in a file, shown ``--lag`` late.
-
-    A caller whose base URL ends in ``/view/V`` sees the list posted for the view
-    V, if there is one, so that a test can lead one entry through a relay.
-    """
+    """A list edited by ``POST /vms`` or kept in a file, shown ``--lag`` late."""
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         super().__init__(arguments)
         self._lag = arguments.lag
         self._file = Path(arguments.file) if arguments.file else None
         self._read_at = 0.0
-        self._versions: dict[str, list[tuple[float, Vms]]] = {}
+        self._versions: list[tuple[float, Vms]] = []
         self._lock = threading.Lock()
 
     def routes(self) -> dict[str, Handler]:
         """Return the routes of the VM list."""
-        return {
-            "GET /vms": self._show,
-            "POST /vms": self._edit,
-            "GET /view/*": self._show,
-        }
+        return {"GET /vms": self._show, "POST /vms": self._edit}
 
     def _edit(self, call: Call) -> Reply:
         self._add(call.read(Vms))
@@ -57,8 +48,7 @@
 
     def _add(self, vms: Vms) -> None:
         with self._lock:
-            versions = self._versions.setdefault(vms.view, [])
-            versions.append((time.monotonic(), vms))
+            self._versions.append((time.monotonic(), vms))
 
     def _read_file(self) -> None:
         if self._file is None or not self._file.exists():
@@ -70,12 +60,10 @@
 
     def _show(self, call: Call) -> Reply:
         self._read_file()
-        view = call.path.removeprefix("/view/").split("/")[0]
         shown_until = time.monotonic() - self._lag
         with self._lock:
-            versions = self._versions.get(view) or self._versions.get("", [])
-        shown = [vms for at, vms in versions if at <= shown_until]
-        first = [vms for _, vms in versions[:1]]
+            shown = [vms for at, vms in self._versions if at <= shown_until]
+            first = [vms for _, vms in self._versions[:1]]
         newest = (shown or first or [Vms()])[-1]
         return Reply({"vms": newest.vms})
 
