--- a/examples/quickstart/cluster.py
+++ b/examples/quickstart/cluster.py
@@ -21,7 +21,14 @@
 import msgspec
 import urllib3
 
-from standins.deployment import EXAMPLES, FIRST_VERSION, Deployment, Service, Worker
+from standins.deployment import (
+    EXAMPLES,
+    FIRST_VERSION,
+    Deployment,
+    Service,
+    Trainer,
+    Worker,
+)
 from standins.relay import Relay
 from standins.vm_list import VmRow, Vms
 
@@ -198,6 +205,28 @@
                 path = f"/models/{service.name}"
                 self._expect(WEIGHT_STORE, path, {"version": FIRST_VERSION})
 
+    def start_trainer(self, trainer: Trainer, *flags: object) -> str:
+        """Start a trainer and return its process name.
+
+        Its report is at ``<name>.json`` in the folder once it has ended by itself.
+        """
+        name = f"trainer-{trainer.name}"
+        entries = [self.address(entry, name) for entry in self.entries]
+        command = [sys.executable, "-m", "standins.trainer", "--name", trainer.name]
+        command += ["--entries", ",".join(entries)]
+        command += ["--weight-store", self.url(WEIGHT_STORE)]
+        command += ["--service", trainer.service]
+        command += ["--catalogue-entry", trainer.catalogue_entry]
+        command += ["--history", str(self.folder / "history" / f"{name}.jsonl")]
+        command += ["--report", str(self.folder / f"{name}.json")]
+        for setting in ("bound", "samples", "group"):
+            command += [f"--{setting}", str(getattr(trainer, setting))]
+        self._members[name] = Member(
+            name, 0, [*command, *map(str, flags)], standin=True
+        )
+        self._start([name], wait=False)
+        return name
+
     def address(self, name: str, viewer: str = "") -> str:
         """Return ``host:port`` of a process as `viewer` reaches it."""
         relay = self.relays.get((viewer, name))
