Relay: only the thread that opened a connection closes it

Cause: a cut closed sockets under the pumping threads, which then failed on them; closing the listener didn't wake the thread that was accepting.

--- a/examples/standins/relay.py
+++ b/examples/standins/relay.py
@@ -22,15 +22,14 @@
     silent_to_target: bool = False
     silent_to_client: bool = False
 
-    def close(self) -> None:
-        """Reset both halves."""
+    def reset(self) -> None:
+        """End both halves; the thread that opened them closes them."""
         for end in (self.client, self.target):
-            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             try:
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
                 end.shutdown(socket.SHUT_RDWR)
             except OSError:
-                pass  # The other end has closed it already.
-            end.close()
+                pass  # It has ended already.
 
 
 class Relay:
@@ -69,7 +68,7 @@
         with self._lock:
             links = list(self._links)
         for link in links:
-            link.close()
+            link.reset()
 
     def partition(self) -> None:
         """Silence all connections, and each new one, until `heal`."""
@@ -89,6 +88,7 @@
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
+        self._listener.shutdown(socket.SHUT_RDWR)  # Wakes the accepting thread.
         self._listener.close()
         self.cut()
 
@@ -123,7 +123,8 @@
         back.join()
         with self._lock:
             self._links.discard(link)
-        link.close()
+        client.close()
+        target.close()
 
     def _pump(self, link: Link, to_target: bool) -> None:
         """Move data one way until its source ends; a silenced end goes unseen."""
@@ -140,7 +141,7 @@
                 sink.shutdown(socket.SHUT_WR)
         except OSError:
             if not self._silent(link, to_target):
-                link.close()
+                link.reset()
 
     def _silent(self, link: Link, to_target: bool) -> bool:
         return link.silent_to_target if to_target else link.silent_to_client
