--- a/src/wigeonfront/catalogue.py
+++ b/src/wigeonfront/catalogue.py
@@ -12,6 +12,7 @@
 from wigeonfront.messages import Count, Message, Name, WorkClass
 
 PREFIX = "catalogue/"
+DEFAULT_WAVE = 0.34
 
 
 class Limits(Message, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -61,7 +62,7 @@
     limits: Limits = Limits()
     weight: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
     bound: Count | None = None
-    wave: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
+    wave: Annotated[float, msgspec.Meta(gt=0, le=1)] = DEFAULT_WAVE
     enabled: bool = True
 
 
--- a/src/wigeonfront/entry/configuration.py
+++ b/src/wigeonfront/entry/configuration.py
@@ -74,14 +74,17 @@
     def policy(self, service: str) -> ServicePolicy:
         """Return what the sides of `service` follow."""
         with self._lock:
-            rows = [row for row in self._rows.values() if service in row.services]
+            rollouts = {
+                name: row
+                for name, row in self._rows.items()
+                if service in row.services and row.work_class == "rollout"
+            }
             revision = self._revision
-        rollouts = [row for row in rows if row.work_class == "rollout"]
-        waves = [row.wave for row in rollouts]
+        waves = [row.wave for row in rollouts.values()]
         return ServicePolicy(
             revision=revision,
-            wave=min(waves, default=CatalogueEntry.__struct_defaults__[-2]),
-            weights={row.owner: row.weight for row in rollouts},
+            wave=min(waves, default=catalogue.DEFAULT_WAVE),
+            weights={name: row.weight for name, row in rollouts.items()},
         )
 
     def watch(self, key_value: KeyValue, stop: threading.Event) -> None:
--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -186,7 +186,7 @@
             work_class="rollout",
             deadline=self._deadline,
             key=f"{body.key}/{sample.sample}",
-            trainer=body.trainer,
+            trainer=self._terms.catalogue_entry,
             prefix=sample.group or f"{body.key}/{sample.sample}",
             max_tokens=sample.max_tokens,
             min_version=self._terms.min_version,
@@ -251,18 +251,19 @@
         if sample.outcome is not None:
             return
         outcome = ended.outcome
-        if isinstance(outcome, Completed) and self._is_usable(outcome):
-            self._complete(sample, outcome, ended.side)
-        elif isinstance(outcome, Failed) and outcome.status < 500:
+        if self._is_final(outcome):
             self._complete(sample, outcome, ended.side)
         else:
             self._again(sample, outcome, ended.side)
 
-    def _is_usable(self, outcome: Completed) -> bool:
+    def _is_final(self, outcome: Outcome) -> bool:
+        """Tell whether `outcome` answers its sample, from new enough weights."""
+        if isinstance(outcome, Failed):
+            return outcome.status < 500
+        if not isinstance(outcome, Completed) or not outcome.versions:
+            return False
         oldest = self._terms.min_version
-        return bool(outcome.versions) and all(
-            span.version >= oldest for span in outcome.versions
-        )
+        return all(span.version >= oldest for span in outcome.versions)
 
     def _complete(
         self, sample: _Sample, outcome: Completed | Failed, side: str
--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -157,9 +157,8 @@
             "admitted" if admitted else "refused",
             request=attempt.request,
             attempt=attempt.attempt,
-            work_class=attempt.work_class,
             reason=decision.reason,
-            **(decision.figures if admitted else {}),
+            **(decision.figures if admitted else {"work_class": attempt.work_class}),
         )
         if not admitted:
             self._forget(attempt.attempt)
