--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -10,6 +10,7 @@
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
+from wigeonfront.entry.admission import EntryAdmission, Ticket
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Work
@@ -54,6 +55,7 @@
     clock: Clock
     max_callers: int
     catalogue: Catalogue
+    admission: EntryAdmission
     directory: Directory
     announcements: Announcements
     requests: Requests
@@ -124,11 +126,10 @@
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
         started = self._parts.clock.monotonic()
         with self._caller() as refusal:
+            outcome = refusal
             if refusal is None:
                 work = self._work(service, body, row, key, request, started)
-                outcome = self._parts.requests.run(work, call.caller_gone)
-            else:
-                outcome = refusal
+                outcome = self._run_request(work, body, row, call)
         self._note(service, "request", type(outcome).__name__, started)
         return _outcome_reply(request, outcome)
 
@@ -147,7 +148,7 @@
         holder = f"lot-{uuid.uuid4().hex[:16]}"
         with self._caller() as refusal:
             if refusal is None:
-                reply = self._run_lot(body, row, holder, call)
+                reply = self._admit_lot(body, row, holder, call)
             else:
                 reply = _lot_not_run(body, refusal)
         if reply is None:
@@ -261,6 +262,41 @@
             min_version=min_version,
         )
 
+    def _run_request(
+        self, work: Work, body: RequestBody, row: CatalogueEntry, call: Call
+    ) -> Outcome:
+        admission = self._parts.admission
+        ticket = admission.admit(
+            work.request, body.catalogue_entry, row, work.service, body.timeout
+        )
+        if not isinstance(ticket, Ticket):
+            return ticket
+        outcome = None
+        try:
+            outcome = self._parts.requests.run(work, call.caller_gone)
+            return outcome
+        finally:
+            admission.finished(ticket, outcome)
+
+    def _admit_lot(
+        self, body: LotBody, row: CatalogueEntry, holder: str, call: Call
+    ) -> LotReply | None:
+        admission = self._parts.admission
+        ticket = admission.admit(
+            holder,
+            body.catalogue_entry,
+            row,
+            body.service,
+            body.timeout,
+            len(body.samples),
+        )
+        if not isinstance(ticket, Ticket):
+            return _lot_not_run(body, ticket)
+        try:
+            return self._run_lot(body, row, holder, call)
+        finally:
+            admission.finished(ticket, None)
+
     def _run_lot(
         self, body: LotBody, row: CatalogueEntry, holder: str, call: Call
     ) -> LotReply | None:
@@ -321,13 +357,13 @@
     return Reply(http_status(outcome), reply, headers)
 
 
-def _lot_not_run(body: LotBody, refusal: NotRun) -> LotReply:
+def _lot_not_run(body: LotBody, refusal: NotRun | Expired) -> LotReply:
     return LotReply(
         trainer=body.trainer,
         lot=body.lot,
         submission=body.submission,
         status="not_run",
         missing=len(body.samples),
-        reason=refusal.reason,
+        reason=getattr(refusal, "reason", "expired"),
         retry_after=refusal.retry_after,
     )
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -14,6 +14,7 @@
 
 from wigeonfront import logs
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.entry.admission import EntryAdmission
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Dispatcher
@@ -26,6 +27,7 @@
 from wigeonfront.metrics import Registry
 from wigeonfront.platform.key_value import HttpKeyValue
 from wigeonfront.platform.vm_list import HttpVmList
+from wigeonfront.policy.limits import Grant, LimitEnforcer
 from wigeonfront.settings import EntrySettings
 from wigeonfront.stopping import StopSignal, wait_until
 from wigeonfront.supervisor import Supervisor
@@ -53,7 +55,8 @@
         self._supervisor = Supervisor("entry", self._clock)
         self._key_value = HttpKeyValue(settings.key_value)
         self._vm_list = HttpVmList(settings.vm_list)
-        self._catalogue = Catalogue(self._clock)
+        self._limits = LimitEnforcer(self._clock)
+        self._catalogue = Catalogue(self._clock, self._follow_catalogue)
         announcements = Announcements()
         self._directory = Directory(
             self._supervisor.child("peers"),
@@ -83,6 +86,7 @@
                 clock=self._clock,
                 max_callers=settings.threads,
                 catalogue=self._catalogue,
+                admission=EntryAdmission(self._limits, self._clock),
                 directory=self._directory,
                 announcements=announcements,
                 requests=requests,
@@ -132,6 +136,12 @@
         self._supervisor.stop()
         logs.event(logger, "stopped", role="entry")
 
+    def _follow_catalogue(self) -> None:
+        """Put the limits of the catalogue in force."""
+        for name, row in self._catalogue.rows().items():
+            limits = row.limits
+            self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
+
     def _listed_sides(self, service: str) -> list[str]:
         return [
             vm.name
--- a/src/wigeonfront/side/server.py
+++ b/src/wigeonfront/side/server.py
@@ -22,6 +22,8 @@
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     Beat,
+    DeliveryReply,
+    DeliveryRequest,
     Dispatch,
     DispatchReply,
     ErrorReply,
@@ -98,6 +100,7 @@
         application = Application()
         application.route("POST", "/peer/open", self.open)
         application.route("POST", "/peer/dispatch", self.dispatch)
+        application.route("POST", "/peer/delivery", self.deliver)
         application.route("POST", "/control/drain", self.drain)
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
@@ -215,6 +218,11 @@
         for admission in admissions:
             self._admissions.increment(decision=type(admission).__name__.lower())
 
+    def deliver(self, call: Call) -> Reply:
+        """Decide who may write the answer to a Lot."""
+        call.decode(DeliveryRequest)
+        return Reply(200, DeliveryReply(status="granted"))
+
     # --- control -------------------------------------------------------------
 
     def drain(self, call: Call) -> Reply:
