--- a/src/wigeonfront/commands/check_config.py
+++ b/src/wigeonfront/commands/check_config.py
@@ -5,6 +5,9 @@
 from dataclasses import fields
 from typing import Any
 
+import msgspec
+
+from wigeonfront.catalogue import BadRow, check
 from wigeonfront.commands import exit_codes
 from wigeonfront.commands.output import print_error, print_json, print_table
 from wigeonfront.commands.rows import BadFile, read_file
@@ -43,4 +46,10 @@
     if isinstance(rows, BadFile):
         print_error(rows.reason)
         return False
-    return True
+    good = True
+    for row in rows:
+        checked = check(msgspec.json.encode(row.row))
+        if isinstance(checked, BadRow):
+            print_error(f"{path}: {row.entry}: {checked.reason}")
+            good = False
+    return good
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -417,7 +417,6 @@
         waiting.sink.put(name, outcome, self._vm.name)
         return True
 
-
     def _resolve_all(self, outcome: Outcome) -> None:
         with self._lock:
             names = list(self._outstanding)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,465 @@
+"""The command line against a scripted entry."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from wigeonfront import cli, client
+from wigeonfront.commands import api
+from wigeonfront.commands.rows import FieldChange, changes
+from wigeonfront.http import Answer, Lost, NotSent
+
+ROW = {"owner": "farm", "class": "rollout", "services": ["judge-llm"]}
+ROW_NOW = ROW | {"limits": {"rate": 5}}
+STORED_ROW = {"entry": "scoring", "revision": 12, "row": ROW_NOW}
+LOT = {
+    "trainer": "t1",
+    "lot": "step-1",
+    "service": "judge-llm",
+    "catalogue_entry": "scoring",
+    "version": 7,
+    "samples": [{"sample": "a"}],
+}
+
+
+def answer(http_status, data):
+    return Answer(http_status, json.dumps(data).encode())
+
+
+class ScriptedEntry:
+    """Stands in for `Pool`: answers by method and path, in order."""
+
+    def __init__(self):
+        self.script = {}
+        self.calls = []
+
+    def __call__(self, address, *arguments):
+        self.address = address
+        return self
+
+    def call(self, method, path, body=None, headers=None, timeout=None):
+        self.calls.append((method, path, body))
+        answers = self.script.get((method, path), [NotSent("refused")])
+        return answers.pop(0) if len(answers) > 1 else answers[0]
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def entry(monkeypatch):
+    scripted = ScriptedEntry()
+    monkeypatch.setattr(api, "Pool", scripted)
+    monkeypatch.setattr(client, "Pool", scripted)
+    return scripted
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_file(data, name="file.json"):
+        path = tmp_path / name
+        path.write_text(data if isinstance(data, str) else json.dumps(data))
+        return str(path)
+
+    return write_file
+
+
+# --- the parser --------------------------------------------------------------
+
+COMMANDS = [
+    ["entry"],
+    ["side"],
+    ["catalogue"],
+    ["catalogue", "get"],
+    ["catalogue", "apply"],
+    ["catalogue", "diff"],
+    ["catalogue", "history"],
+    ["status"],
+    ["drain"],
+    ["explain"],
+    ["check-config"],
+    ["check-config", "side"],
+    ["lot", "submit"],
+]
+
+
+@pytest.mark.parametrize("command", [[], *COMMANDS])
+def test_help(command, capsys):
+    assert cli.main([*command, "--help"]) == 0
+    assert "usage: wigeonfront" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        [],
+        ["no-such-command"],
+        ["catalogue"],
+        ["catalogue", "history"],
+        ["status", "--no-such-flag"],
+        ["status", "--timeout-seconds", "soon"],
+        ["status", "--entry", "nowhere"],
+        ["entry"],
+        ["check-config", "side"],
+        ["lot", "submit", "/no/such/file"],
+        ["catalogue", "diff", "/no/such/file"],
+        ["explain", "r1", "--log", "/no/such/file"],
+    ],
+)
+def test_bad_usage(arguments, capsys):
+    assert cli.main(arguments) == 2
+    captured = capsys.readouterr()
+    assert captured.out == "" and captured.err
+
+
+def test_bad_setting_is_one_line_without_a_traceback():
+    run = subprocess.run(
+        [sys.executable, "-m", "wigeonfront", "status", "--timeout-seconds", "x"],
+        capture_output=True,
+        text=True,
+    )
+    assert (run.returncode, run.stdout) == (2, "")
+    assert run.stderr == (
+        "wigeonfront: setting timeout_seconds has the bad value 'x' "
+        "(from --timeout-seconds); accepted: a number from 0.1 to 3600\n"
+    )
+
+
+def test_command_line_imports_no_role_and_no_http():
+    program = (
+        "import sys; from wigeonfront import cli; cli.build_parser(); "
+        "print([m for m in ('cheroot', 'urllib3', 'hdrh', 'msgspec', "
+        "'wigeonfront.entry', 'wigeonfront.side') if m in sys.modules])"
+    )
+    run = subprocess.run([sys.executable, "-c", program], capture_output=True)
+    assert run.stdout.strip() == b"[]"
+
+
+# --- catalogue ---------------------------------------------------------------
+
+
+def test_get_prints_a_table_or_json(entry, capsys):
+    entry.script["GET", "/v1/catalogue"] = [
+        answer(200, {"entries": [STORED_ROW], "revision": 12})
+    ]
+    assert cli.main(["catalogue", "get"]) == 0
+    head, line = capsys.readouterr().out.splitlines()
+    assert head.split() == [
+        "ENTRY",
+        "REVISION",
+        "OWNER",
+        "CLASS",
+        "SERVICES",
+        "LIMITS.RATE",
+    ]
+    assert line.split() == ["scoring", "12", "farm", "rollout", '["judge-llm"]', "5"]
+    entry.script["GET", "/v1/catalogue/scoring"] = [answer(200, STORED_ROW)]
+    assert cli.main(["catalogue", "get", "scoring", "--json"]) == 0
+    assert json.loads(capsys.readouterr().out) == STORED_ROW
+
+
+PUT = ("PUT", "/v1/catalogue/scoring")
+GET = ("GET", "/v1/catalogue/scoring")
+THEIRS = ROW | {"owner": "portal"}
+APPLY_TABLE = [
+    # answers to PUT, to GET, exit code, status
+    ([answer(200, {"status": "accepted", "revision": 13})], [], 0, "accepted"),
+    (
+        [answer(202, {"status": "stored", "revision": 13, "waiting": ["entry-b"]})],
+        [],
+        4,
+        "stored",
+    ),
+    (
+        [answer(409, {"status": "conflict", "revision": 13, "row": THEIRS})],
+        [],
+        3,
+        "conflict",
+    ),
+    ([answer(422, {"status": "rejected", "reason": "bad"})], [], 1, "rejected"),
+    ([answer(503, {"error": "unavailable"})], [], 1, "rejected"),
+    ([answer(500, "oops")], [], 1, "rejected"),
+    ([NotSent("refused")], [], 5, "unreachable"),
+    # The answer was lost: the row is read back.
+    ([Lost("cut")], [answer(200, STORED_ROW)], 5, "unknown"),
+    ([Lost("cut")], [Lost("cut")], 5, "unknown"),
+    ([Lost("cut")], [answer(200, STORED_ROW | {"revision": 13})], 3, "conflict"),
+    (
+        [Lost("cut")],
+        [answer(200, {"entry": "scoring", "revision": 13, "row": ROW})],
+        4,
+        "stored",
+    ),
+]
+
+
+@pytest.mark.parametrize(("puts", "gets", "code", "status"), APPLY_TABLE)
+def test_apply(entry, write, capsys, puts, gets, code, status):
+    entry.script = {PUT: puts, GET: gets}
+    path = write({"entry": "scoring", "revision": 12, "row": ROW})
+    assert cli.main(["catalogue", "apply", path, "--json"]) == code
+    (result,) = json.loads(capsys.readouterr().out)
+    assert result["status"] == status
+    assert entry.calls[0] == (*PUT, {"row": ROW, "expected": 12})
+    assert cli.main(["catalogue", "apply", path]) == code
+    assert capsys.readouterr().out.startswith("scoring: ")
+
+
+@pytest.mark.parametrize(
+    ("revision", "flags", "gets", "expected"),
+    [
+        (None, [], [answer(200, STORED_ROW)], 12),
+        (None, [], [answer(404, {"error": "unknown_catalogue_entry"})], 0),
+        (None, ["--expected", "9"], [], 9),
+        (12, ["--expected", "9"], [], 9),
+    ],
+)
+def test_apply_expects_a_revision(entry, write, revision, flags, gets, expected):
+    accepted = answer(200, {"status": "accepted", "revision": 13})
+    entry.script = {PUT: [accepted], GET: gets}
+    path = write({"entry": "scoring", "revision": revision, "row": ROW})
+    assert cli.main(["catalogue", "apply", path, *flags]) == 0
+    assert entry.calls[-1] == (*PUT, {"row": ROW, "expected": expected})
+
+
+def test_conflict_shows_both_sides(entry, write, capsys):
+    conflict = {"status": "conflict", "revision": 13, "row": THEIRS}
+    entry.script = {PUT: [answer(409, conflict)]}
+    path = write({"entry": "scoring", "revision": 12, "row": ROW})
+    assert cli.main(["catalogue", "apply", path]) == 3
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split() for line in lines[1:]] == [
+        ["FIELD", "THEIRS", "YOURS"],
+        ["owner", "portal", "farm"],
+    ]
+
+
+def test_worst_result_of_several_rows_decides(entry, write):
+    rows = [
+        {"entry": name, "revision": 1, "row": ROW} for name in ("scoring", "b", "c")
+    ]
+    entry.script = {
+        PUT: [answer(202, {"status": "stored", "revision": 2})],
+        ("PUT", "/v1/catalogue/b"): [answer(409, {"revision": 3, "row": ROW})],
+        ("PUT", "/v1/catalogue/c"): [answer(200, {"status": "accepted"})],
+    }
+    assert cli.main(["catalogue", "apply", write({"entries": rows})]) == 3
+    assert len(entry.calls) == 3
+
+
+def test_diff(entry, write, capsys):
+    entry.script[GET] = [answer(200, STORED_ROW)]
+    same, other = write(STORED_ROW, "same"), write(STORED_ROW | {"row": ROW}, "other")
+    assert cli.main(["catalogue", "diff", same]) == 0
+    assert cli.main(["catalogue", "diff", other]) == 1
+    last = capsys.readouterr().out.splitlines()[-1]
+    assert last.split() == ["scoring", "limits.rate", "5", "(none)"]
+
+
+def test_history_lists_what_changed(entry, capsys):
+    versions = [{"revision": 12, "row": ROW_NOW}, {"revision": 9, "row": ROW}]
+    path = "/v1/catalogue/scoring/history"
+    entry.script["GET", path] = [answer(200, {"history": versions})]
+    assert cli.main(["catalogue", "history", "scoring"]) == 0
+    last = capsys.readouterr().out.splitlines()[-1]
+    assert last.split() == ["12", "limits.rate", "(none)", "5"]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "{",
+        "[]",
+        "3",
+        '{"entry": "a"}',
+        '{"entry": "", "row": {}}',
+        '{"entry": "a", "row": {}, "revision": -1}',
+        '{"entry": "a", "row": {}, "revision": true}',
+        '[{"entry": "a", "row": {}}, {"entry": "a", "row": {}}]',
+    ],
+)
+def test_bad_catalogue_file(entry, write, capsys, text):
+    assert cli.main(["catalogue", "apply", write(text)]) == 2
+    assert entry.calls == []
+    assert capsys.readouterr().err.startswith("wigeonfront: ")
+
+
+def test_changes_of_nested_fields():
+    before = {"a": {"b": 1, "c": 2}, "d": {}, "e": [1]}
+    after = {"a": {"b": 1, "c": 3}, "d": {"f": None}, "e": [1]}
+    assert changes(before, after) == [
+        FieldChange("a.c", 2, 3),
+        FieldChange("d", {}, "(none)"),
+        FieldChange("d.f", "(none)", None),
+    ]
+
+
+# --- status, drain -----------------------------------------------------------
+
+
+def test_status(entry, capsys):
+    document = {
+        "entry": "entry-a",
+        "draining": False,
+        "members": [{"name": "entry-a", "revision": 12}, {"name": "entry-b"}],
+    }
+    entry.script["GET", "/v1/status"] = [answer(200, document)]
+    assert cli.main(["status"]) == 0
+    lines = [line.split() for line in capsys.readouterr().out.splitlines()]
+    assert lines == [
+        ["entry:", "entry-a"],
+        ["draining:", "no"],
+        [],
+        ["members:"],
+        ["NAME", "REVISION"],
+        ["entry-a", "12"],
+        ["entry-b", "-"],
+    ]
+
+
+@pytest.mark.parametrize(
+    ("answers", "code"),
+    [
+        ([answer(202, {"status": "draining"})], 0),
+        ([answer(404, {"error": "no_such_side"})], 1),
+        ([NotSent("refused")], 5),
+        ([Lost("cut")], 5),
+    ],
+)
+def test_drain(entry, answers, code):
+    entry.script["POST", "/v1/drain"] = answers
+    assert cli.main(["drain", "--side", "judge-llm-3"]) == code
+    assert entry.calls == [("POST", "/v1/drain", {"side": "judge-llm-3"})]
+
+
+@pytest.mark.parametrize(
+    ("first", "calls"), [(NotSent("refused"), 2), (Lost("cut"), 1)]
+)
+def test_a_change_goes_to_the_next_entry_only_if_not_sent(entry, first, calls):
+    entry.script["POST", "/v1/drain"] = [first, answer(202, {"status": "draining"})]
+    cli.main(["drain", "--entry", "10.0.0.1:1,10.0.0.2:1"])
+    assert len(entry.calls) == calls
+
+
+# --- explain -----------------------------------------------------------------
+
+ENTRY_LOG = """\
+time=10.100 level=INFO process=entry-a event=placed request=r1 attempt=e-1 side=s2
+time=10.000 level=INFO process=entry-a event=received request=r1
+time=10.050 level=INFO process=entry-a event=received request=r12
+not a log line
+"""
+SIDE_LOG = """\
+time=10.200 level=INFO process=s2 event=started attempt=e-1 reason="least queued"
+time=10.300 level=INFO process=s2 event=started attempt=e-2
+"""
+
+
+def test_explain_reads_logs_of_several_processes(write, capsys):
+    logs = [write(ENTRY_LOG, "entry.log"), write(SIDE_LOG, "side.log")]
+    assert cli.main(["explain", "r1", "--log", *logs]) == 0
+    lines = [line.split(maxsplit=3) for line in capsys.readouterr().out.splitlines()]
+    assert [line[:3] for line in lines[1:]] == [
+        ["+0.000s", "entry-a", "received"],
+        ["+0.100s", "entry-a", "placed"],
+        ["+0.200s", "s2", "started"],
+    ]
+    assert lines[3][3] == "attempt=e-1 reason=least queued"
+    assert cli.main(["explain", "r3", "--log", *logs]) == 1
+
+
+@pytest.mark.parametrize(
+    ("reply", "code"),
+    [
+        (answer(200, {"events": [{"time": 1.5, "event": "placed"}]}), 0),
+        (answer(404, {"error": "unknown_request"}), 1),
+        (NotSent("refused"), 5),
+    ],
+)
+def test_explain_asks_every_entry(entry, reply, code):
+    entry.script["GET", "/v1/explain/r1"] = [reply]
+    assert cli.main(["explain", "r1", "--entry", "10.0.0.1:1,10.0.0.2:1"]) == code
+    assert len(entry.calls) == 2
+
+
+# --- check-config, lot submit ------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("row", "variables", "code"),
+    [
+        (ROW, {}, 0),
+        (ROW | {"class": "urgent"}, {}, 2),
+        (ROW | {"limit": {}}, {}, 2),
+        (ROW, {"WIGEONFRONT_BEAT": "1"}, 2),
+    ],
+)
+def test_check_config(write, monkeypatch, capsys, row, variables, code):
+    for name, value in (variables | {"WIGEONFRONT_NAME": "entry-a"}).items():
+        monkeypatch.setenv(name, value)
+    path = write({"entry": "scoring", "row": row})
+    flags = ["--listen", "127.0.0.1:7700", "--failure-domain", "hall-a"]
+    urls = ["--key-value", "http://127.0.0.1:1", "--vm-list", "http://127.0.0.1:2"]
+    arguments = ["check-config", "entry", *flags, *urls, "--catalogue", path]
+    assert cli.main(arguments) == code
+    lines = [line.split() for line in capsys.readouterr().out.splitlines()]
+    assert ["name", "entry-a", "WIGEONFRONT_NAME"] in lines
+    assert ["listen", "127.0.0.1:7700", "--listen"] in lines
+    assert ["threads", "256", "default"] in lines
+
+
+def lot_answer(status, **fields):
+    named = {"trainer": "t1", "lot": "step-1", "submission": 1, "status": status}
+    return answer(200, named | fields)
+
+
+COMPLETED = {
+    "kind": "completed",
+    "versions": [{"version": 7, "start": 0, "end": 4}],
+    "target": "judge-llm-1",
+}
+POST = ("POST", "/v1/lots")
+ACKNOWLEDGE = ("POST", "/v1/lots/acknowledge")
+
+
+def samples(outcome):
+    return [{"sample": "a", "outcome": outcome}]
+
+
+@pytest.mark.parametrize(
+    ("reply", "code", "acknowledged"),
+    [
+        (lot_answer("complete", samples=samples(COMPLETED)), 0, True),
+        (lot_answer("complete", samples=samples({"kind": "failed"})), 1, True),
+        (lot_answer("superseded"), 1, False),
+        (lot_answer("already_delivered"), 1, False),
+        (lot_answer("not_run", retry_after=1000.0), 1, False),
+        (answer(422, {"error": "bad_field"}), 1, False),
+    ],
+)
+def test_lot_submit(entry, write, tmp_path, capsys, reply, code, acknowledged):
+    entry.script = {POST: [reply], ACKNOWLEDGE: [answer(200, {})]}
+    output = tmp_path / "answer.json"
+    file = write(LOT, "lot.json")
+    assert cli.main(["lot", "submit", file, "--output", str(output)]) == code
+    assert capsys.readouterr().err
+    assert output.exists() == acknowledged
+    assert [call[1] for call in entry.calls if call[1] == ACKNOWLEDGE[1]] == (
+        [ACKNOWLEDGE[1]] if acknowledged else []
+    )
+
+
+def test_lot_submit_prints_versions(entry, write, capsys):
+    complete = lot_answer("complete", samples=samples(COMPLETED))
+    entry.script = {POST: [complete], ACKNOWLEDGE: [answer(200, {})]}
+    assert cli.main(["lot", "submit", write(LOT)]) == 0
+    last = capsys.readouterr().out.splitlines()[-1]
+    assert last.split() == ["a", "completed", "7[0:4]", "judge-llm-1", "-"]
+
+
+@pytest.mark.parametrize("text", ["{", "[]", json.dumps(LOT | {"version": -1})])
+def test_lot_submit_checks_the_file(entry, write, text):
+    assert cli.main(["lot", "submit", write(text)]) == 2
+    assert entry.calls == []
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,61 @@
+"""Logs: key=value lines, and that `explain` reads back what was written."""
+
+import logging
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wigeonfront import logs
+from wigeonfront.commands.explain import parse_line
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        ("judge-llm-3", "judge-llm-3"),
+        (7, "7"),
+        (0.123456789, "0.1235"),
+        (True, "True"),
+        ("", '""'),
+        ("two words", '"two words"'),
+        ('say "no"', r'"say \"no\""'),
+        ("a=b", '"a=b"'),
+        ("line\nbreak", r'"line\nbreak"'),
+        ("ljóð", r'"lj\u00f3\u00f0"'),
+    ],
+)
+def test_value_is_quoted_when_it_must_be(value, text):
+    assert logs.format_value(value) == text
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.dictionaries(st.from_regex(r"[a-z_]{1,9}", fullmatch=True), st.text()))
+def test_line_is_read_back(fields):
+    line = logs.format_pairs(fields)
+    assert "\n" not in line
+    assert parse_line(line) == fields
+
+
+def test_configured_process_writes_one_line_for_each_event(tmp_path):
+    path = tmp_path / "log"
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    try:
+        logs.configure("entry%a", "info", str(path))
+        logs.event(logging.getLogger("x"), "placed", request="r1", reason="a b")
+        logs.event(logging.getLogger("x"), "unseen", level=logging.DEBUG)
+        root.handlers[0].close()
+    finally:
+        root.handlers[:] = handlers
+        root.setLevel(level)
+    (line,) = path.read_text().splitlines()
+    pairs = parse_line(line)
+    assert float(pairs.pop("time")) > 0
+    assert pairs == {
+        "level": "INFO",
+        "process": "entry%a",
+        "event": "placed",
+        "request": "r1",
+        "reason": "a b",
+    }
