--- a/examples/quickstart/run.py
+++ b/examples/quickstart/run.py
@@ -19,7 +19,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from quickstart.cluster import Cluster, ClusterError, Options
+from quickstart.cluster import Cluster, Options
+from quickstart.processes import ClusterError
 from standins.deployment import NAMES, Call, load
 from standins.history import History, digest
 from standins.trainer import MAX_MILLISECONDS, Report
