--- a/examples/quickstart/run.py
+++ b/examples/quickstart/run.py
@@ -23,7 +23,7 @@
 from quickstart.processes import ClusterError
 from standins.deployment import NAMES, Call, load
 from standins.history import History, digest
-from standins.trainer import MAX_MILLISECONDS, Report
+from standins.trainer import MAX_MILLISECONDS, Report, count
 from wigeonfront.client import Request, RequestClient
 from wigeonfront.outcomes import Completed
 
@@ -51,7 +51,7 @@
     service: str
     catalogue_entry: str
     idempotent: bool
-    ends: Counter[str] = msgspec.field(default_factory=Counter)
+    ends: dict[str, int] = {}
     foreign: int = 0
     doubled: int = 0
     p50_ms: float = 0.0
@@ -74,7 +74,7 @@
     def good(self) -> bool:
         """Whether all trainers and callers were served, and served right."""
         trainers = all(each.delivered and not each.wrong for each in self.trainers)
-        calls = all(each.ends["Completed"] for each in self.calls)
+        calls = all(each.ends.get("Completed") for each in self.calls)
         return (
             trainers and calls and not any(c.foreign or c.doubled for c in self.calls)
         )
@@ -124,7 +124,7 @@
         milliseconds = (time.monotonic() - began) * 1000
         kind = type(outcome).__name__
         self._history.write("response", kind=kind, outcome=outcome, **fields)
-        self.report.ends[kind] += 1
+        count(self.report.ends, kind)
         if isinstance(outcome, Completed):
             self._times.record_value(max(1, round(milliseconds)))
             self.report.foreign += outcome.payload["digest"] != own
--- a/examples/standins/trainer.py
+++ b/examples/standins/trainer.py
@@ -7,7 +7,6 @@
 import argparse
 import time
 import uuid
-from collections import Counter
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -50,17 +49,22 @@
     trainer: str
     lots: int = 0
     delivered: int = 0
-    ends: Counter[str] = msgspec.field(default_factory=Counter)
+    ends: dict[str, int] = {}
     samples: int = 0
     wrong: int = 0
     elapsed: float = 0.0
     idle: float = 0.0
     lot_p50: float = 0.0
     lot_max: float = 0.0
-    staleness: Counter[str] = msgspec.field(default_factory=Counter)
+    staleness: dict[str, int] = {}
     example: dict[str, str] = {}
 
 
+def count(counts: dict[str, int], key: str) -> None:
+    """Add one to the count of `key`."""
+    counts[key] = counts.get(key, 0) + 1
+
+
 @dataclass(frozen=True, slots=True)
 class Drawn:
     """A Lot with how it ended and how long that took."""
@@ -188,7 +192,7 @@
         )
 
     def _train(self, drawn: Drawn) -> None:
-        self._report.ends[type(drawn.outcome).__name__] += 1
+        count(self._report.ends, type(drawn.outcome).__name__)
         if not isinstance(drawn.outcome, LotAnswered):
             return
         self._report.delivered += 1
@@ -205,7 +209,7 @@
             self._report.wrong += 1
             return
         oldest = min(span.version for span in answer.versions)
-        self._report.staleness[str(max(0, self._version - oldest))] += 1
+        count(self._report.staleness, str(max(0, self._version - oldest)))
         if not self._report.example:
             spans = [
                 f"{each.version}:{each.start}-{each.end}" for each in answer.versions
