--- a/examples/quickstart/run.py
+++ b/examples/quickstart/run.py
@@ -23,6 +23,7 @@
 from quickstart.processes import ClusterError
 from standins.deployment import NAMES, Call, load
 from standins.history import History, digest
+from standins.recording import record_call
 from standins.trainer import MAX_MILLISECONDS, Report, count
 from wigeonfront.client import Request, RequestClient
 from wigeonfront.outcomes import Completed
@@ -110,9 +111,6 @@
         key = uuid.uuid4().hex
         own = digest(payload)
         self.digests.add(own)
-        fields = {"id": key, "digest": own, "idempotent": self._call.idempotent}
-        self._history.write("invoke", **fields)
-        began = time.monotonic()
         request = Request(
             self._call.service,
             self._call.catalogue_entry,
@@ -120,11 +118,10 @@
             self._call.idempotent,
             key="" if self._call.idempotent else key,
         )
-        outcome = self._client.call(request, CALL_TIMEOUT)
+        began = time.monotonic()
+        outcome = record_call(self._history, self._client, request, CALL_TIMEOUT)
         milliseconds = (time.monotonic() - began) * 1000
-        kind = type(outcome).__name__
-        self._history.write("response", kind=kind, outcome=outcome, **fields)
-        count(self.report.ends, kind)
+        count(self.report.ends, type(outcome).__name__)
         if isinstance(outcome, Completed):
             self._times.record_value(max(1, round(milliseconds)))
             self.report.foreign += outcome.payload["digest"] != own
--- a/examples/standins/batch.py
+++ b/examples/standins/batch.py
@@ -83,12 +83,6 @@
         """Put `line` on the request's stream."""
         self.lines.put(msgspec.json.encode(line) + b"\n")
 
-    def flush(self, version: int) -> None:
-        """Put the tokens generated since the last line on the stream."""
-        if self.pending:
-            self.tell({"tokens": self.pending, "version": version})
-            self.pending = []
-
 
 class Batch:
     """Requests of one engine, running and waiting."""
@@ -138,7 +132,7 @@
             job = self._jobs.get(job_id)
             if job is None:
                 return False
-            job.flush(self._version)
+            self._flush(job)
             self._end(job, "execute_cut", {"error": reason})
             return True
 
@@ -152,7 +146,7 @@
         """Go on with weights `version` after `pause`; -1 ends all requests."""
         with self._changed:
             for job in self._running:
-                job.flush(self._version)
+                self._flush(job)
             self._version = version
             self._paused_until = time.monotonic() + pause
             if version < 0:
@@ -214,7 +208,7 @@
         if victim.priority <= waiting.priority:
             return False
         self._running.remove(victim)
-        victim.flush(self._version)
+        self._flush(victim)
         self._push(victim)
         return True
 
@@ -254,9 +248,9 @@
         if job.position < job.max_tokens:
             self._generate(job)
         if len(job.pending) >= self._settings.chunk_tokens:
-            job.flush(self._version)
+            self._flush(job)
         if job.position >= job.max_tokens:
-            job.flush(self._version)
+            self._flush(job)
             last = {"done": True, "cached_tokens": job.cached_tokens}
             self._end(job, "execute_end", last)
 
@@ -268,6 +262,17 @@
         job.position += 1
         job.spans[-1]["end"] = job.position
 
+    def _flush(self, job: Job) -> None:
+        """Put the tokens generated since the last line on record and on the stream."""
+        if not job.pending:
+            return
+        start = job.position - len(job.pending)
+        fields = {"version": self._version, "start": start, "end": job.position}
+        # Recorded first, so that a killed engine has recorded all that it sent.
+        self._history.write("execute_tokens", id=job.id, digest=job.digest, **fields)
+        job.tell({"tokens": job.pending, "version": self._version})
+        job.pending = []
+
     def _end(self, job: Job, event: str, last: dict[str, Any]) -> None:
         job.ended = True
         job.tell(last)
@@ -286,6 +291,7 @@
                 digest=job.digest,
                 versions=versions,
                 spans=job.spans,
+                reason=last.get("error", ""),
             )
 
     def _report(self) -> None:
--- a/examples/standins/plain.py
+++ b/examples/standins/plain.py
@@ -53,8 +53,7 @@
             "execution": execution,
         }
         self.history.write("execute_start", **fields)
-        jitter = self._random.uniform(-1, 1) * self._arguments.jitter
-        time.sleep(max(0.0, self._arguments.seconds + jitter))
+        time.sleep(self._seconds_of(body.payload))
         failed = self._random.random() < self._arguments.error_rate
         self.history.write("execute_end", failed=failed, **fields)
         if failed:
@@ -62,6 +61,13 @@
         answer = {"digest": fields["digest"], "echo": body.payload}
         return Reply({"payload": answer, "execution": execution})
 
+    def _seconds_of(self, payload: Any) -> float:
+        """Return the time of a call; a payload may ask for one by ``seconds``."""
+        if isinstance(payload, dict) and "seconds" in payload:
+            return float(payload["seconds"])
+        jitter = self._random.uniform(-1, 1) * self._arguments.jitter
+        return max(0.0, self._arguments.seconds + jitter)
+
 
 def main() -> None:
     """Run the plain service."""
--- a/examples/standins/trainer.py
+++ b/examples/standins/trainer.py
@@ -16,6 +16,7 @@
 from hdrh.histogram import HdrHistogram
 
 from standins.history import History, digest, token
+from standins.recording import record_lot
 from wigeonfront.client import Acknowledged, Lot, LotAnswered, Sample, TrainerClient
 from wigeonfront.outcomes import Completed, Outcome
 
@@ -166,31 +167,15 @@
 
     def _draw(self, lot: Lot) -> Drawn:
         client = TrainerClient(self._arguments.entries.split(","), self._arguments.name)
-        digests = {sample.sample: digest(sample.payload) for sample in lot.samples}
-        fields = {"lot": lot.lot, "service": lot.service, "version": lot.version}
-        self._history.write("invoke", bound=lot.bound, samples=digests, **fields)
         began = time.monotonic()
-        outcome = client.submit_lot(lot, self._arguments.timeout)
+        outcome = record_lot(self._history, client, lot, self._arguments.timeout)
         seconds = time.monotonic() - began
-        kind = type(outcome).__name__
-        self._history.write("response", kind=kind, seconds=seconds, **fields)
         if isinstance(outcome, LotAnswered):
-            for name, answer in outcome.outcomes.items():
-                self._write_sample(lot, name, answer)
             confirmed = isinstance(client.acknowledge(lot), Acknowledged)
-            self._history.write("acknowledge", confirmed=confirmed, **fields)
+            self._history.write("acknowledge", lot=lot.lot, confirmed=confirmed)
         client.close()
         return Drawn(lot, outcome, seconds)
 
-    def _write_sample(self, lot: Lot, name: str, answer: Outcome) -> None:
-        self._history.write(
-            "sample",
-            lot=lot.lot,
-            sample=name,
-            kind=type(answer).__name__,
-            outcome=answer,
-        )
-
     def _train(self, drawn: Drawn) -> None:
         count(self._report.ends, type(drawn.outcome).__name__)
         if not isinstance(drawn.outcome, LotAnswered):
