--- a/examples/quickstart/processes.py
+++ b/examples/quickstart/processes.py
@@ -74,6 +74,11 @@
         folder.mkdir(parents=True, exist_ok=True)
         atexit.register(self.stop)
 
+    @property
+    def members(self) -> dict[str, Member]:
+        """All processes by name."""
+        return dict(self._members)
+
     @property
     def names(self) -> list[str]:
         """Names of all processes."""
--- a/examples/standins/recording.py
+++ b/examples/standins/recording.py
@@ -85,12 +85,16 @@
 
 
 def record_lot(
-    history: History, client: TrainerClient, lot: Lot, timeout: float
+    history: History,
+    client: TrainerClient,
+    lot: Lot,
+    timeout: float,
+    patience: float | None = None,
 ) -> LotOutcome:
     """Submit `lot` through `client`, and record each sample that it brings."""
     fields = {"lot": lot.lot, **_lot_fields(lot)}
     history.write("invoke", **fields)
-    outcome = client.submit_lot(lot, timeout)
+    outcome = client.submit_lot(lot, timeout, patience)
     kind = type(outcome).__name__
     history.write("response", lot=lot.lot, kind=kind)
     if isinstance(outcome, LotAnswered):
