--- a/src/wigeonfront/coordination/keyed_work.py
+++ b/src/wigeonfront/coordination/keyed_work.py
@@ -89,7 +89,7 @@
 
 def request_digest(attempt: Attempt) -> bytes:
     """Return a digest of what `attempt` asks for, whoever asks and when."""
-    asked = (attempt.kind, attempt.payload, attempt.max_tokens, attempt.idempotent)
+    asked = (attempt.payload, attempt.max_tokens, attempt.idempotent)
     return blake2b(msgspec.json.encode(asked, order="sorted"), digest_size=16).digest()
 
 
