--- a/examples/quickstart/run.py
+++ b/examples/quickstart/run.py
@@ -1,6 +1,6 @@
 """Runs the deployments on this machine and prints the answers and figures.
 
-Usage: ``python -m quickstart.run --deployment both --seconds 8``.
+Usage, in ``examples`` with wigeonfront installed: ``python -m quickstart.run``.
 """
 
 import argparse
--- a/examples/standins/trainer.py
+++ b/examples/standins/trainer.py
@@ -109,7 +109,11 @@
 
 
 class Trainer:
-    """One trainer; `ahead` Lots are on their way at once."""
+    """One trainer; `ahead` Lots are on their way at once.
+
+    Trainers of one model number its versions alike: a step ends in the version
+    after the one that it began with, whichever of them publishes it first.
+    """
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         self._arguments = arguments
