--- a/examples/standins/server.py
+++ b/examples/standins/server.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import cached_property
 from http import HTTPStatus
 from typing import Any, Protocol, TypeVar
 from urllib.parse import parse_qsl
@@ -178,7 +179,7 @@
         if handler is None:
             return refusal(404, "no_such_path", route)
         try:
-            if route in self._control():
+            if route in self._control:
                 return handler(call)
             self._calls[route] += 1
             return self._answer_with_faults(call, handler)
@@ -186,15 +187,19 @@
             return refusal(400, "malformed", str(error))
 
     def _route(self, call: Call) -> tuple[str, Handler | None]:
-        routes = self._control() | self.routes()
         route = f"{call.method} {call.path}"
-        while route not in routes:
+        while route not in self._table:
             parent = route.removesuffix("/*").rpartition("/")[0]
             if not parent:
                 return f"{call.method} {call.path}", None
             route = f"{parent}/*"
-        return route, routes[route]
+        return route, self._table[route]
 
+    @cached_property
+    def _table(self) -> dict[str, Handler]:
+        return self._control | self.routes()
+
+    @cached_property
     def _control(self) -> dict[str, Handler]:
         return {
             "GET /health": lambda call: Reply({"status": "ok"}),
