--- a/src/wigeonfront/policy/placement.py
+++ b/src/wigeonfront/policy/placement.py
@@ -12,9 +12,9 @@
 from random import Random
 from typing import Any
 
+from wigeonfront.coordination.rendezvous import order
 from wigeonfront.messages import WorkClass
 from wigeonfront.outcomes import NotRun
-from wigeonfront.policy.rendezvous import order
 
 AFFINITY_LOAD_FACTOR = 1.25
 """How far above the mean load a side may be and still keep its prefixes."""
--- a/src/wigeonfront/policy/waves.py
+++ b/src/wigeonfront/policy/waves.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from wigeonfront.clock import Clock
-from wigeonfront.policy.rendezvous import order
+from wigeonfront.coordination.rendezvous import order
 
 BASE_RETRY = 0.5
 """Seconds: ceiling of the first pause after a failed load."""
