--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by hand and never in CI."""
--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policy experiments: the product's decisions against plain baselines."""
--- a/src/wigeonfront/policy/admission.py
+++ b/src/wigeonfront/policy/admission.py
@@ -30,6 +30,9 @@
 RATE_SMOOTHING = 0.1
 """Weight of the newest sample in the smoothed seconds per token."""
 
+ASSUMED_TOKEN_SECONDS = 0.02
+"""Seconds per token for ordering, before any was measured."""
+
 MIN_RETRY_AFTER = 0.1
 MAX_RETRY_AFTER = 60.0
 
@@ -395,7 +398,8 @@
     def _push(self, item: AdmissionItem) -> None:
         self._items[item.id] = item
         heapq.heappush(self._deadlines, (item.deadline, next(self._offers), item))
-        latest_start = item.deadline - item.tokens * self._token_seconds
+        token_seconds = self._token_seconds or ASSUMED_TOKEN_SECONDS
+        latest_start = item.deadline - item.tokens * token_seconds
         if item.work_class != PREEMPTIBLE:
             self._queues[item.work_class].push(item, latest_start)
             return
