Retries and circuits judge interrupted attempts

Cause: the outcome Interrupted came after these modules, so an entry that recorded a cut or preempted stream would stop on a TypeError. A cut stream is evidence against the target, a preemption or cancellation is not; idempotent work is resumed elsewhere.

--- a/src/wigeonfront/policy/circuit.py
+++ b/src/wigeonfront/policy/circuit.py
@@ -16,11 +16,22 @@
 from typing import Literal
 
 from wigeonfront.clock import Clock
-from wigeonfront.outcomes import Completed, Expired, Failed, NotRun, Outcome, Unknown
+from wigeonfront.outcomes import (
+    Completed,
+    Expired,
+    Failed,
+    Interrupted,
+    NotRun,
+    Outcome,
+    Unknown,
+)
 
 State = Literal["closed", "open", "half_open"]
 Evidence = Literal["success", "failure", "none"]
 
+STREAM_CUT = "stream_cut"
+"""Reason of an `Interrupted` that was not asked for."""
+
 SERVER_ERROR = 500
 """Lowest HTTP status that is the target's own fault."""
 
@@ -100,6 +111,11 @@
     return "failure" if outcome.started else "none"
 
 
+@evidence.register
+def _(outcome: Interrupted) -> Evidence:
+    return "failure" if outcome.reason == STREAM_CUT else "none"
+
+
 @dataclass(slots=True)
 class _Circuit:
     state: State = "closed"
--- a/src/wigeonfront/policy/retries.py
+++ b/src/wigeonfront/policy/retries.py
@@ -10,7 +10,15 @@
 from functools import singledispatch
 from random import Random
 
-from wigeonfront.outcomes import Completed, Expired, Failed, NotRun, Outcome, Unknown
+from wigeonfront.outcomes import (
+    Completed,
+    Expired,
+    Failed,
+    Interrupted,
+    NotRun,
+    Outcome,
+    Unknown,
+)
 
 BASE_BACKOFF = 0.05
 """Seconds: ceiling of the first pause."""
@@ -177,3 +185,8 @@
 @_forbidden.register
 def _(outcome: Expired, attempted: Attempted) -> str:
     return "expired"
+
+
+@_forbidden.register
+def _(outcome: Interrupted, attempted: Attempted) -> str:
+    return "" if attempted.idempotent else "not_idempotent"
