Swaps drain urgent work first and hand back what waits

Cause: p99 of a call that needs the model was 7 s where the work itself takes 4 s at p99; the calls in question sat at, or were queued behind, an engine that loaded weights for 5 s. Ruled out: load (p99 is the same at night) and placement (random placement gives the same p99). Change: the side refuses and hands back interactive and booking work before its swap (reason swapping), lets what runs end for up to 2 s, and entries move such refusals on at once and outside the retry budget.

--- a/benchmarks/policy/entries.py
+++ b/benchmarks/policy/entries.py
@@ -1,6 +1,7 @@
 """Entry processes: the product's placement, retries, overload and hedging."""
 
 import itertools
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -15,6 +16,7 @@
 from wigeonfront.policy.placement import PlacementRequest, Refused, SideView
 from wigeonfront.policy.retries import (
     HEDGE_RATIO,
+    MOVED,
     Attempted,
     GiveUp,
     Retry,
@@ -87,6 +89,11 @@
         for attempt_id in seen:
             self._unsend(side, attempt_id)
 
+    def _note_not_serving(self, side: str) -> None:
+        """A refusal is newer than the last report; the next report replaces it."""
+        if side in self._reports:
+            self._reports[side] = replace(self._reports[side], serving=False)
+
     def _unsend(self, side: str, attempt_id: str) -> None:
         tokens, _ = self._sent.get(side, {}).pop(attempt_id, (0.0, 0.0))
         self._sent_tokens[side] = self._sent_tokens.get(side, 0.0) - tokens
@@ -225,6 +232,8 @@
         if task.work_class == "rollout":
             self._outstanding[side] -= 1
         self._circuits[task.service].record(side, outcome)
+        if isinstance(outcome, NotRun) and outcome.reason in MOVED:
+            self._note_not_serving(side)
         if isinstance(outcome, Completed):
             self._measure_latency(attempt)
         if not task.finished:
@@ -268,7 +277,9 @@
     def _charge(self, task: Task, decision: Retry | GiveUp) -> Retry | GiveUp:
         if task.work_class == "rollout" or not self._variant.budget:
             return decision
-        if isinstance(decision, Retry) and not self._retries[task.service].spend():
+        if isinstance(decision, GiveUp) or not decision.budgeted:
+            return decision
+        if not self._retries[task.service].spend():
             return GiveUp("budget_spent")
         return decision
 
--- a/benchmarks/policy/experiments.py
+++ b/benchmarks/policy/experiments.py
@@ -290,6 +290,16 @@
             ),
             ROLLOUT_COLUMNS,
         ),
+        Experiment(
+            "swap and callers",
+            swaps,
+            (
+                PRODUCT,
+                named("no drain", drain=0.0),
+                named("no drain, no hand back", drain=0.0, hand_back=False),
+            ),
+            ("call_p50", "call_p99", "model_p99", "calls_ok", "idle", "staleness"),
+        ),
         Experiment(
             "waves",
             swaps,
--- a/benchmarks/policy/run.py
+++ b/benchmarks/policy/run.py
@@ -144,6 +144,7 @@
             width=self.variant.width,
             swap_seconds=deployment.swap_seconds,
             store_rate=deployment.store_rate if self.variant.width < 1 else 0.0,
+            drain_seconds=self.variant.drain,
         )
         names = tuple(side.name for side in self.services["model"])
         self.swaps = [
--- a/benchmarks/policy/sides.py
+++ b/benchmarks/policy/sides.py
@@ -17,10 +17,17 @@
     VersionSpan,
 )
 from wigeonfront.policy.admission import AdmissionItem, AdmissionQueue, ClassLimit
-from wigeonfront.policy.waves import Peers, Swap, SwapSchedule, WaveSettings
+from wigeonfront.policy.waves import (
+    Peers,
+    Swap,
+    SwapSchedule,
+    WaveSettings,
+    drained,
+)
 
 VERSION_RETRY_AFTER = 0.25
 DOWN_RETRY_AFTER = 0.5
+DRAIN_CHECK = 0.1
 LIMITS = {
     "interactive": ClassLimit(queue=256),
     "booking": ClassLimit(queue=256),
@@ -184,6 +191,26 @@
             self.queue.finished(attempt.item, None)
             self.pump()
 
+    def hold_urgent(self) -> None:
+        """Send urgent work elsewhere, as a swap is about to begin."""
+        if self._variant.hand_back and isinstance(self.queue, AdmissionQueue):
+            for item in self.queue.hold_urgent():
+                self._attempts.pop(item.id, None)
+                self._reply(item.payload, NotRun("swapping"))
+
+    def release_urgent(self) -> None:
+        """Take urgent work again."""
+        if isinstance(self.queue, AdmissionQueue):
+            self.queue.release_urgent()
+        self.pump()
+
+    @property
+    def urgent_running(self) -> int:
+        """Interactive and booking work at the engine."""
+        if isinstance(self.queue, AdmissionQueue):
+            return self.queue.urgent_running
+        return 0
+
     def pump(self) -> None:
         """Start what may start."""
         while self.engine.serving and (item := self.queue.take(0)):
@@ -300,6 +327,14 @@
             self._schedule.failed(retry_after)
             self._step()
             return
+        self._side.hold_urgent()
+        self._drain(version, self._loop.monotonic())
+
+    def _drain(self, version: int, since: float) -> None:
+        waited = self._loop.monotonic() - since
+        if not drained(self._side.urgent_running, waited, self._settings):
+            self._loop.after(DRAIN_CHECK, self._drain, version, since)
+            return
         failed = self._random.random() < self._load_failure
         self._side.engine.load(
             -1 if failed else version, self._settings.swap_seconds, self._loaded
@@ -310,5 +345,5 @@
             self._schedule.failed()
         else:
             self._measures.swaps.append(self._loop.monotonic() - self._learned)
-        self._side.pump()
+            self._side.release_urgent()
         self._step()
--- a/benchmarks/policy/variants.py
+++ b/benchmarks/policy/variants.py
@@ -44,6 +44,10 @@
     window : float
         Rollouts sent to a side before results, as a multiple of its capacity; 0
         for no bound.
+    drain : float
+        Seconds that a swap waits for urgent work.
+    hand_back : bool
+        Urgent work waiting at a side that swaps goes elsewhere.
     """
 
     name: str
@@ -60,6 +64,8 @@
     fair: bool = True
     width: float = 0.34
     window: float = 0.0
+    drain: float = 2.0
+    hand_back: bool = True
 
 
 PRODUCT = Variant("product")
@@ -75,6 +81,8 @@
     prediction="none",
     fair=False,
     width=1.0,
+    drain=0.0,
+    hand_back=False,
 )
 
 
--- a/src/wigeonfront/policy/admission.py
+++ b/src/wigeonfront/policy/admission.py
@@ -201,6 +201,7 @@
         self._on_expired = on_expired or (lambda item, outcome: None)
         self._changed = threading.Condition()
         self._closed = False
+        self._holding = False
         self._items: dict[str, AdmissionItem] = {}
         self._running: dict[str, AdmissionItem] = {}
         self._deadlines: list[tuple[float, int, AdmissionItem]] = []
@@ -237,8 +238,8 @@
         Accepted
             With the rollouts to preempt, if it can't start otherwise.
         NotRun
-            Reason ``closed``, ``queue_full`` or ``expected_wait``, and when to
-            come back.
+            Reason ``leaving``, ``swapping``, ``queue_full`` or ``expected_wait``,
+            and when to come back.
         """
         with self._changed:
             now = self._clock.monotonic()
@@ -277,6 +278,37 @@
             self._changed.notify_all()
             return waiting
 
+    def hold_urgent(self) -> list[AdmissionItem]:
+        """Refuse all classes but rollouts, as a swap is about to stop the engine.
+
+        Returns
+        -------
+        list of AdmissionItem
+            What waited of these classes: it has not run and can go elsewhere,
+            whereas here it would wait until the engine serves again.
+        """
+        with self._changed:
+            self._holding = True
+            waiting = [
+                item
+                for item in self._items.values()
+                if item.work_class != PREEMPTIBLE and item.id not in self._running
+            ]
+            for item in waiting:
+                self._forget(item)
+            return waiting
+
+    def release_urgent(self) -> None:
+        """Admit all classes again."""
+        with self._changed:
+            self._holding = False
+
+    @property
+    def urgent_running(self) -> int:
+        """Items running of all classes but rollouts."""
+        with self._changed:
+            return len(self._running) - self._running_by_class[PREEMPTIBLE]
+
     # --- workers -------------------------------------------------------------
 
     def take(self, timeout: float | None = None) -> AdmissionItem | None:
@@ -365,6 +397,8 @@
             return NotRun("leaving", MIN_RETRY_AFTER)
         if item.id in self._items:
             return NotRun("duplicate_attempt", MIN_RETRY_AFTER)
+        if self._holding and item.work_class != PREEMPTIBLE:
+            return NotRun("swapping", MIN_RETRY_AFTER)
         if self._queued(item.work_class) >= self._limits[item.work_class].queue:
             return NotRun("queue_full", _clamped(wait))
         service = item.tokens * self._token_seconds
--- a/src/wigeonfront/policy/retries.py
+++ b/src/wigeonfront/policy/retries.py
@@ -26,6 +26,13 @@
 MAX_BACKOFF = 5.0
 """Seconds: ceiling of any pause."""
 
+MOVED = frozenset({"swapping", "leaving", "not_serving", "target_down", "side_gone"})
+"""Refusals of a side that does no work now.
+
+They used no capacity anywhere, and each side refuses an attempt once, so moving on
+at once can't feed a storm and needs no budget.
+"""
+
 RETRY_RATIO = 0.1
 """Retries allowed for each first attempt."""
 
@@ -112,12 +119,16 @@
 class Retry:
     """Try again after `delay` seconds, elsewhere if `elsewhere`.
 
-    A budget token is still to be spent by the caller.
+    Attributes
+    ----------
+    budgeted : bool
+        The caller spends a budget token first, and gives up if there is none.
     """
 
     delay: float
     reason: str
     elsewhere: bool = True
+    budgeted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +159,8 @@
         return GiveUp(refusal)
     if attempted.attempts >= attempted.limit:
         return GiveUp("attempts_exhausted")
+    if isinstance(outcome, NotRun) and outcome.reason in MOVED and remaining > 0:
+        return Retry(0.0, "moved", budgeted=False)
     delay = backoff(attempted.attempts, random)
     if delay + attempted.expected >= remaining:
         return GiveUp("deadline_too_near")
--- a/src/wigeonfront/policy/waves.py
+++ b/src/wigeonfront/policy/waves.py
@@ -40,12 +40,15 @@
         Least share of the service's sides that should serve meanwhile.
     store_rate : float
         Loads a second that the weight store allows this service; 0 for no limit.
+    drain_seconds : float
+        Longest time that a swap waits for running interactive and booking work.
     """
 
     width: float = 0.34
     swap_seconds: float = 5.0
     floor: float = 0.5
     store_rate: float = 0.0
+    drain_seconds: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +163,25 @@
     return Swap(0, "floor_patience_over" if below else "turn", figures)
 
 
+def drained(urgent_running: int, waited: float, settings: WaveSettings) -> bool:
+    """Tell whether the engine may be stopped for a swap.
+
+    Rollouts are left running: the engine goes on with them after the load, and the
+    answer names both versions. Interactive and booking work is short; letting it
+    end first costs less than making its callers wait through the load.
+
+    Parameters
+    ----------
+    urgent_running : int
+        Interactive and booking items at the engine.
+    waited : float
+        Seconds since the side began to refuse them.
+    settings : WaveSettings
+        Bounds the wait.
+    """
+    return urgent_running == 0 or waited >= settings.drain_seconds
+
+
 class SwapSchedule:
     """One side's run of swaps. Not thread-safe: one task owns it.
 
