The entry's overload limit is a guard with a high target

Change: refusals by sides move nothing, an interval is at least a latency, moves are in proportion, the target is 4 s and the first limit 256.

--- a/benchmarks/policy/entries.py
+++ b/benchmarks/policy/entries.py
@@ -90,7 +90,7 @@
             self._unsend(side, attempt_id)
 
     def _note_not_serving(self, side: str) -> None:
-        """A refusal is newer than the last report; the next report replaces it."""
+        """Correct the last report by a refusal, which is newer."""
         if side in self._reports:
             self._reports[side] = replace(self._reports[side], serving=False)
 
--- a/benchmarks/policy/experiments.py
+++ b/benchmarks/policy/experiments.py
@@ -243,7 +243,8 @@
             (
                 PRODUCT,
                 named("no entry limit", overload=False),
-                named("no admission", admission=False, preempt=False),
+                named("entry limit only", admission=False, preempt=False),
+                named("neither", admission=False, preempt=False, overload=False),
                 named("no retry budget", budget=False),
                 PLAIN,
             ),
--- a/src/wigeonfront/policy/overload.py
+++ b/src/wigeonfront/policy/overload.py
@@ -1,11 +1,15 @@
 """Overload control at an entry: how much of each class is let in per service.
 
 `OverloadControl` is thread-safe. Each (service, class) has a limit on requests in
-flight, moved by additive increase and multiplicative decrease: a whole interval in
-which even the least queue delay was above the target, or the targets refused work,
-lowers the limit; an interval in which the limit was in use raises it. The least
-delay is used because a burst raises the mean but only a standing queue raises the
-least (Nichols and Jacobson, "Controlling queue delay", 2012).
+flight. An interval in which even the least queue delay was above the target lowers
+the limit in proportion; an interval in which the limit was in use raises it. The
+least delay is used because a burst raises the mean but only a standing queue raises
+the least (Nichols and Jacobson, "Controlling queue delay", 2012). An interval is at
+least one smoothed latency long, since a move shows no sooner.
+
+The limit is a guard with a high target: the sides' own admission keeps the queues
+short, and a limit that also reacts to their refusals left capacity unused
+(measured, `docs/POLICY.md`).
 """
 
 import threading
@@ -32,23 +36,20 @@
     target_delay : float
         Seconds of standing queue delay that is accepted.
     interval : float
-        Seconds between two moves of the limit.
+        Least seconds between two moves of the limit.
     decrease : float
-        Factor on overload.
+        Least factor of one move down.
     increase : float
         Share of the limit that is added when it was in use.
-    refused_share : float
-        Share of refusals by targets that counts as overload.
     """
 
-    initial: float = 64
+    initial: float = 256
     minimum: float = 2
     maximum: float = 65_536
-    target_delay: float = 0.25
+    target_delay: float = 4.0
     interval: float = 0.5
-    decrease: float = 0.8
-    increase: float = 0.1
-    refused_share: float = 0.1
+    decrease: float = 0.5
+    increase: float = 0.25
 
 
 DEFAULT_SETTINGS: Mapping[WorkClass, OverloadSettings] = {
@@ -74,18 +75,18 @@
     in_flight: int = 0
     peak: int = 0
     least_delay: float = float("inf")
-    results: int = 0
-    refused: int = 0
     latency: float = 0.0
     next_move: float = 0.0
 
     @property
-    def overloaded(self) -> bool:
-        standing = self.least_delay != float("inf") and (
-            self.least_delay > self.settings.target_delay
-        )
-        refusals = self.refused > self.settings.refused_share * self.results
-        return standing or refusals
+    def factor(self) -> float:
+        """By how much the limit should move down; 1 or more without overload."""
+        settings = self.settings
+        if self.least_delay == float("inf"):
+            return 1.0
+        service = max(0.0, self.latency - self.least_delay)
+        wanted = service + settings.target_delay
+        return max(settings.decrease, wanted / (service + self.least_delay or 1.0))
 
 
 class OverloadControl:
@@ -149,17 +150,14 @@
         ----------
         queue_delay : float or None
             Seconds that the request waited before its target ran it; ``None`` when
-            no target took it (refused as overloaded).
+            no target took it.
         latency : float
             Seconds from admission to the end.
         """
         with self._lock:
             control = self._control(service, work_class)
             control.in_flight = max(0, control.in_flight - cost)
-            control.results += 1
-            if queue_delay is None:
-                control.refused += 1
-            else:
+            if queue_delay is not None:
                 control.least_delay = min(control.least_delay, queue_delay)
                 control.latency += 0.1 * (latency - control.latency)
             self._move(control)
@@ -185,15 +183,15 @@
         if now < control.next_move:
             return
         settings = control.settings
-        if control.overloaded:
-            control.limit = max(settings.minimum, control.limit * settings.decrease)
+        if control.factor < 1.0:
+            lowered = control.limit * control.factor
+            control.limit = max(settings.minimum, lowered)
         elif control.peak >= control.limit / 2:
             raised = control.limit + max(1.0, control.limit * settings.increase)
             control.limit = min(settings.maximum, raised)
         control.peak = control.in_flight
         control.least_delay = float("inf")
-        control.results = control.refused = 0
-        control.next_move = now + settings.interval
+        control.next_move = now + max(settings.interval, control.latency)
 
     def _retry_after(self, control: _Control) -> float:
         """Return the time in which the excess drains, at the smoothed latency."""
