--- a/benchmarks/policy/experiments.py
+++ b/benchmarks/policy/experiments.py
@@ -13,7 +13,7 @@
     Fault,
     Scenario,
 )
-from benchmarks.policy.variants import PLAIN, PRODUCT, Variant
+from benchmarks.policy.variants import PLAIN, PRODUCT, STRATEGIES, Variant
 
 NORMAL_SHARE = 0.95
 """Share of calls answered in time that counts as full goodput."""
@@ -72,6 +72,12 @@
     ]
 
 
+def affinities(seed: int) -> list[Scenario]:
+    """Return a short prompt and one of 2000 tokens, which costs 100 steps."""
+    common = Scenario("prompt 400", HRAUNBOK, seed)
+    return [common, replace(common, name="prompt 2000", sample_prompt=2000.0)]
+
+
 def bursts(seed: int) -> list[Scenario]:
     """Return sudden bursts of ordinary callers on top of day and night."""
     sudden = tuple(Burst(at, 20.0, 3.0) for at in (40.0, 120.0, 260.0))
@@ -213,6 +219,16 @@
             ),
             ROLLOUT_COLUMNS,
         ),
+        Experiment(
+            "affinity",
+            affinities,
+            tuple(
+                named(name, placement=name)
+                for name in STRATEGIES
+                if name.startswith("bound") or name == "two_choices"
+            ),
+            ROLLOUT_COLUMNS,
+        ),
         Experiment(
             "classes",
             bursts,
@@ -287,7 +303,15 @@
             drifting,
             tuple(
                 named(name, prediction=name)
-                for name in ("none", "siblings", "time_series", "oracle")
+                for name in (
+                    "none",
+                    "siblings",
+                    "siblings median",
+                    "siblings 95%",
+                    "time_series",
+                    "time_series mean",
+                    "oracle",
+                )
             ),
             ROLLOUT_COLUMNS,
         ),
--- a/benchmarks/policy/predictors.py
+++ b/benchmarks/policy/predictors.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Protocol
 
 from benchmarks.policy.sides import Task
@@ -105,10 +106,13 @@
 
 def make(name: str) -> Predictor:
     """Return the predictor called `name`."""
-    makers = {
+    makers: dict[str, Callable[[], Predictor]] = {
         "none": NoPrediction,
         "oracle": Oracle,
         "siblings": SiblingPrediction,
+        "siblings median": lambda: SiblingPrediction(0.5),
+        "siblings 95%": lambda: SiblingPrediction(0.95),
         "time_series": TimeSeriesPrediction,
+        "time_series mean": lambda: TimeSeriesPrediction(z=0.0, peak=False),
     }
     return makers[name]()
--- a/benchmarks/policy/run.py
+++ b/benchmarks/policy/run.py
@@ -21,7 +21,6 @@
 from wigeonfront.outcomes import Completed, Expired, NotRun, Outcome
 from wigeonfront.policy.waves import WaveSettings
 
-SAMPLE_PROMPT = 400.0
 NAIVE_CLIENT_DELAY = 0.1
 
 
@@ -271,7 +270,7 @@
             tokens=tokens,
             deadline=self._world.loop.monotonic() + self._trace.timeout,
             done=self._done,
-            prompt=SAMPLE_PROMPT,
+            prompt=self._world.scenario.sample_prompt,
             prefix=group,
             min_version=self._min_version,
             trainer=self._trace.name,
--- a/benchmarks/policy/traces.py
+++ b/benchmarks/policy/traces.py
@@ -193,6 +193,7 @@
     seed: int
     seconds: float = 400.0
     day: float = 400.0
+    sample_prompt: float = 400.0
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
     _cache: dict[str, list[Call]] = field(default_factory=dict, compare=False)
--- a/benchmarks/policy/variants.py
+++ b/benchmarks/policy/variants.py
@@ -188,6 +188,14 @@
     "two_choices": lambda: two_choices_only,
     "strict_affinity": StrictAffinity,
     "cache_events": CacheDirectory,
+    "bound 1.0": lambda: placement.AffinityPlacement(1.0, 1),
+    "bound 1.1": lambda: placement.AffinityPlacement(1.1, 1),
+    "bound 1.25": lambda: placement.AffinityPlacement(1.25, 1),
+    "bound 1.5": lambda: placement.AffinityPlacement(1.5, 1),
+    "bound 1.0, 2 heads": lambda: placement.AffinityPlacement(1.0, 2),
+    "bound 1.25, 2 heads": lambda: placement.AffinityPlacement(1.25, 2),
+    "bound 1.5, 2 heads": lambda: placement.AffinityPlacement(1.5, 2),
+    "bound 1.25, 3 heads": lambda: placement.AffinityPlacement(1.25, 3),
 }
 
 
--- a/src/wigeonfront/policy/placement.py
+++ b/src/wigeonfront/policy/placement.py
@@ -16,9 +16,12 @@
 from wigeonfront.outcomes import NotRun
 from wigeonfront.policy.rendezvous import order
 
-AFFINITY_LOAD_FACTOR = 1.25
+AFFINITY_LOAD_FACTOR = 1.1
 """How far above the mean load a side may be and still keep its prefixes."""
 
+AFFINITY_HEADS = 1
+"""Sides that share a prefix."""
+
 CHOICES = 2
 """Sides drawn at random when nothing ties a request to a side."""
 
@@ -168,24 +171,17 @@
     return candidates
 
 
-def choose(
-    request: PlacementRequest, sides: Sequence[SideView], random: Random
-) -> Placed | Refused:
+@dataclass(frozen=True, slots=True)
+class AffinityPlacement:
     """Place by prefix affinity with bounded load, else the better of two.
 
-    Parameters
+    Attributes
     ----------
-    request : PlacementRequest
-        What is to be placed.
-    sides : sequence of SideView
-        The entry's subset of the service's sides.
-    random : random.Random
-        Draws the two choices.
-
-    Returns
-    -------
-    Placed or Refused
-        With the reason and figures for the log line of the decision.
+    load_factor : float
+        A side keeps its prefixes up to this multiple of the mean load.
+    heads : int
+        Sides from the head of a prefix's rendezvous order that share it; the least
+        loaded of them is taken.
 
     Notes
     -----
@@ -193,25 +189,58 @@
     bounded loads", 2018. Two choices: Mitzenmacher, "The power of two choices in
     randomized load balancing", 2001.
     """
-    candidates = eligible(request, sides)
-    if isinstance(candidates, Refused):
-        return candidates
-    if request.prefix:
-        return _by_affinity(request, candidates)
-    return _by_two_choices(request, candidates, random)
-
-
-def _by_affinity(request: PlacementRequest, candidates: list[SideView]) -> Placed:
-    mean = sum(side.load for side in candidates) / len(candidates)
-    bound = AFFINITY_LOAD_FACTOR * mean
-    by_name = {side.name: side for side in candidates}
-    ranked = order(request.prefix, by_name)
-    for rank, name in enumerate(ranked):
-        side = by_name[name]
-        if side.has_free_slot(request.tokens) or side.load <= bound:
-            reason = "affinity" if rank == 0 else "affinity_bounded"
-            return _placed(side, reason, candidates, rank=rank, mean_load=mean)
-    raise AssertionError("some load is at most the mean")
+
+    load_factor: float = AFFINITY_LOAD_FACTOR
+    heads: int = AFFINITY_HEADS
+
+    def __call__(
+        self, request: PlacementRequest, sides: Sequence[SideView], random: Random
+    ) -> Placed | Refused:
+        """Choose a side.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            What is to be placed.
+        sides : sequence of SideView
+            The entry's subset of the service's sides.
+        random : random.Random
+            Draws the two choices.
+
+        Returns
+        -------
+        Placed or Refused
+            With the reason and figures for the log line of the decision.
+        """
+        candidates = eligible(request, sides)
+        if isinstance(candidates, Refused):
+            return candidates
+        if request.prefix:
+            return self._by_affinity(request, candidates)
+        return _by_two_choices(request, candidates, random)
+
+    def _by_affinity(
+        self, request: PlacementRequest, candidates: list[SideView]
+    ) -> Placed:
+        mean = sum(side.load for side in candidates) / len(candidates)
+        bound = self.load_factor * mean
+        by_name = {side.name: side for side in candidates}
+        ranked = [by_name[name] for name in order(request.prefix, by_name)]
+        fitting = [
+            side
+            for side in ranked
+            if side.has_free_slot(request.tokens) or side.load <= bound
+        ]
+        # Some load is at most the mean, but rounding may put it just above.
+        fitting = fitting or [min(ranked, key=lambda side: side.load)]
+        side = min(fitting[: self.heads], key=lambda side: side.load)
+        rank = ranked.index(side)
+        reason = "affinity" if rank < self.heads else "affinity_bounded"
+        return _placed(side, reason, candidates, rank=rank, mean_load=mean)
+
+
+choose = AffinityPlacement()
+"""The product's strategy."""
 
 
 def _by_two_choices(
--- a/src/wigeonfront/policy/waves.py
+++ b/src/wigeonfront/policy/waves.py
@@ -106,7 +106,7 @@
     settings : WaveSettings
         Width, duration and the store's rate.
     """
-    at_once = max(1, math.floor(settings.width * members))
+    at_once = max(1, round(settings.width * members))
     wave = place // at_once
     offset = wave * settings.swap_seconds
     if settings.store_rate > 0:
