--- /dev/null
+++ b/.ci/build_binary.py
@@ -0,0 +1,71 @@
+"""Builds the single file ``dist/wigeonfront`` with shiv.
+
+Usage: ``python .ci/build_binary.py [OUTPUT]``. Packages that are needed only to
+install others are left out. Compiled modules are put in: a VM is often new, and its
+first start then neither spends time and memory on compiling nor writes anything but
+the unpacked packages.
+"""
+
+import compileall
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import zipfile
+from pathlib import Path
+from py_compile import PycInvalidationMode
+
+ROOT = Path(__file__).resolve().parent.parent
+DEFAULT_OUTPUT = ROOT / "dist" / "wigeonfront"
+ENTRY_POINT = "wigeonfront.__main__:start_from_archive"
+ONLY_FOR_INSTALLING = ("setuptools", "pkg_resources", "pbr", "_distutils_hack", "bin")
+
+
+def build(output: Path) -> None:
+    """Write the archive to `output`."""
+    output.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        packages = Path(folder) / "packages"
+        install(packages)
+        make_archive(packages, output)
+        add_compiled(packages, output)
+
+
+def install(packages: Path) -> None:
+    """Install the product and what it runs on into the folder `packages`."""
+    # Modules that were deleted since the last build would be packed again.
+    shutil.rmtree(ROOT / "build", ignore_errors=True)
+    pip = [sys.executable, "-m", "pip", "install", "--quiet", "--no-compile"]
+    subprocess.run([*pip, "--target", str(packages), str(ROOT)], check=True)
+    for name in ONLY_FOR_INSTALLING:
+        shutil.rmtree(packages / name, ignore_errors=True)
+    for path in packages.glob("*.pth"):
+        path.unlink()
+
+
+def make_archive(packages: Path, output: Path) -> None:
+    """Pack the folder with shiv."""
+    shiv = [sys.executable, "-m", "shiv", "--reproducible", "-e", ENTRY_POINT]
+    options = ["--site-packages", str(packages), "-o", str(output)]
+    subprocess.run([*shiv, *options], check=True)
+
+
+def add_compiled(packages: Path, output: Path) -> None:
+    """Compile the modules and add them; unpacking doesn't keep their times."""
+    compileall.compile_dir(
+        packages,
+        quiet=1,
+        stripdir=str(packages),
+        invalidation_mode=PycInvalidationMode.UNCHECKED_HASH,
+    )
+    with zipfile.ZipFile(output, "a", zipfile.ZIP_DEFLATED) as archive:
+        for path in sorted(packages.rglob("*.pyc")):
+            name = path.relative_to(packages).as_posix()
+            archive.write(path, f"site-packages/{name}")
+
+
+if __name__ == "__main__":
+    target = Path(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_OUTPUT
+    build(target.absolute())
+    print(f"{target}: {os.path.getsize(target)} bytes")
--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# From a fresh machine with Python 3.11 or later: `make run`, `make test`.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+RUN := PYTHONPATH=src:examples:. $(BIN)/python
+SECONDS ?= 8
+
+.PHONY: run test lint binary bench clean
+
+## Run both example deployments on stand-ins and print what was measured.
+run: $(VENV)/ready
+	$(RUN) -m quickstart.run --deployment both --seconds $(SECONDS)
+
+## Run all tests.
+test: $(VENV)/ready
+	$(BIN)/python -m pytest
+
+## Check format and lint.
+lint: $(VENV)/ready
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+## Build the single file dist/wigeonfront.
+binary: $(VENV)/ready
+	$(BIN)/python .ci/build_binary.py
+
+## Run the benchmarks: make bench ARGS="...".
+bench: $(VENV)/ready
+	$(RUN) -m benchmarks $(ARGS)
+
+clean:
+	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
+
+$(VENV)/ready: pyproject.toml
+	$(PYTHON) -c 'import sys; sys.exit(sys.version_info < (3, 11) and "Python 3.11 or later is needed; set PYTHON")'
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $@
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -107,6 +107,14 @@
     return text.rstrip("/")
 
 
+def parse_target(text: str) -> str:
+    """Return the URL of a target: plain HTTP, with a port and without a path."""
+    scheme, _, authority = text.rstrip("/").partition("://")
+    if scheme != "http":
+        raise ValueError(text)
+    return f"http://{parse_address(authority)}"
+
+
 def _has_port(authority: str) -> bool:
     return ":" in authority.rpartition("]")[2]
 
@@ -274,7 +282,11 @@
     """Settings of ``wigeonfront side``."""
 
     service: str = _name("service that the target belongs to")
-    target: str = _url("the target beside this process")
+    target: str = _setting(
+        parse_target,
+        "a URL such as http://127.0.0.1:8080, without a path",
+        "the target beside this process",
+    )
     target_kind: str = _setting(
         one_of(*_TARGET_KINDS),
         " or ".join(_TARGET_KINDS),
