The single file starts from shiv's preamble and ignores the caller's PYTHONPATH

Cause: the entry point was imported by the archive's loader, whose path has the caller's PYTHONPATH first, so that another wigeonfront there was started instead. A test with such a package failed by that design and passes now.

--- a/.ci/build_binary.py
+++ b/.ci/build_binary.py
@@ -18,7 +18,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DEFAULT_OUTPUT = ROOT / "dist" / "wigeonfront"
-ENTRY_POINT = "wigeonfront.__main__:start_from_archive"
+# The start takes the place of the entry point, but shiv asks for one.
+START = ROOT / ".ci" / "binary_start.py"
+ENTRY_POINT = "wigeonfront.cli:main"
 ONLY_FOR_INSTALLING = ("setuptools", "pkg_resources", "pbr", "_distutils_hack", "bin")
 
 
@@ -47,7 +49,8 @@
 def make_archive(packages: Path, output: Path) -> None:
     """Pack the folder with shiv."""
     shiv = [sys.executable, "-m", "shiv", "--reproducible", "-e", ENTRY_POINT]
-    options = ["--site-packages", str(packages), "-o", str(output)]
+    options = ["--preamble", str(START), "--site-packages", str(packages)]
+    options += ["-o", str(output)]
     subprocess.run([*shiv, *options], check=True)
 
 
--- /dev/null
+++ b/tests/test_binary.py
@@ -0,0 +1,67 @@
+"""The single file: built once, it does the main job."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@pytest.fixture(scope="module")
+def binary(tmp_path_factory):
+    path = tmp_path_factory.mktemp("binary") / "wigeonfront"
+    builder = ROOT / ".ci" / "build_binary.py"
+    subprocess.run([sys.executable, builder, path], check=True)
+    return path
+
+
+@pytest.fixture
+def environment(tmp_path):
+    # Neither the working copy nor an earlier unpacking is to be found.
+    kept = {name: text for name, text in os.environ.items() if name != "PYTHONPATH"}
+    return kept | {"SHIV_ROOT": str(tmp_path / "unpacked")}
+
+
+def run(command, environment):
+    return subprocess.run(
+        list(map(str, command)), env=environment, capture_output=True, text=True
+    )
+
+
+def test_bad_setting_from_the_single_file(binary, environment):
+    ended = run([binary, "side", "--capacity", "0"], environment)
+    assert (ended.returncode, ended.stdout) == (2, "")
+    assert "setting capacity has the bad value '0' (from --capacity)" in ended.stderr
+    assert "Traceback" not in ended.stderr
+
+
+def test_single_file_uses_only_its_own_packages(binary, environment, tmp_path):
+    """A `PYTHONPATH` with another package of the same name changes nothing."""
+    other = tmp_path / "other" / "wigeonfront"
+    other.mkdir(parents=True)
+    (other / "__init__.py").write_text("raise SystemExit('the wrong package')")
+    environment |= {"PYTHONPATH": str(other.parent)}
+    ended = run([binary, "--version"], environment)
+    assert (ended.returncode, ended.stderr) == (0, "")
+
+
+def test_main_job_from_the_single_file(binary, environment):
+    environment |= {"PYTHONPATH": os.pathsep.join([str(ROOT / "src"), "examples"])}
+    flags = ["--deployment", "both", "--seconds", "3", "--binary", binary, "--json"]
+    ended = subprocess.run(
+        [sys.executable, "-m", "quickstart.run", *map(str, flags)],
+        env=environment,
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    reports = json.loads(ended.stdout)
+    assert [report["deployment"] for report in reports] == ["hraunbok", "association"]
+    assert all(report["ended"] == [] for report in reports)
+    unpacked = list(Path(environment["SHIV_ROOT"]).glob("wigeonfront_*"))
+    assert len(unpacked) == 1
