--- a/src/wigeonfront/commands/output.py
+++ b/src/wigeonfront/commands/output.py
@@ -7,6 +7,7 @@
 
 from wigeonfront.commands import exit_codes
 from wigeonfront.commands.api import AnswerLost, Response, Unreachable
+from wigeonfront.commands.rows import flatten
 
 _GAP = "  "
 _INDENT = "  "
@@ -29,19 +30,21 @@
 
 def print_objects(objects: Sequence[dict[str, Any]]) -> None:
     """Print objects as a table with a column for every field that any has."""
-    columns = list(dict.fromkeys(name for each in objects for name in each))
-    print_table(columns, [[each.get(name) for name in columns] for each in objects])
+    flat = [flatten(each) for each in objects]
+    columns = list(dict.fromkeys(name for each in flat for name in each))
+    print_table(columns, [[each.get(name) for name in columns] for each in flat])
 
 
 def print_document(document: dict[str, Any]) -> None:
     """Print plain fields as lines and each list of objects as a titled table."""
-    tables = {name: value for name, value in document.items() if _is_table(value)}
-    for name, value in document.items():
-        if name not in tables:
+    fields = flatten(document)
+    for name, value in fields.items():
+        if not _is_table(value):
             print(f"{name}: {cell_text(value)}")
-    for name, objects in tables.items():
-        print(f"\n{name}:")
-        print_objects(objects)
+    for name, value in fields.items():
+        if _is_table(value):
+            print(f"\n{name}:")
+            print_objects(value)
 
 
 def _is_table(value: Any) -> bool:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -304,6 +304,7 @@
         "entry": "entry-a",
         "draining": False,
         "members": [{"name": "entry-a", "revision": 12}, {"name": "entry-b"}],
+        "metrics": {"replies_total": [{"labels": {"status": "200"}, "value": 7}]},
     }
     entry.script["GET", "/v1/status"] = [answer(200, document)]
     assert cli.main(["status"]) == 0
@@ -316,6 +317,10 @@
         ["NAME", "REVISION"],
         ["entry-a", "12"],
         ["entry-b", "-"],
+        [],
+        ["metrics.replies_total:"],
+        ["LABELS.STATUS", "VALUE"],
+        ["200", "7"],
     ]
 
 
