--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 BIN := $(VENV)/bin
 RUN := PYTHONPATH=src:examples:. $(BIN)/python
 SECONDS ?= 8
+BENCH ?= policy
 
 .PHONY: run test lint binary bench clean
 
@@ -25,9 +26,9 @@
 binary: $(VENV)/ready
 	$(BIN)/python .ci/build_binary.py
 
-## Run the benchmarks: make bench ARGS="...".
+## Run a package of benchmarks/: make bench BENCH=policy ARGS="--help".
 bench: $(VENV)/ready
-	$(RUN) -m benchmarks $(ARGS)
+	$(RUN) -m benchmarks.$(BENCH) $(ARGS)
 
 clean:
 	rm -rf $(VENV) build dist .pytest_cache .ruff_cache .hypothesis
--- a/src/wigeonfront/client.py
+++ b/src/wigeonfront/client.py
@@ -18,8 +18,9 @@
 """
 
 import random
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from itertools import count
 from typing import Any
 from urllib.parse import quote
 
@@ -235,6 +236,19 @@
 # --- tries -------------------------------------------------------------------
 
 
+class _Deadline:
+    """The time left for a call, over all its tries."""
+
+    def __init__(self, clock: Clock, seconds: float) -> None:
+        self._clock = clock
+        self._end = clock.monotonic() + seconds
+
+    @property
+    def remaining(self) -> float:
+        """Seconds left, negative once passed."""
+        return self._end - self._clock.monotonic()
+
+
 class _Entries:
     """The entries in turn, with the pauses between tries."""
 
@@ -253,15 +267,30 @@
         """The connections to the entry whose turn it is."""
         return self._pools[self._next]
 
-    def advance(self) -> None:
-        """Go to the next entry."""
-        self._next = (self._next + 1) % len(self._pools)
+    def wait(self, tries: int, retry_after: float, deadline: _Deadline) -> bool:
+        """Go to the next entry and wait before the next try.
 
-    def pause(self, tries: int, retry_after: float) -> float:
-        """Return the seconds to wait after `tries` tries without success."""
+        Parameters
+        ----------
+        tries : int
+            Tries made so far without success.
+        retry_after : float
+            Least seconds to wait.
+        deadline : _Deadline
+
+        Returns
+        -------
+        bool
+            ``False``, without a wait, if the next try would come too late.
+        """
         rounds = max(0, tries - len(self._pools))
         ceiling = min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** min(rounds, 10))
-        return retry_after + self._generator.uniform(0, ceiling)
+        pause = retry_after + self._generator.uniform(0, ceiling)
+        if pause >= deadline.remaining:
+            return False
+        self._next = (self._next + 1) % len(self._pools)
+        self.clock.sleep(pause)
+        return True
 
     def close(self) -> None:
         """Close all connections."""
@@ -269,19 +298,6 @@
             pool.close()
 
 
-class _Deadline:
-    """The time left for a call, over all its tries."""
-
-    def __init__(self, clock: Clock, seconds: float) -> None:
-        self._clock = clock
-        self._end = clock.monotonic() + seconds
-
-    @property
-    def remaining(self) -> float:
-        """Seconds left, negative once passed."""
-        return self._end - self._clock.monotonic()
-
-
 class TrainerClient:
     """Submits and acknowledges the Lots of one trainer.
 
@@ -347,20 +363,16 @@
         deadline = _Deadline(self._entries.clock, timeout)
         patience = patience or timeout * PATIENCE_SHARE
         submission = lot.first_submission
-        for tries in _count_from_one():
+        for tries in count(1):
             body = self._body(lot, submission, max(deadline.remaining, 0.001))
             wait = min(patience, deadline.remaining + GRACE_SECONDS)
             end = self._post(body, wait)
             if not isinstance(end, _Again):
                 return end
-            pause = self._entries.pause(tries, end.retry_after)
-            if pause >= deadline.remaining:
+            self._progress(f"submission {submission}: {end.reason}")
+            if not self._entries.wait(tries, end.retry_after, deadline):
                 return _give_up(end, submission)
-            self._progress(f"submission {submission}: {end.reason}; again")
-            self._entries.advance()
-            self._entries.clock.sleep(pause)
             submission += 1
-        raise AssertionError("the tries never end by themselves")
 
     def acknowledge(
         self, lot: Lot, timeout: float = ACKNOWLEDGE_SECONDS
@@ -373,7 +385,7 @@
         body = LotAcknowledgement(
             trainer=self._trainer, lot=lot.lot, service=lot.service
         )
-        for tries in _count_from_one():
+        for tries in count(1):
             wait = min(ACKNOWLEDGE_TRY_SECONDS, deadline.remaining + GRACE_SECONDS)
             answer = self._entries.pool.call(
                 "POST", ACKNOWLEDGE_PATH, body, timeout=wait
@@ -383,12 +395,8 @@
             end = _refusal(answer)
             if isinstance(end, CallRejected):
                 return end
-            pause = self._entries.pause(tries, end.retry_after)
-            if pause >= deadline.remaining:
+            if not self._entries.wait(tries, end.retry_after, deadline):
                 return AcknowledgementUnknown(end.reason)
-            self._entries.advance()
-            self._entries.clock.sleep(pause)
-        raise AssertionError("the tries never end by themselves")
 
     def _body(self, lot: Lot, submission: int, timeout: float) -> LotBody:
         samples = [
@@ -426,13 +434,6 @@
         return _lot_outcome(reply, pool.address, answer.retry_after)
 
 
-def _count_from_one() -> Iterator[int]:
-    count = 0
-    while True:
-        count += 1
-        yield count
-
-
 def _decode(body: bytes, kind: type) -> Any:
     try:
         return msgspec.json.decode(body, type=kind)
@@ -572,17 +573,15 @@
         """
         deadline = _Deadline(self._entries.clock, timeout)
         doubt = ""
-        for tries in _count_from_one():
+        for tries in count(1):
             submission = request.first_submission + tries - 1
             answer = self._send(request, submission, deadline, patience)
             end = _request_end(answer)
             doubt = doubt or _doubt(end)
-            pause = self._entries.pause(tries, _retry_after(answer, end))
-            if not _may_repeat(request, end, doubt) or pause >= deadline.remaining:
+            if not _may_repeat(request, end, doubt):
+                return _with_doubt(end, doubt)
+            if not self._entries.wait(tries, _retry_after(answer, end), deadline):
                 return _with_doubt(end, doubt)
-            self._entries.advance()
-            self._entries.clock.sleep(pause)
-        raise AssertionError("the tries never end by themselves")
 
     def _send(
         self,
