explain: follow a Lot to its samples; a number is no attempt's name

Cause: 'placed' lines name the attempt's number within its request, so asking for one request brought in every line with attempt=1; and a Lot's samples log as REQUEST/SAMPLE, which was not matched. Seen on the logs of a running association example; the table's new rows failed before.

--- a/src/wigeonfront/commands/explain.py
+++ b/src/wigeonfront/commands/explain.py
@@ -1,8 +1,8 @@
 """``wigeonfront explain``: why a request went where it went.
 
 The answer is the request's log lines, in time order, from the entries' memory or
-from log files. A line belongs to the request when it names the request, or one of
-its attempts, as the side's lines do.
+from log files. A line belongs to the request when it names the request, one of its
+attempts, or a sample of it (``REQUEST/SAMPLE``, where the request is a Lot's POST).
 """
 
 import argparse
@@ -17,7 +17,6 @@
 from wigeonfront.settings import OperatorSettings
 
 REQUEST_FIELDS = ("request", "lot", "key")
-_ATTEMPT_FIELD = "attempt"
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _LEADING = ("time", "process", "event")
 _LEFT_OUT = frozenset({*_LEADING, "level"})
@@ -96,7 +95,7 @@
 
 
 def search_logs(request: str, paths: list[str]) -> list[Pairs] | BadLog:
-    """Return the events of `request` and of its attempts, in time order.
+    """Return the events of `request`, its samples and its attempts, in time order.
 
     Parameters
     ----------
@@ -106,28 +105,40 @@
         Log files. They are read twice and never held in memory.
     """
     try:
-        named = list(_matching(paths, REQUEST_FIELDS, {request}))
-        attempts = {each[_ATTEMPT_FIELD] for each in named if each.get(_ATTEMPT_FIELD)}
-        rest = _matching(paths, (_ATTEMPT_FIELD,), attempts | {request})
-        others = [each for each in rest if request not in _named(each, REQUEST_FIELDS)]
+        named = [each for each in _events(paths) if _names(each, request)]
+        requests = {request} | {each["request"] for each in named if "request" in each}
+        attempts = {each["attempt"] for each in named if _has_attempt(each)}
+        found = [
+            each
+            for each in _events(paths)
+            if _names(each, request) or _belongs(each, requests, attempts)
+        ]
     except OSError as error:
         return BadLog(f"{error.filename}: {error.strerror}")
-    return _in_time_order(named + others)
+    return _in_time_order(found)
 
 
-def _matching(
-    paths: Iterable[str], fields: tuple[str, ...], wanted: set[str]
-) -> Iterator[Pairs]:
+def _events(paths: Iterable[str]) -> Iterator[Pairs]:
     for path in paths:
         with open(path, encoding="utf-8", errors="replace") as file:
             for line in file:
-                pairs = parse_line(line)
-                if not wanted.isdisjoint(_named(pairs, fields)):
-                    yield pairs
+                yield parse_line(line)
 
 
-def _named(pairs: Pairs, fields: tuple[str, ...]) -> list[str]:
-    return [pairs[name] for name in fields if name in pairs]
+def _names(event: Pairs, request: str) -> bool:
+    return any(event.get(field) == request for field in REQUEST_FIELDS)
+
+
+def _has_attempt(event: Pairs) -> bool:
+    # In some events it is the attempt's number within its request.
+    return not event.get("attempt", "").isdigit() and "attempt" in event
+
+
+def _belongs(event: Pairs, requests: set[str], attempts: set[str]) -> bool:
+    """Return whether an event is of one of the requests, their samples or attempts."""
+    request = event.get("request", "")
+    whole = request.partition("/")[0]
+    return request in requests or whole in requests or event.get("attempt") in attempts
 
 
 def _in_time_order(events: list[Pairs]) -> list[Pairs]:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -312,27 +312,52 @@
 
 ENTRY_LOG = """\
 time=10.100 level=INFO process=entry-a event=placed request=r1 attempt=e-1 side=s2
-time=10.000 level=INFO process=entry-a event=received request=r1
-time=10.050 level=INFO process=entry-a event=received request=r12
+time=10.000 level=INFO process=entry-a event=received request=r1 attempt=1
+time=10.050 level=INFO process=entry-a event=received request=r12 attempt=1
 not a log line
+time=20.000 level=INFO process=entry-a event=lot_begun request=lot-7 lot=t1/step-1
+time=20.100 level=INFO process=entry-a event=placed request=lot-7/a attempt=1
+time=20.100 level=INFO process=entry-a event=placed request=lot-70/a attempt=1
 """
 SIDE_LOG = """\
 time=10.200 level=INFO process=s2 event=started attempt=e-1 reason="least queued"
 time=10.300 level=INFO process=s2 event=started attempt=e-2
+time=20.200 level=INFO process=s2 event=ran request=lot-7/a attempt=e-3
 """
+OF_LOT = ["lot_begun", "placed", "ran"]
 
 
-def test_explain_reads_logs_of_several_processes(write, capsys):
+@pytest.mark.parametrize(
+    ("request_id", "events"),
+    [
+        ("r1", ["received", "placed", "started"]),
+        ("r12", ["received"]),
+        ("t1/step-1", OF_LOT),
+        ("lot-7", OF_LOT),
+        ("lot-7/a", ["placed", "ran"]),
+        ("r3", []),
+    ],
+)
+def test_explain_reads_logs_of_several_processes(write, capsys, request_id, events):
     logs = [write(ENTRY_LOG, "entry.log"), write(SIDE_LOG, "side.log")]
+    code = cli.main(["explain", request_id, "--json", "--log", *logs])
+    assert code == (0 if events else 1)
+    found = json.loads(capsys.readouterr().out)
+    assert [each["event"] for each in found] == events
+
+
+def test_explain_prints_times_from_the_first_event(write, capsys):
+    logs = [write(SIDE_LOG, "side.log"), write(ENTRY_LOG, "entry.log")]
     assert cli.main(["explain", "r1", "--log", *logs]) == 0
-    lines = [line.split(maxsplit=3) for line in capsys.readouterr().out.splitlines()]
-    assert [line[:3] for line in lines[1:]] == [
-        ["+0.000s", "entry-a", "received"],
-        ["+0.100s", "entry-a", "placed"],
-        ["+0.200s", "s2", "started"],
+    last = capsys.readouterr().out.splitlines()[-1]
+    assert last.split() == [
+        "+0.200s",
+        "s2",
+        "started",
+        "attempt=e-1",
+        "reason=least",
+        "queued",
     ]
-    assert lines[3][3] == "attempt=e-1 reason=least queued"
-    assert cli.main(["explain", "r3", "--log", *logs]) == 1
 
 
 @pytest.mark.parametrize(
