Catalogue in force: rows by revision, exchange between entries, policy for sides

Sides merge policies row by row, because two entries may know different rows for a moment: a single number per policy let an entry that had missed a row's write hide that row for good. FieldChange moved to wigeonfront.differences, since entries use it too; the test of the command line follows the move.

--- a/src/wigeonfront/commands/catalogue.py
+++ b/src/wigeonfront/commands/catalogue.py
@@ -24,14 +24,8 @@
     print_table,
     report_failure,
 )
-from wigeonfront.commands.rows import (
-    BadFile,
-    FieldChange,
-    FileRow,
-    changes,
-    flatten,
-    read_file,
-)
+from wigeonfront.commands.rows import BadFile, FileRow, read_file
+from wigeonfront.differences import FieldChange, changes, flatten
 from wigeonfront.settings import OperatorSettings
 
 _NOT_FOUND = 404
--- a/src/wigeonfront/commands/rows.py
+++ b/src/wigeonfront/commands/rows.py
@@ -1,12 +1,10 @@
-"""Catalogue rows in files, and the differences between two rows."""
+"""Catalogue rows in files."""
 
 import json
 import sys
 from dataclasses import dataclass
 from typing import Any
 
-_MISSING = "(none)"
-
 
 @dataclass(frozen=True, slots=True)
 class FileRow:
@@ -34,15 +32,6 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class FieldChange:
-    """A field that differs; `before` or `after` may be ``(none)``."""
-
-    field: str
-    before: Any
-    after: Any
-
-
 def read_file(path: str) -> list[FileRow] | BadFile:
     """Read a catalogue file: what ``catalogue get --json`` prints.
 
@@ -100,25 +89,3 @@
     if revision is not None and (type(revision) is not int or revision < 0):
         return BadFile("'revision' must be a whole number, 0 for a new entry")
     return FileRow(entry, row, revision)
-
-
-def changes(before: dict[str, Any], after: dict[str, Any]) -> list[FieldChange]:
-    """Return the fields that differ, by their dotted paths, in order."""
-    old, new = flatten(before), flatten(after)
-    return [
-        FieldChange(path, old.get(path, _MISSING), new.get(path, _MISSING))
-        for path in sorted(old.keys() | new.keys())
-        if path not in old or path not in new or old[path] != new[path]
-    ]
-
-
-def flatten(value: dict[str, Any], prefix: str = "") -> dict[str, Any]:
-    """Return the leaves of nested objects by their dotted paths."""
-    leaves: dict[str, Any] = {}
-    for name, each in value.items():
-        path = prefix + name
-        if isinstance(each, dict) and each:
-            leaves.update(flatten(each, path + "."))
-        else:
-            leaves[path] = each
-    return leaves
--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -12,7 +12,7 @@
 from wigeonfront.clock import Clock
 from wigeonfront.entry.peers import Identity, Peer, PeerState
 from wigeonfront.logs import event
-from wigeonfront.messages import Beat
+from wigeonfront.messages import Beat, ServicePolicy
 from wigeonfront.outcomes import Outcome
 from wigeonfront.platform import Unavailable, Vm, VmList
 from wigeonfront.policy.circuit import CircuitChange, Circuits
@@ -61,6 +61,8 @@
         Chooses this entry's subset among the sides of a service.
     on_beat : callable
         Told of each heartbeat.
+    policy : callable
+        Returns what the sides of a service follow of the catalogue.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         announcements: Announcements,
         select: Callable[[str, list[Vm]], list[Vm]] = lambda service, vms: vms,
         on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
+        policy: Callable[[str], ServicePolicy | None] = lambda service: None,
     ) -> None:
         self._supervisor = supervisor
         self._identity = identity
@@ -80,6 +83,7 @@
         self._announcements = announcements
         self._select = select
         self._on_beat = on_beat
+        self._policy = policy
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
         self._by_service: dict[str, list[Peer]] = {}
@@ -108,6 +112,12 @@
         with self._lock:
             return list(self._by_service.get(service, ()))
 
+    def behind(self) -> list[str]:
+        """Return the sides with a session that lack the present policy."""
+        with self._lock:
+            peers = list(self._peers.values())
+        return [peer.vm.name for peer in peers if peer.behind]
+
     def views(self, service: str) -> list[SideView]:
         """Return what placement needs to know of a service's sides."""
         now = self._clock.monotonic()
@@ -182,6 +192,7 @@
             self._beat_seconds,
             self._announcements.newest,
             self._on_beat,
+            lambda: self._policy(vm.service),
         )
         with self._lock:
             self._peers[vm.name] = peer
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -34,6 +34,7 @@
     Opened,
     OpenSession,
     Result,
+    ServicePolicy,
     StreamFrame,
     from_wire,
 )
@@ -125,6 +126,8 @@
         Returns the newest weight version announced for each service.
     on_beat : callable
         Told of each heartbeat.
+    policy : callable
+        Returns what the side follows of the catalogue.
     """
 
     def __init__(
@@ -135,6 +138,7 @@
         beat_seconds: float,
         announced: Callable[[], dict[str, int]] = dict,
         on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
+        policy: Callable[[], ServicePolicy | None] = lambda: None,
     ) -> None:
         self._vm = vm
         self._identity = identity
@@ -142,6 +146,8 @@
         self._beat_seconds = beat_seconds
         self._announced = announced
         self._on_beat = on_beat
+        self._policy = policy
+        self._told: ServicePolicy | None = None
         self._lock = threading.Lock()
         self._session = 0
         self._cursor = 0
@@ -179,6 +185,11 @@
                 self._disconnected_since,
             )
 
+    @property
+    def behind(self) -> bool:
+        """Whether a session is open and the side lacks the present policy."""
+        return self._connected and self._news() is not None
+
     def run(self, stop: threading.Event) -> None:
         """Keep a session open until `stop` (a supervisor's task)."""
         pause = FIRST_PAUSE
@@ -215,7 +226,7 @@
             return
         message = msgspec.structs.replace(header, attempts=attempts)
         answer = self._pool.call("POST", "/peer/dispatch", message)
-        self._settle_dispatch(attempts, answer)
+        self._settle_dispatch(message, answer)
 
     def cancel(self, attempts: Iterable[str]) -> None:
         """Tell the side that nobody waits for `attempts` any more."""
@@ -306,6 +317,7 @@
                 outstanding=list(self._outstanding),
                 side_incarnation=self._incarnation,
                 versions=self._announced(),
+                policy=self._policy(),
             )
 
     def _take(self, frame: StreamFrame, message: OpenSession) -> None:
@@ -333,6 +345,7 @@
             self._incarnation = frame.incarnation
             self._connected = True
             self._disconnected_since = None
+            self._told = message.policy
         self._log("session_opened", session=frame.session, restarted=restarted)
         self._settle_fates(frame, message)
 
@@ -359,10 +372,11 @@
             )
             header = self._header()
         self._on_beat(self._vm.name, frame)
-        if due:
+        if due or header.policy is not None:
             answer = self._pool.call("POST", "/peer/dispatch", header)
             if isinstance(answer, Answer):
                 self._note_acknowledged(header.cursor)
+                self._note_told(header, answer)
 
     def _take_result(self, frame: Result) -> None:
         with self._lock:
@@ -394,8 +408,9 @@
     # --- helpers -------------------------------------------------------------
 
     def _settle_dispatch(
-        self, attempts: list[Attempt], answer: Answer | NotSent | Lost
+        self, message: Dispatch, answer: Answer | NotSent | Lost
     ) -> None:
+        attempts = message.attempts
         if isinstance(answer, Lost):
             # Whether the side has it is told by the fates of the next session.
             self.reset()
@@ -414,6 +429,7 @@
         if reply.stale:
             self._refuse_all(attempts, NotRun("stale_session", 0.0))
             return
+        self._note_told(message, answer)
         for refusal in reply.refused:
             self._resolve(refusal.attempt, from_wire(refusal.outcome))
 
@@ -443,8 +459,23 @@
             side_incarnation=self._incarnation,
             cursor=self._cursor,
             versions=self._announced(),
+            policy=self._news(),
         )
 
+    def _news(self) -> ServicePolicy | None:
+        """Return the present policy if the side was not told of it."""
+        policy = self._policy()
+        return None if policy is None or policy == self._told else policy
+
+    def _note_told(self, message: Dispatch, answer: Answer) -> None:
+        """Note that the side has the policy of `message`."""
+        if message.policy is None or answer.status != 200:
+            return
+        stale = _reply_decoder.decode(answer.body).stale
+        with self._lock:
+            if not stale and message.session == self._session:
+                self._told = message.policy
+
     def _note_acknowledged(self, cursor: int) -> None:
         with self._lock:
             self._acknowledged = max(self._acknowledged, cursor)
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -12,7 +12,7 @@
 import logging
 import uuid
 
-from wigeonfront import logs
+from wigeonfront import catalogue, logs
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.entry.admission import EntryAdmission
 from wigeonfront.entry.configuration import Catalogue
@@ -23,6 +23,7 @@
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
 from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
 from wigeonfront.platform.key_value import HttpKeyValue
@@ -57,6 +58,9 @@
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
         self._catalogue = Catalogue(self._clock, self._follow_catalogue)
+        self._watch = PrefixWatch(
+            catalogue.PREFIX, self._catalogue, self._key_value, self._clock
+        )
         announcements = Announcements()
         self._directory = Directory(
             self._supervisor.child("peers"),
@@ -64,6 +68,7 @@
             self._clock,
             settings.beat_seconds,
             announcements,
+            policy=self._catalogue.policy,
         )
         slots = SlotView(self._listed_sides)
         dispatcher = Dispatcher(
@@ -107,7 +112,7 @@
         start = self._supervisor.start
         start("server", self._http.run)
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
-        start("catalogue", lambda end: self._catalogue.watch(self._key_value, end))
+        start("catalogue", self._watch.run)
         logs.event(
             logger,
             "started",
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -265,22 +265,37 @@
     prior_versions: list[SpanFrame] = []
 
 
-class ServicePolicy(Message, frozen=True, kw_only=True):
-    """What a side follows of the catalogue, at a revision.
+class PolicyRow(Message, frozen=True, kw_only=True):
+    """What a side follows of one catalogue entry.
 
     Attributes
     ----------
     revision : int
-        Highest catalogue revision that it was made from.
+        Of the catalogue row.
+    weight : float
+        Weight of its trainers in the fair share.
     wave : float
         Share of the service's engines that may load weights at once.
-    weights : dict
-        Weight of each trainer in the fair share.
     """
 
     revision: int
+    weight: float = 1.0
     wave: float = 0.34
-    weights: dict[str, float] = {}
+
+
+class ServicePolicy(Message, frozen=True, kw_only=True):
+    """What a side follows of the catalogue.
+
+    Attributes
+    ----------
+    revision : int
+        Highest revision of a row that the sender knows.
+    rows : dict of str to PolicyRow
+        The catalogue entries that draw rollouts from the service.
+    """
+
+    revision: int
+    rows: dict[str, PolicyRow] = {}
 
 
 class OpenSession(Message, frozen=True, kw_only=True):
--- a/src/wigeonfront/side/supervisor.py
+++ b/src/wigeonfront/side/supervisor.py
@@ -24,7 +24,7 @@
 from wigeonfront.policy.admission import AdmissionQueue, ClassLimit
 from wigeonfront.settings import SideSettings
 from wigeonfront.side.execution import Execution, TargetCondition
-from wigeonfront.side.learning import Learning
+from wigeonfront.side.learning import FollowedPolicy, Learning
 from wigeonfront.side.server import SideParts, SideServer
 from wigeonfront.side.target import EngineTarget, PlainTarget
 from wigeonfront.side.weights import WeightsKeeper
@@ -128,11 +128,12 @@
         settings = self._settings
         reserved = int(settings.headroom * settings.capacity)
         limit = ClassLimit(queue=settings.queue_limit)
-        limits = dict.fromkeys(("interactive", "booking", "rollout"), limit)
+        self._headroom = {"interactive": reserved}
+        self._limits = dict.fromkeys(("interactive", "booking", "rollout"), limit)
         return AdmissionQueue(
             settings.capacity,
-            {"interactive": reserved},
-            limits,
+            self._headroom,
+            self._limits,
             self._clock,
             on_expired=lambda item, outcome: self._execution.expired(item, outcome),
         )
@@ -184,10 +185,20 @@
             metrics=Registry(),
         )
 
-    def _follow(self, policy) -> None:
+    def _follow(self, policy: FollowedPolicy) -> None:
         """Put a newer catalogue policy in force."""
         if self._weights is not None:
             self._weights.configure(policy.wave)
+        self._queue.configure(
+            self._settings.capacity, self._headroom, self._limits, policy.weights
+        )
+        logs.event(
+            logger,
+            "policy_applied",
+            revision=policy.revision,
+            wave=policy.wave,
+            catalogue_entries=len(policy.rows),
+        )
 
 
 def run(settings: SideSettings) -> int:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,7 +8,7 @@
 
 from wigeonfront import cli, client
 from wigeonfront.commands import api
-from wigeonfront.commands.rows import FieldChange, changes
+from wigeonfront.differences import FieldChange, changes
 from wigeonfront.http import Answer, Lost, NotSent
 
 ROW = {"owner": "farm", "class": "rollout", "services": ["judge-llm"]}
