--- a/src/wigeonfront/coordination/keyed_work.py
+++ b/src/wigeonfront/coordination/keyed_work.py
@@ -215,13 +215,19 @@
         ownership = self._owned.get(self._slot_of(attempt.key))
         if ownership is None or ownership.epoch != attempt.epoch:
             return NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)
-        return self._lost(attempt.key, ownership, now)
+        minted = self._minted_epoch(attempt.key)
+        if minted is not None and minted > ownership.epoch:
+            # The key was minted under a newer table than this owner knows.
+            return NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)
+        return self._lost(attempt.key, attempt.first, ownership, now)
 
-    def _lost(self, key: str, ownership: _Ownership, now: float) -> NotRun | None:
+    def _lost(
+        self, key: str, first: bool, ownership: _Ownership, now: float
+    ) -> NotRun | None:
         if key in self._works or now >= ownership.lost_until:
             return None
         minted = self._minted_epoch(key)
-        if minted is not None and minted >= ownership.lost_before:
+        if first or (minted is not None and minted >= ownership.lost_before):
             return None
         retry_after = ownership.lost_until - now
         return NotRun("key_records_lost", retry_after, EARLIER_MAY_HAVE_RUN)
--- a/src/wigeonfront/coordination/slots.py
+++ b/src/wigeonfront/coordination/slots.py
@@ -186,7 +186,7 @@
     def moved(index: int, slot: Slot) -> Slot:
         if slot.owner not in gone or not live:
             return slot
-        name = rendezvous_owner(f"{table.service}/{index}", live)
+        name = next_owner(table.service, index, live)
         epoch = slot.epoch + 1
         lost = epoch if slot.incarnation else slot.lost_before
         return Slot(owner=name, epoch=epoch, moving=True, lost_before=lost)
@@ -194,6 +194,11 @@
     return _changed(table, moved)
 
 
+def next_owner(service: str, slot: int, live: Collection[str]) -> str:
+    """Return the side among `live`, not empty, that takes over a slot."""
+    return rendezvous_owner(f"{service}/{slot}", live)
+
+
 def confirm(table: SlotTable) -> SlotTable | None:
     """Let the next owners begin: the moved table is in force at every entry."""
     return _changed(
--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -17,7 +17,7 @@
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.dispatch import Dispatcher, Work
 from wigeonfront.entry.sink import Ended, QueueSink
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     Attempt,
@@ -76,7 +76,7 @@
     ----------
     directory : Directory
     dispatcher : Dispatcher
-    slots : SlotView
+    slots : SlotTables
     clock : Clock
     hedge_ratio : float
         Hedges as a share of samples.
@@ -86,7 +86,7 @@
         self,
         directory: Directory,
         dispatcher: Dispatcher,
-        slots: SlotView,
+        slots: SlotTables,
         clock: Clock,
         hedge_ratio: float,
     ) -> None:
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -9,7 +9,7 @@
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.dispatch import Dispatcher, Work
 from wigeonfront.entry.sink import QueueSink
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.outcomes import (
     Completed,
@@ -37,7 +37,7 @@
     ----------
     directory : Directory
     dispatcher : Dispatcher
-    slots : SlotView
+    slots : SlotTables
         Owners of idempotency keys.
     clock : Clock
     max_attempts : int
@@ -50,7 +50,7 @@
         self,
         directory: Directory,
         dispatcher: Dispatcher,
-        slots: SlotView,
+        slots: SlotTables,
         clock: Clock,
         max_attempts: int,
         retry_ratio: float,
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -10,6 +10,7 @@
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
+from wigeonfront.coordination import slots
 from wigeonfront.entry.admission import EntryAdmission, Ticket
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.directory import Announcements, Directory
@@ -17,12 +18,14 @@
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     DeliveryRequest,
     ErrorReply,
+    KeyBody,
+    KeyReply,
     LotAcknowledgement,
     LotBody,
     LotReply,
@@ -60,7 +63,7 @@
     announcements: Announcements
     requests: Requests
     lots: Lots
-    slots: SlotView
+    slots: SlotTables
     metrics: Registry
     supervisor: Supervisor
 
@@ -106,6 +109,8 @@
         application.route("POST", "/v1/services/*/requests", self.request)
         application.route("POST", "/v1/lots", self.lot)
         application.route("POST", "/v1/lots/acknowledge", self.acknowledge)
+        application.route("POST", "/v1/services/*/keys", self.mint_key)
+        application.route("POST", TABLES_PATH, self.slot_tables)
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
         application.route("GET", "/metrics", self.metrics)
@@ -178,6 +183,24 @@
             _retry_header(RETRY_SECONDS),
         )
 
+    def mint_key(self, call: Call) -> Reply:
+        """Answer with a new idempotency key, which carries its slot's epoch."""
+        service = call.arguments[0]
+        body = call.decode(KeyBody)
+        row = self._terms(body.catalogue_entry, service)
+        if isinstance(row, Reply):
+            return row
+        known = self._parts.slots.known(service)
+        if known is None:
+            return _outcome_reply("", NotRun("no_slot_owner", RETRY_SECONDS))
+        prefix = f"{body.catalogue_entry}/"
+        key = slots.mint(prefix, uuid.uuid4().hex, known.table)
+        return Reply(200, KeyReply(key=key))
+
+    def slot_tables(self, call: Call) -> Reply:
+        """Answer another entry which slot table is in force here."""
+        return Reply(200, self._parts.slots.answer(call.decode(TablesQuestion)))
+
     # --- operators -----------------------------------------------------------
 
     def health(self, call: Call) -> Reply:
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -77,6 +77,18 @@
     bound: Count = 0
 
 
+class KeyBody(CallerMessage, frozen=True, kw_only=True):
+    """A caller asks for an idempotency key."""
+
+    catalogue_entry: Name
+
+
+class KeyReply(Message, frozen=True, kw_only=True):
+    """A key never given before; it runs at once even after its owner was lost."""
+
+    key: str
+
+
 class LotSample(CallerMessage, frozen=True, kw_only=True):
     """One sample of a Lot.
 
--- a/src/wigeonfront/side/server.py
+++ b/src/wigeonfront/side/server.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.delivery import DeliveryRights
 from wigeonfront.coordination.ledger import (
     Admission,
     AttemptLedger,
@@ -39,6 +40,7 @@
 from wigeonfront.policy.admission import AdmissionQueue
 from wigeonfront.side.execution import Execution
 from wigeonfront.side.learning import Learning
+from wigeonfront.side.slots import ADOPT_PATH, HandOver, SlotKeeper
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +61,8 @@
     queue: AdmissionQueue
     execution: Execution
     learning: Learning
+    slots: SlotKeeper
+    rights: DeliveryRights
     metrics: Registry
 
 
@@ -101,6 +105,7 @@
         application.route("POST", "/peer/open", self.open)
         application.route("POST", "/peer/dispatch", self.dispatch)
         application.route("POST", "/peer/delivery", self.deliver)
+        application.route("POST", ADOPT_PATH, self.adopt)
         application.route("POST", "/control/drain", self.drain)
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
@@ -211,6 +216,8 @@
             )
             if isinstance(admission, Refused)
         ]
+        if any(one.outcome.reason == "not_owner" for one in refused):
+            parts.slots.suspect()
         self._count(result.admissions)
         return Reply(200, DispatchReply(refused=refused))
 
@@ -220,8 +227,29 @@
 
     def deliver(self, call: Call) -> Reply:
         """Decide who may write the answer to a Lot."""
-        call.decode(DeliveryRequest)
-        return Reply(200, DeliveryReply(status="granted"))
+        message = call.decode(DeliveryRequest)
+        if not self._parts.slots.owns(message.key, message.epoch):
+            return Reply(200, DeliveryReply(status="not_owner"))
+        rights = self._parts.rights
+        if message.step == "acknowledge":
+            status = rights.acknowledge(message.key)
+        else:
+            ask = rights.begin if message.step == "begin" else rights.take
+            status = ask(message.key, message.submission, message.holder)
+        event(
+            logger,
+            "delivery_right",
+            lot=message.key,
+            step=message.step,
+            submission=message.submission,
+            holder=message.holder,
+            status=status,
+        )
+        return Reply(200, DeliveryReply(status=status))
+
+    def adopt(self, call: Call) -> Reply:
+        """Take the records of slots that another side hands over."""
+        return Reply(200, self._parts.slots.adopt(call.decode(HandOver)))
 
     # --- control -------------------------------------------------------------
 
@@ -263,6 +291,7 @@
                 "serving": condition.serving,
                 "leaving": self._leaving,
                 "revision": parts.learning.revision,
+                "slots": parts.slots.owned,
                 "unacknowledged": parts.ledger.unacknowledged,
                 "records": len(parts.ledger),
                 "metrics": parts.metrics.snapshot(),
--- /dev/null
+++ b/src/wigeonfront/side/slots.py
@@ -0,0 +1,291 @@
+"""Slots at a side: the keys and Lots that it owns.
+
+A side claims its slots under its incarnation before it takes keyed work, so that
+work of an earlier incarnation, whose records are lost, can't be run again unseen.
+It reads the table at start and when a call names an epoch that it doesn't know.
+With the key-value service down its ownership stays as it is. A side that stops
+hands its slots and their records over.
+"""
+
+import logging
+import random
+import threading
+from dataclasses import dataclass
+
+import msgspec
+
+from wigeonfront.clock import Clock
+from wigeonfront.coordination import slots
+from wigeonfront.coordination.delivery import DeliveryRights, LotRecord
+from wigeonfront.coordination.keyed_work import KeyedOutcome
+from wigeonfront.coordination.ledger import AttemptLedger
+from wigeonfront.coordination.slots import OwnedSlot, SlotTable
+from wigeonfront.http import Answer, Pool
+from wigeonfront.logs import event
+from wigeonfront.messages import Message
+from wigeonfront.platform import Absent, KeyValue, Row, Stored, Unavailable, Vm, VmList
+
+logger = logging.getLogger(__name__)
+
+FIRST_PAUSE = 0.2
+LONGEST_PAUSE = 5.0
+SUSPECT_SECONDS = 0.5
+CHECK_SECONDS = 60.0
+HAND_OVER_SECONDS = 3.0
+ADOPT_PATH = "/peer/adopt"
+
+
+class HandOver(Message, frozen=True, kw_only=True):
+    """Records of slots that a stopping side gives to their next owner."""
+
+    service: str
+    sender: str
+    keys: list[KeyedOutcome] = []
+    lots: list[LotRecord] = []
+
+
+class HandOverReply(Message, frozen=True, kw_only=True):
+    """The next owner holds the records under this incarnation."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Heir:
+    vm: Vm
+    incarnation: str = ""
+
+
+class SlotKeeper:
+    """Keeps a side's ownership in step with its service's table (one task).
+
+    Parameters
+    ----------
+    name, service, incarnation : str
+        Of this side.
+    key_value : KeyValue
+    vm_list : VmList
+        Names the sides that may take over.
+    rights : DeliveryRights
+    retention : float
+        Seconds for which records are kept, and so for which lost ones matter.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        incarnation: str,
+        key_value: KeyValue,
+        vm_list: VmList,
+        rights: DeliveryRights,
+        retention: float,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._incarnation = incarnation
+        self._key_value = key_value
+        self._vm_list = vm_list
+        self._rights = rights
+        self._retention = retention
+        self._clock = clock
+        self._ledger: AttemptLedger | None = None
+        self._lock = threading.Lock()
+        self._table: SlotTable | None = None
+        self._revision = 0
+        self._owned: dict[int, OwnedSlot] = {}
+        self._wake = threading.Event()
+        self._leaving = False
+
+    @property
+    def owned(self) -> int:
+        """Number of slots owned now."""
+        return len(self._owned)
+
+    def connect(self, ledger: AttemptLedger) -> None:
+        """Set the ledger that takes keyed work; called once while building."""
+        self._ledger = ledger
+
+    def slot_of(self, key: str) -> int:
+        """Return the slot of `key`, or -1 while no table is known."""
+        table = self._table
+        return -1 if table is None else table.slot_of(key)
+
+    def owns(self, key: str, epoch: int) -> bool:
+        """Tell whether this side owns the slot of `key` at `epoch`."""
+        with self._lock:
+            owned = self._owned.get(self.slot_of(key))
+        if owned is not None and owned.epoch == epoch:
+            return True
+        self.suspect()
+        return False
+
+    def suspect(self) -> None:
+        """Read the table again soon: a call knows another one."""
+        self._wake.set()
+
+    def run(self, stop: threading.Event) -> None:
+        """Claim, then follow, until `stop` (a supervisor's task)."""
+        pause = FIRST_PAUSE
+        while not stop.is_set() and not self._leaving:
+            self._wake.clear()
+            if self.refresh():
+                pause = FIRST_PAUSE
+                self._wake.wait(random.uniform(0.75, 1.25) * CHECK_SECONDS)
+                stop.wait(random.uniform(0.5, 1.0) * SUSPECT_SECONDS)
+            else:
+                stop.wait(random.uniform(pause / 2, pause))
+                pause = min(LONGEST_PAUSE, pause * 2)
+
+    def refresh(self) -> bool:
+        """Read the table and claim this side's slots; return whether all is done."""
+        row = self._key_value.get(slots.PREFIX + self._service)
+        if isinstance(row, Absent | Unavailable):
+            return False
+        table = slots.decode(row.value)
+        if table is None:
+            return False
+        claimed = slots.claim(table, self._name, self._incarnation)
+        if claimed is None:
+            self._follow(table, row.revision)
+            return True
+        written = self._key_value.put(row.key, slots.encode(claimed), row.revision)
+        if not isinstance(written, Stored):
+            # A conflict or a lost answer is settled by the next reading.
+            return False
+        self._follow(claimed, written.revision)
+        return True
+
+    def adopt(self, records: HandOver) -> HandOverReply:
+        """Take the records of slots that another side hands over."""
+        self._ledger.adopt(tuple(records.keys))
+        self._rights.adopt(records.lots)
+        event(
+            logger,
+            "adopted",
+            sender=records.sender,
+            keys=len(records.keys),
+            lots=len(records.lots),
+        )
+        self.suspect()
+        return HandOverReply(incarnation=self._incarnation)
+
+    def hand_over(self) -> bool:
+        """Seal all slots and give them away; return whether that is in the table."""
+        self._leaving = True
+        self._wake.set()
+        with self._lock:
+            sealed = sorted(self._owned)
+            self._owned.clear()
+        for slot in sealed:
+            self._ledger.seal(slot)
+        if not sealed:
+            return True
+        heirs = self._heirs(sealed)
+        given = self._give(sealed, heirs)
+        done = bool(given) and self._write_given(given)
+        event(logger, "handed_over", slots=len(sealed), given=len(given), done=done)
+        return done
+
+    # --- following -----------------------------------------------------------
+
+    def _follow(self, table: SlotTable, revision: int) -> None:
+        mine = slots.owned(table, self._name, self._incarnation)
+        with self._lock:
+            if revision < self._revision or self._leaving:
+                return
+            self._table = table
+            self._revision = revision
+            before = self._owned
+            self._owned = {slot.slot: slot for slot in mine}
+            after = dict(self._owned)
+        for slot in after.values():
+            if before.get(slot.slot) != slot:
+                self._own(slot)
+        for index in before.keys() - after.keys():
+            self._ledger.seal(index)
+        event(logger, "slots_owned", revision=revision, slots=len(after))
+
+    def _own(self, slot: OwnedSlot) -> None:
+        lost_until = self._clock.monotonic() + self._retention
+        if not slot.lost_before:
+            lost_until = 0.0
+        self._ledger.own(slot.slot, slot.epoch, slot.lost_before, lost_until)
+
+    # --- handing over --------------------------------------------------------
+
+    def _heirs(self, sealed: list[int]) -> dict[int, _Heir]:
+        listed = self._vm_list.vms()
+        if isinstance(listed, Unavailable):
+            return {}
+        others = {vm.name: vm for vm in listed if self._may_inherit(vm)}
+        if not others:
+            return {}
+        return {
+            slot: _Heir(others[slots.next_owner(self._service, slot, others)])
+            for slot in sealed
+        }
+
+    def _may_inherit(self, vm: Vm) -> bool:
+        same = vm.role == "side" and vm.service == self._service
+        return same and vm.name != self._name and not vm.leaving
+
+    def _give(
+        self, sealed: list[int], heirs: dict[int, _Heir]
+    ) -> dict[int, tuple[str, str]]:
+        """Send the records; return the slots whose next owner has them."""
+        by_heir: dict[str, list[int]] = {}
+        for slot in sealed:
+            if slot in heirs:
+                by_heir.setdefault(heirs[slot].vm.name, []).append(slot)
+        given = {}
+        for name, group in by_heir.items():
+            message = self._records(set(group))
+            if message is None:
+                continue
+            reply = self._send(heirs[group[0]].vm, message)
+            if reply is not None:
+                given.update(dict.fromkeys(group, (name, reply.incarnation)))
+        return given
+
+    def _records(self, group: set[int]) -> HandOver | None:
+        keys: list[KeyedOutcome] = []
+        for slot in sorted(group):
+            exported = self._ledger.export(slot)
+            if not isinstance(exported, tuple):
+                event(logger, "slot_still_running", slot=slot, runs=exported.count)
+                return None
+            keys += exported
+        lots = self._rights.export(lambda key: self.slot_of(key) in group)
+        return HandOver(
+            service=self._service, sender=self._name, keys=keys, lots=list(lots)
+        )
+
+    def _send(self, vm: Vm, message: HandOver) -> HandOverReply | None:
+        pool = Pool(vm.address, read_seconds=HAND_OVER_SECONDS)
+        answer = pool.call("POST", ADOPT_PATH, message)
+        pool.close()
+        if not isinstance(answer, Answer) or answer.status != 200:
+            return None
+        try:
+            return msgspec.json.decode(answer.body, type=HandOverReply)
+        except msgspec.DecodeError:
+            return None
+
+    def _write_given(self, given: dict[int, tuple[str, str]]) -> bool:
+        deadline = self._clock.monotonic() + HAND_OVER_SECONDS
+        while self._clock.monotonic() < deadline:
+            row = self._key_value.get(slots.PREFIX + self._service)
+            table = slots.decode(row.value) if isinstance(row, Row) else None
+            if table is not None:
+                changed = slots.hand_over(table, self._name, self._incarnation, given)
+                if changed is None:
+                    return True
+                value = slots.encode(changed)
+                written = self._key_value.put(row.key, value, row.revision)
+                if isinstance(written, Stored):
+                    return True
+            self._clock.sleep(FIRST_PAUSE)
+        return False
--- a/src/wigeonfront/side/supervisor.py
+++ b/src/wigeonfront/side/supervisor.py
@@ -16,9 +16,13 @@
 
 from wigeonfront import logs
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.coordination import slots
+from wigeonfront.coordination.delivery import DeliveryRights
+from wigeonfront.coordination.keyed_work import KeyedWork
 from wigeonfront.coordination.ledger import AttemptLedger
 from wigeonfront.http import Server
 from wigeonfront.metrics import Registry
+from wigeonfront.platform.key_value import HttpKeyValue
 from wigeonfront.platform.vm_list import HttpVmList
 from wigeonfront.platform.weight_store import HttpWeightStore
 from wigeonfront.policy.admission import AdmissionQueue, ClassLimit
@@ -26,6 +30,7 @@
 from wigeonfront.side.execution import Execution, TargetCondition
 from wigeonfront.side.learning import FollowedPolicy, Learning
 from wigeonfront.side.server import SideParts, SideServer
+from wigeonfront.side.slots import SlotKeeper
 from wigeonfront.side.target import EngineTarget, PlainTarget
 from wigeonfront.side.weights import WeightsKeeper
 from wigeonfront.stopping import StopSignal, wait_until
@@ -55,16 +60,27 @@
         self._incarnation = uuid.uuid4().hex[:12]
         self._supervisor = Supervisor("side", self._clock)
         self._vm_list = HttpVmList(settings.vm_list)
+        self._key_value = HttpKeyValue(settings.key_value)
         self._weights: WeightsKeeper | None = None
         self._generates = settings.target_kind == "engine"
         self._queue = self._build_queue()
         self._execution = Execution(
             self._queue, self._build_target(), self._clock, self._generates
         )
-        self._ledger = AttemptLedger(
-            self._incarnation, self._clock, admission=self._execution.admit
+        self._rights = DeliveryRights(self._clock, settings.retention_seconds)
+        self._slots = SlotKeeper(
+            settings.name,
+            settings.service,
+            self._incarnation,
+            self._key_value,
+            self._vm_list,
+            self._rights,
+            settings.retention_seconds,
+            self._clock,
         )
+        self._ledger = self._build_ledger()
         self._execution.connect(self._ledger)
+        self._slots.connect(self._ledger)
         if self._generates:
             self._execution.condition = TargetCondition(-1, False)
             self._weights = self._build_weights()
@@ -81,6 +97,7 @@
         start = self._supervisor.start
         start("server", self._http.run)
         start("expiry", self._expire)
+        start("slots", self._slots.run)
         for number in range(self._settings.capacity):
             start(f"executor-{number}", self._execution.run)
         if self._weights is not None:
@@ -114,6 +131,7 @@
             self._clock,
             "acknowledged",
         )
+        self._slots.hand_over()
         self._server.end_streams()
         self._http.close()
         self._supervisor.stop()
@@ -123,6 +141,17 @@
         while not stop.wait(EXPIRY_SECONDS):
             self._queue.sweep()
             self._execution.stop_runs(self._ledger.expire(), "expired")
+            self._rights.expire()
+
+    def _build_ledger(self) -> AttemptLedger:
+        keys = KeyedWork(
+            self._settings.retention_seconds,
+            slot_of=self._slots.slot_of,
+            minted_epoch=slots.minted_epoch,
+        )
+        return AttemptLedger(
+            self._incarnation, self._clock, admission=self._execution.admit, keys=keys
+        )
 
     def _build_queue(self) -> AdmissionQueue:
         settings = self._settings
@@ -182,6 +211,8 @@
             queue=self._queue,
             execution=self._execution,
             learning=learning,
+            slots=self._slots,
+            rights=self._rights,
             metrics=Registry(),
         )
 
