--- /dev/null
+++ b/src/wigeonfront/entry/edits.py
@@ -0,0 +1,268 @@
+"""Operators' edits of catalogue entries.
+
+An edit is checked, written by compare-and-swap on the revision that it was made
+from, put in force here, and then confirmed by every other member. Each write bears
+a mark of its own, so that one whose answer was lost can be told from another
+operator's.
+"""
+
+import logging
+import re
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from wigeonfront import catalogue
+from wigeonfront.catalogue import BadRow, edit_of, with_edit, without_edit
+from wigeonfront.clock import Clock
+from wigeonfront.differences import FieldChange, changes
+from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.confirmation import Confirmation, InForce
+from wigeonfront.entry.history import History
+from wigeonfront.entry.membership import Standing
+from wigeonfront.logs import event
+from wigeonfront.platform import (
+    Absent,
+    Conflict,
+    KeyValue,
+    Row,
+    Unavailable,
+    Uncertain,
+)
+from wigeonfront.platform import Stored as StoredRow
+
+logger = logging.getLogger(__name__)
+
+WRITE_ATTEMPTS = 6
+RETRY_SECONDS = 0.5
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,199}")
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Written, and in force everywhere; the members in `fenced` have stopped."""
+
+    revision: int
+    seconds: float
+    fenced: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """Written, not yet in force; `waiting` says why, by name."""
+
+    revision: int
+    waiting: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class EditConflict:
+    """Somebody else changed the row first; nothing was written.
+
+    Attributes
+    ----------
+    revision : int
+        Of their row; 0 where there is none.
+    row : Any
+        Their row.
+    differences : tuple of FieldChange
+        From their row to the one that was to be written.
+    """
+
+    revision: int
+    row: Any
+    differences: tuple[FieldChange, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EditRejected:
+    """The row can't be put in force; nothing was written."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EditRefused:
+    """The entry can't write now; nothing was written."""
+
+    reason: str
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EditUnknown:
+    """The write may have taken effect; the key-value service doesn't say."""
+
+    reason: str
+
+
+EditOutcome = (
+    Accepted | Stored | EditConflict | EditRejected | EditRefused | EditUnknown
+)
+
+
+class Editor:
+    """Takes operators' edits at one entry; may be used by many threads.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+    key_value : KeyValue
+    confirmation : Confirmation
+    history : History
+    standing : callable
+        Returns the standing of this entry.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        key_value: KeyValue,
+        confirmation: Confirmation,
+        history: History,
+        standing: Callable[[], Standing],
+        clock: Clock,
+    ) -> None:
+        self._catalogue = catalogue
+        self._key_value = key_value
+        self._confirmation = confirmation
+        self._history = history
+        self._standing = standing
+        self._clock = clock
+
+    def put(
+        self, name: str, row: bytes, expected: int, operator: str, wait: float
+    ) -> EditOutcome:
+        """Write a row that was edited from revision `expected`, 0 for a new one.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds to wait until the row is in force everywhere.
+        """
+        if not _NAME.fullmatch(name):
+            return EditRejected("a name has letters, digits, '.', '_' or '-'")
+        checked = catalogue.check(row)
+        if isinstance(checked, BadRow):
+            return EditRejected(checked.reason)
+        refused = self._refused()
+        if refused is not None:
+            return refused
+        marked = with_edit(row, f"{uuid.uuid4().hex[:16]}@{expected}")
+        written = self._write(name, marked, expected)
+        return self._finish(name, marked, written, operator, wait)
+
+    def delete(
+        self, name: str, expected: int, operator: str, wait: float
+    ) -> EditOutcome:
+        """Delete a row that is at revision `expected`."""
+        refused = self._refused()
+        if refused is not None:
+            return refused
+        written = self._write(name, None, expected)
+        return self._finish(name, None, written, operator, wait)
+
+    def confirm(self, name: str, wait: float = 0.0) -> EditOutcome:
+        """Ask anew whether the present row is in force everywhere."""
+        known = self._catalogue.known(name)
+        if known is None:
+            return EditRejected("no such catalogue entry")
+        return self._confirmed(name, known.revision, wait)
+
+    def _refused(self) -> EditRefused | None:
+        standing = self._standing()
+        if standing.name == "member":
+            return None
+        return EditRefused("not_a_member", standing.reason)
+
+    def _finish(
+        self,
+        name: str,
+        row: bytes | None,
+        written: StoredRow | Conflict | Unavailable | Uncertain,
+        operator: str,
+        wait: float,
+    ) -> EditOutcome:
+        _log(name, row, written, operator)
+        if isinstance(written, Unavailable):
+            return EditRefused("key_value_unavailable", written.reason)
+        if isinstance(written, Uncertain):
+            return EditUnknown(written.reason)
+        if isinstance(written, Conflict):
+            return self._conflict(name, row)
+        self._catalogue.write(name, row, written.revision)
+        self._history.record(name, row, written.revision, operator)
+        return self._confirmed(name, written.revision, wait)
+
+    def _confirmed(self, name: str, revision: int, wait: float) -> EditOutcome:
+        answer = self._confirmation.wait(name, revision, wait)
+        if isinstance(answer, InForce):
+            return Accepted(revision, answer.seconds, answer.fenced)
+        return Stored(revision, answer.waiting)
+
+    def _conflict(self, name: str, row: bytes | None) -> EditOutcome:
+        present = self._key_value.get(catalogue.PREFIX + name)
+        if isinstance(present, Unavailable):
+            return EditRefused("conflict", f"their row is unknown: {present.reason}")
+        theirs = without_edit(present.value) if isinstance(present, Row) else None
+        revision = present.revision if isinstance(present, Row) else 0
+        ours = without_edit(row)
+        return EditConflict(revision, theirs, tuple(changes(theirs or {}, ours or {})))
+
+    # --- writes whose answers may be lost ------------------------------------
+
+    def _write(
+        self, name: str, row: bytes | None, expected: int
+    ) -> StoredRow | Conflict | Unavailable | Uncertain:
+        """Write by compare-and-swap until it is known how that ended.
+
+        An attempt whose answer was lost is made again: it can't take effect twice,
+        and a conflict then says that it has, or that somebody else was first.
+        """
+        key = catalogue.PREFIX + name
+        lost = False
+        for _ in range(WRITE_ATTEMPTS):
+            if row is None:
+                written = self._key_value.delete(key, expected)
+            else:
+                written = self._key_value.put(key, row, expected)
+            if isinstance(written, Conflict) and lost:
+                written = self._settle(key, row, expected)
+            elif isinstance(written, Uncertain):
+                lost = True
+                written = Unavailable(written.reason)
+            if not lost or not isinstance(written, Unavailable):
+                return written
+            self._clock.sleep(RETRY_SECONDS)
+        return Uncertain("the key-value service lost the answer")
+
+    def _settle(
+        self, key: str, row: bytes | None, expected: int
+    ) -> StoredRow | Conflict | Unavailable | Uncertain:
+        """Tell by the row's mark whose write came after `expected`."""
+        present = self._key_value.get(key)
+        if isinstance(present, Unavailable):
+            return present
+        if isinstance(present, Absent):
+            deleted = row is None and expected > 0
+            return StoredRow(present.revision) if deleted else Uncertain("row deleted")
+        mark = edit_of(present.value)
+        if row is not None and mark == edit_of(row):
+            return StoredRow(present.revision)
+        if mark.endswith(f"@{expected}"):
+            return Conflict(present.revision)
+        return Uncertain("superseded by a later edit")
+
+
+def _log(name: str, row: bytes | None, written: object, operator: str) -> None:
+    event(
+        logger,
+        "catalogue_edit",
+        catalogue_entry=name,
+        operator=operator or "-",
+        deletes=row is None,
+        result=type(written).__name__,
+        revision=getattr(written, "revision", 0),
+    )
--- a/src/wigeonfront/entry/member_calls.py
+++ b/src/wigeonfront/entry/member_calls.py
@@ -39,6 +39,8 @@
     incarnation : str
         Of the process; a restarted entry has another.
     failure_domain : str
+    lease : int
+        The lease that the row is bound to.
     leaving : bool
         It admits nothing new any more.
     """
@@ -46,6 +48,7 @@
     address: str
     incarnation: str
     failure_domain: str = ""
+    lease: int = 0
     leaving: bool = False
 
 
--- a/src/wigeonfront/entry/members.py
+++ b/src/wigeonfront/entry/members.py
@@ -80,6 +80,11 @@
         """Whether all members were listed at least once."""
         return self._loaded
 
+    @property
+    def listed(self) -> int:
+        """How many entries the VM list has; 0 if it is unknown."""
+        return len(list(self._listed() or ()))
+
     def present(self) -> list[Member]:
         """Return the other members, by name."""
         with self._lock:
--- a/src/wigeonfront/entry/membership.py
+++ b/src/wigeonfront/entry/membership.py
@@ -105,6 +105,16 @@
         age = min(self._clock.monotonic() - since, self._catalogue.age)
         return self._fresh(age, "detached", "in_touch_with_most")
 
+    @property
+    def behind(self) -> bool:
+        """Whether the catalogue must catch up before the lease counts."""
+        return not self._caught_up
+
+    @property
+    def cut_off(self) -> bool:
+        """Whether the key-value service stopped answering while a member."""
+        return self._cut_off
+
     @property
     def state(self) -> PollState:
         """What this entry says of itself to others."""
--- a/src/wigeonfront/entry/polling.py
+++ b/src/wigeonfront/entry/polling.py
@@ -101,9 +101,10 @@
         replies = self._calls.each(self._ask_one, members)
         return [reply for reply in replies if reply is not None]
 
-    def ask_all(self) -> list[PollReply]:
-        """Poll every member and former member."""
-        return self.ask(self._everyone())
+    def ask_some(self, most: int) -> list[PollReply]:
+        """Poll at most `most` of the members, chosen at random."""
+        members = self._view.present()
+        return self.ask(self._random.sample(members, min(most, len(members))))
 
     def answer(self, poll: Poll) -> PollReply:
         """Answer another entry's poll."""
--- a/src/wigeonfront/entry/watch.py
+++ b/src/wigeonfront/entry/watch.py
@@ -9,6 +9,7 @@
 import logging
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -29,12 +30,15 @@
         Longest wait of one watch; a silent one is noticed soon afterwards.
     listing : float
         Mean time between two listings.
+    rest : float
+        Mean pause after changes, so that many of them are told in one answer.
     first_pause, longest_pause : float
         Ceiling of the pause after the first failure, and of any.
     """
 
     watch: float = 5.0
     listing: float = 90.0
+    rest: float = 0.25
     first_pause: float = 0.5
     longest_pause: float = 8.0
 
@@ -69,6 +73,8 @@
     generator : random.Random
         Source of jitter.
     timing : WatchTiming
+    delay : callable
+        Returns the seconds to wait before the first call.
     """
 
     def __init__(
@@ -79,6 +85,7 @@
         clock: Clock,
         generator: random.Random | None = None,
         timing: WatchTiming | None = None,
+        delay: Callable[[], float] = float,
     ) -> None:
         self._prefix = prefix
         self._rows = rows
@@ -86,6 +93,7 @@
         self._clock = clock
         self._random = generator or random.Random()
         self._timing = timing or WatchTiming()
+        self._delay = delay
         self._next_listing = clock.monotonic()
         self._failures = 0
 
@@ -96,6 +104,7 @@
 
     def run(self, stop: threading.Event) -> None:
         """Follow the service until `stop` (a supervisor's task)."""
+        stop.wait(self._delay())
         while not stop.is_set():
             pause = self.step()
             if pause > 0:
@@ -110,9 +119,11 @@
         if self._failures:
             self._log("key_value_back", failures=self._failures)
         self._failures = 0
-        if isinstance(reply, Changes) and not reply.changes:
-            return self._idle_pause(began)
-        return 0.0
+        if not isinstance(reply, Changes):
+            return 0.0
+        if reply.changes:
+            return self._random.uniform(0, 2) * self._timing.rest
+        return self._idle_pause(began)
 
     def list_now(self) -> Listing | Unavailable:
         """List all rows, beside the task if need be."""
