--- a/src/wigeonfront/__main__.py
+++ b/src/wigeonfront/__main__.py
@@ -1,4 +1,4 @@
-"""Run the command line with ``python -m wigeonfront``."""
+"""Starts the command line with ``python -m wigeonfront``."""
 
 import sys
 
