--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -118,6 +118,11 @@
             peers = list(self._peers.values())
         return [peer.vm.name for peer in peers if peer.behind]
 
+    def silent(self, name: str) -> bool:
+        """Tell whether no session with the side `name` is open."""
+        peer = self.peer(name)
+        return peer is None or not peer.state.connected
+
     def views(self, service: str) -> list[SideView]:
         """Return what placement needs to know of a service's sides."""
         now = self._clock.monotonic()
--- a/src/wigeonfront/entry/slots.py
+++ b/src/wigeonfront/entry/slots.py
@@ -48,7 +48,7 @@
 
 
 class TablesQuestion(Message, frozen=True, kw_only=True):
-    """Which revision of a service's slot table is in force at an entry?"""
+    """Asks which revision of a service's slot table is in force at an entry."""
 
     service: str
 
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -6,6 +6,8 @@
     ├── server        callers, trainers and operators, one pool thread for each
     ├── vm_list       polls the VM list
     ├── catalogue     follows the catalogue
+    ├── slot-tables   follows the slot tables
+    ├── slot-mover    moves slots from sides that are gone
     └── peers         one task for each side
 """
 
@@ -14,15 +16,17 @@
 
 from wigeonfront import catalogue, logs
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.coordination import slots
 from wigeonfront.entry.admission import EntryAdmission
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Dispatcher
 from wigeonfront.entry.lots import Lots
+from wigeonfront.entry.member_calls import HttpMemberCalls
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.slots import SlotMover, SlotTables
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
@@ -70,20 +74,32 @@
             announcements,
             policy=self._catalogue.policy,
         )
-        slots = SlotView(self._listed_sides)
+        self._slots = SlotTables()
+        self._slots_watch = PrefixWatch(
+            slots.PREFIX, self._slots, self._key_value, self._clock
+        )
+        self._mover = SlotMover(
+            self._slots,
+            self._key_value,
+            lambda: self._directory.vms,
+            self._directory.silent,
+            list,
+            HttpMemberCalls(),
+            self._clock,
+        )
         dispatcher = Dispatcher(
             self._directory, self._identity, self._clock, settings.failure_domain
         )
         requests = Requests(
             self._directory,
             dispatcher,
-            slots,
+            self._slots,
             self._clock,
             settings.max_attempts,
             settings.retry_budget,
         )
         lots = Lots(
-            self._directory, dispatcher, slots, self._clock, settings.hedge_budget
+            self._directory, dispatcher, self._slots, self._clock, settings.hedge_budget
         )
         self._server = EntryServer(
             EntryParts(
@@ -96,7 +112,7 @@
                 announcements=announcements,
                 requests=requests,
                 lots=lots,
-                slots=slots,
+                slots=self._slots,
                 metrics=Registry(),
                 supervisor=self._supervisor,
             )
@@ -113,6 +129,8 @@
         start("server", self._http.run)
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
         start("catalogue", self._watch.run)
+        start("slot-tables", self._slots_watch.run)
+        start("slot-mover", self._mover.run)
         logs.event(
             logger,
             "started",
@@ -147,13 +165,6 @@
             limits = row.limits
             self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
 
-    def _listed_sides(self, service: str) -> list[str]:
-        return [
-            vm.name
-            for vm in self._directory.vms
-            if vm.role == "side" and vm.service == service
-        ]
-
 
 def run(settings: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the exit code."""
--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -40,8 +40,8 @@
 
     service: str
     sender: str
-    keys: list[KeyedOutcome] = []
-    lots: list[LotRecord] = []
+    keys: list[KeyedOutcome]
+    lots: list[LotRecord]
 
 
 class HandOverReply(Message, frozen=True, kw_only=True):
