A side whose plain target is unreachable says so and gives its slots away

Ruled out: moving the slots from the entries, as the side is alive and holds the records. Before: refused for the whole outage.

--- a/src/wigeonfront/coordination/delivery.py
+++ b/src/wigeonfront/coordination/delivery.py
@@ -121,13 +121,12 @@
                 del self._lots[key]
 
     def export(self, belongs: Callable[[str], bool]) -> tuple[LotRecord, ...]:
-        """Return and forget the Lots whose key `belongs` to a slot handed over."""
+        """Return the Lots whose key `belongs` to a slot handed over."""
         with self._lock:
-            keys = [key for key in self._lots if belongs(key)]
-            lots = [(key, self._lots.pop(key)) for key in keys]
             return tuple(
                 LotRecord(key, lot.submission, lot.holder, lot.acknowledged)
-                for key, lot in lots
+                for key, lot in self._lots.items()
+                if belongs(key)
             )
 
     def adopt(self, records: Iterable[LotRecord]) -> None:
--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -23,7 +23,7 @@
     Unknown,
 )
 from wigeonfront.policy.admission import AdmissionItem, AdmissionQueue
-from wigeonfront.side.target import Run, Target
+from wigeonfront.side.target import UNREACHABLE, Run, Target
 from wigeonfront.supervisor import BrokenInvariant
 
 logger = logging.getLogger(__name__)
@@ -57,8 +57,13 @@
     queue : AdmissionQueue
     target : Target
     clock : Clock
-    tokens_of : callable
-        Predicted tokens of an attempt; 1 for a plain service.
+    generates : bool
+        The target is a model engine.
+
+    Attributes
+    ----------
+    unreachable : threading.Event
+        Set when a run found that nothing listens at the target's address.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         self._condition = TargetCondition()
         self._serving = threading.Event()
         self._serving.set()
+        self.unreachable = threading.Event()
 
     @property
     def condition(self) -> TargetCondition:
@@ -180,6 +186,8 @@
             return
         run.started = True
         outcome = self._run_target(run)
+        if isinstance(outcome, NotRun) and outcome.reason == UNREACHABLE:
+            self.unreachable.set()
         produced = _tokens_of(outcome) if self._generates else 1.0
         self._queue.finished(item, produced if _measures(outcome) else None)
         if self._resumes_here(run, outcome):
--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -98,6 +98,7 @@
         self._owned: dict[int, OwnedSlot] = {}
         self._wake = threading.Event()
         self._leaving = False
+        self._giving = False
 
     @property
     def owned(self) -> int:
@@ -172,21 +173,36 @@
         self.suspect()
         return HandOverReply(incarnation=self._incarnation)
 
-    def hand_over(self) -> bool:
-        """Seal all slots and give them away; return whether that is in the table."""
+    def leave(self) -> bool:
+        """Give all slots away for good; return whether that is in the table."""
         self._leaving = True
         self._wake.set()
+        return self.hand_over("leaving")
+
+    def hand_over(self, reason: str) -> bool:
+        """Seal all slots and give them away; return whether that is in the table.
+
+        Where it isn't, the next reading of the table takes them up again.
+        """
         with self._lock:
             sealed = sorted(self._owned)
             self._owned.clear()
+            self._giving = True
         for slot in sealed:
             self._ledger.seal(slot)
-        if not sealed:
-            return True
-        heirs = self._heirs(sealed)
-        given = self._give(sealed, heirs)
-        done = bool(given) and self._write_given(given)
-        event(logger, "handed_over", slots=len(sealed), given=len(given), done=done)
+        given = self._give(sealed, self._heirs(sealed)) if sealed else {}
+        done = not sealed or (bool(given) and self._write_given(given))
+        with self._lock:
+            self._giving = False
+        event(
+            logger,
+            "handed_over",
+            reason=reason,
+            slots=len(sealed),
+            given=len(given),
+            done=done,
+        )
+        self.suspect()
         return done
 
     # --- following -----------------------------------------------------------
@@ -194,7 +210,7 @@
     def _follow(self, table: SlotTable, revision: int) -> None:
         mine = slots.owned(table, self._name, self._incarnation)
         with self._lock:
-            if revision < self._revision or self._leaving:
+            if revision < self._revision or self._leaving or self._giving:
                 return
             self._table = table
             self._revision = revision
--- a/src/wigeonfront/side/supervisor.py
+++ b/src/wigeonfront/side/supervisor.py
@@ -6,7 +6,8 @@
     ├── server        peer sessions and control, one pool thread for each call
     ├── expiry        deadlines and retention of the ledger
     ├── executor-N    one for each attempt that the target runs at once
-    ├── weights       swaps (model engines only)
+    ├── weights       swaps (model engines)
+    ├── probe         looks for an unreachable target (plain services)
     └── slots         ownership of idempotency keys and Lots
 """
 
@@ -29,6 +30,7 @@
 from wigeonfront.settings import SideSettings
 from wigeonfront.side.execution import Execution, TargetCondition
 from wigeonfront.side.learning import FollowedPolicy, Learning
+from wigeonfront.side.probe import TargetProbe
 from wigeonfront.side.server import SideParts, SideServer
 from wigeonfront.side.slots import SlotKeeper
 from wigeonfront.side.target import EngineTarget, PlainTarget
@@ -62,6 +64,7 @@
         self._vm_list = HttpVmList(settings.vm_list)
         self._key_value = HttpKeyValue(settings.key_value)
         self._weights: WeightsKeeper | None = None
+        self._probe: TargetProbe | None = None
         self._generates = settings.target_kind == "engine"
         self._queue = self._build_queue()
         self._execution = Execution(
@@ -84,6 +87,13 @@
         if self._generates:
             self._execution.condition = TargetCondition(-1, False)
             self._weights = self._build_weights()
+        else:
+            self._probe = TargetProbe(
+                settings.target,
+                self._execution,
+                lambda: self._slots.hand_over("target_unreachable"),
+                self._clock,
+            )
         self._server = SideServer(self._build_parts())
         self._http = Server(
             str(settings.listen),
@@ -102,6 +112,8 @@
             start(f"executor-{number}", self._execution.run)
         if self._weights is not None:
             start("weights", self._weights.run)
+        if self._probe is not None:
+            start("probe", self._probe.run)
         logs.event(
             logger,
             "started",
@@ -131,7 +143,7 @@
             self._clock,
             "acknowledged",
         )
-        self._slots.hand_over()
+        self._slots.leave()
         self._server.end_streams()
         self._http.close()
         self._supervisor.stop()
--- a/src/wigeonfront/side/target.py
+++ b/src/wigeonfront/side/target.py
@@ -30,6 +30,7 @@
 RETRY_SECONDS = 1.0
 STREAM_SILENCE_SECONDS = 10.0
 CANCEL_SECONDS = 2.0
+UNREACHABLE = "target_unreachable"
 
 
 @dataclass(slots=True)
@@ -134,7 +135,7 @@
 
     def _outcome(self, answer: Answer | NotSent | Lost) -> Outcome:
         if isinstance(answer, NotSent):
-            return NotRun("target_unreachable", RETRY_SECONDS)
+            return NotRun(UNREACHABLE, RETRY_SECONDS)
         if isinstance(answer, Lost):
             return Unknown("target_connection_lost")
         if answer.status != 200:
@@ -220,7 +221,7 @@
         silence = min(STREAM_SILENCE_SECONDS, remaining + 1.0)
         response = self._pool.open_stream("/generate", body, silence, fresh=False)
         if isinstance(response, NotSent):
-            return NotRun("target_unreachable", RETRY_SECONDS)
+            return NotRun(UNREACHABLE, RETRY_SECONDS)
         if isinstance(response, Lost):
             return self._interrupted(run, "stream_cut")
         if response.status != 200:
--- a/src/wigeonfront/side/weights.py
+++ b/src/wigeonfront/side/weights.py
@@ -10,6 +10,7 @@
 import random
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from wigeonfront.clock import Clock
 from wigeonfront.logs import event
@@ -25,6 +26,7 @@
 VM_LIST_SECONDS = 30.0
 LOAD_SECONDS = 120.0
 LOST_STATE_LIMIT = 3
+SMOOTHING = 0.3
 
 
 class WeightsKeeper:
@@ -64,8 +66,9 @@
         self._vm_list = vm_list
         self._fencing = fencing
         self._clock = clock
+        self._waves = WaveSettings()
         self._schedule = SwapSchedule(
-            name, service, WaveSettings(), clock, random.Random()
+            name, service, self._waves, clock, random.Random()
         )
         self._lock = threading.Lock()
         self._wake = threading.Event()
@@ -74,6 +77,7 @@
         self._next_store = 0.0
         self._lost_states = 0
         self._incarnation = ""
+        self._swapped = False
 
     @property
     def newest(self) -> int:
@@ -90,8 +94,7 @@
 
     def configure(self, wave: float) -> None:
         """Follow the catalogue's wave width."""
-        with self._lock:
-            self._schedule.configure(WaveSettings(width=wave))
+        self._set_waves(width=wave)
 
     def run(self, stop: threading.Event) -> None:
         """Watch the engine and swap when due (a supervisor's task)."""
@@ -161,18 +164,35 @@
         state = self._engine.state()
         self._note_state(state)
         proved = state is not None and state.version >= swap.version
+        seconds = self._clock.monotonic() - started
+        if proved:
+            self._set_waves(swap_seconds=self._smoothed(seconds))
         event(
             logger,
             "swapped" if proved else "swap_failed",
             version=swap.version,
             read_back=-1 if state is None else state.version,
             answer="loaded" if isinstance(result, Loaded) else result.reason,
-            seconds=self._clock.monotonic() - started,
+            seconds=seconds,
         )
         if not proved:
             with self._lock:
                 self._schedule.failed()
 
+    def _set_waves(self, **changed: float) -> None:
+        with self._lock:
+            self._waves = replace(self._waves, **changed)
+            self._schedule.configure(self._waves)
+
+    def _smoothed(self, seconds: float) -> float:
+        """Return the expected time of a swap, so that waves follow as they end."""
+        if not self._swapped:
+            self._swapped = True
+            return seconds
+        return self._waves.swap_seconds + SMOOTHING * (
+            seconds - self._waves.swap_seconds
+        )
+
     def _ask_store(self, now: float) -> None:
         if self._store is None or now < self._next_store:
             return
--- a/src/wigeonfront/supervisor.py
+++ b/src/wigeonfront/supervisor.py
@@ -21,7 +21,8 @@
 FAILURE_WINDOW = 60.0
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 5.0
-JOIN_SECONDS = 5.0
+# Threads are daemons: one blocked in a call that it can't leave ends with the process.
+JOIN_SECONDS = 1.0
 
 Run = Callable[[threading.Event], None]
 
@@ -100,19 +101,24 @@
         return self._stop.wait(timeout)
 
     def stop(self) -> None:
-        """Stop the children, then the tasks, and wait a bounded time for each."""
+        """Stop all tasks of the tree and wait a bounded time for them together."""
+        threads = self._tell()
+        deadline = self._clock.monotonic() + JOIN_SECONDS
+        for thread in threads:
+            if thread is not threading.current_thread():
+                thread.join(max(0.0, deadline - self._clock.monotonic()))
+
+    def _tell(self) -> list[threading.Thread]:
+        """Tell the children's tasks, then the own ones; return their threads."""
         self._stop.set()
         with self._lock:
             children = list(self._children)
             threads = list(self._threads.values())
             stops = list(self._stops.values())
-        for child in reversed(children):
-            child.stop()
+        below = [thread for child in reversed(children) for thread in child._tell()]
         for stop in stops:
             stop.set()
-        for thread in threads:
-            if thread is not threading.current_thread():
-                thread.join(JOIN_SECONDS)
+        return below + threads
 
     def _keep(self, name: str, run: Run, stop: threading.Event) -> None:
         failures: deque[float] = deque(maxlen=MAX_FAILURES)
