--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -13,10 +13,11 @@
 from wigeonfront.entry.peers import Identity, Peer, PeerState
 from wigeonfront.logs import event
 from wigeonfront.messages import Beat, ServicePolicy
-from wigeonfront.outcomes import Outcome
+from wigeonfront.outcomes import NotRun, Outcome
 from wigeonfront.platform import Unavailable, Vm, VmList
 from wigeonfront.policy.circuit import CircuitChange, Circuits
 from wigeonfront.policy.placement import SideView
+from wigeonfront.policy.retries import MOVED
 from wigeonfront.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -134,6 +135,10 @@
 
     def record(self, service: str, side: str, outcome: Outcome) -> None:
         """Tell the side's circuit how an attempt ended."""
+        if isinstance(outcome, NotRun) and outcome.reason in MOVED:
+            peer = self.peer(side)
+            if peer is not None:
+                peer.note_not_serving()
         change = self._circuits_of(service).record(side, outcome)
         if isinstance(change, CircuitChange):
             event(
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -251,6 +251,12 @@
             self.reset()
         return DeliveryReply(status="unavailable")
 
+    def note_not_serving(self) -> None:
+        """Place nothing here until the next heartbeat: a refusal is newer news."""
+        with self._lock:
+            if self._beat is not None:
+                self._beat = msgspec.structs.replace(self._beat, serving=False)
+
     def gone(self) -> None:
         """Resolve everything outstanding: the VM is gone for good."""
         self._resolve_all(Unknown("side_gone"))
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -100,7 +100,7 @@
         verdict = may_retry(outcome, attempted, remaining, self._random)
         if isinstance(verdict, GiveUp):
             return verdict
-        if not self._budget.spend():
+        if verdict.budgeted and not self._budget.spend():
             return GiveUp("retry_budget_spent")
         return verdict
 
--- a/src/wigeonfront/policy/admission.py
+++ b/src/wigeonfront/policy/admission.py
@@ -201,7 +201,7 @@
         self._on_expired = on_expired or (lambda item, outcome: None)
         self._changed = threading.Condition()
         self._closed = False
-        self._holding = False
+        self._holding = ""
         self._items: dict[str, AdmissionItem] = {}
         self._running: dict[str, AdmissionItem] = {}
         self._deadlines: list[tuple[float, int, AdmissionItem]] = []
@@ -278,8 +278,13 @@
             self._changed.notify_all()
             return waiting
 
-    def hold_urgent(self) -> list[AdmissionItem]:
-        """Refuse all classes but rollouts, as a swap is about to stop the engine.
+    def hold_urgent(self, reason: str = "swapping") -> list[AdmissionItem]:
+        """Refuse all classes but rollouts, as the target is about to stop.
+
+        Parameters
+        ----------
+        reason : str
+            Given with each refusal.
 
         Returns
         -------
@@ -288,7 +293,7 @@
             whereas here it would wait until the engine serves again.
         """
         with self._changed:
-            self._holding = True
+            self._holding = reason
             waiting = [
                 item
                 for item in self._items.values()
@@ -301,7 +306,7 @@
     def release_urgent(self) -> None:
         """Admit all classes again."""
         with self._changed:
-            self._holding = False
+            self._holding = ""
 
     @property
     def urgent_running(self) -> int:
@@ -398,7 +403,7 @@
         if item.id in self._items:
             return NotRun("duplicate_attempt", MIN_RETRY_AFTER)
         if self._holding and item.work_class != PREEMPTIBLE:
-            return NotRun("swapping", MIN_RETRY_AFTER)
+            return NotRun(self._holding, MIN_RETRY_AFTER)
         if self._queued(item.work_class) >= self._limits[item.work_class].queue:
             return NotRun("queue_full", _clamped(wait))
         service = item.tokens * self._token_seconds
--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -100,6 +100,11 @@
         with self._lock:
             return len(self._runs)
 
+    @property
+    def urgent_running(self) -> int:
+        """Interactive and booking attempts at the target."""
+        return self._queue.urgent_running
+
     def connect(self, ledger: AttemptLedger) -> None:
         """Set the ledger to which outcomes go; called once while building."""
         self._ledger = ledger
@@ -134,6 +139,16 @@
             if run is not None:
                 run.cancel(reason)
 
+    def hold(self, reason: str) -> None:
+        """Refuse interactive and booking work, and send back what of it waits."""
+        for item in self._queue.hold_urgent(reason):
+            self._forget(item.id)
+            self._finish(item.id, NotRun(reason, 0.0))
+
+    def release(self) -> None:
+        """Take all classes again."""
+        self._queue.release_urgent()
+
     def run(self, stop: threading.Event) -> None:
         """Run attempts one after the other until `stop` (a supervisor's task)."""
         while not stop.is_set():
--- a/src/wigeonfront/side/probe.py
+++ b/src/wigeonfront/side/probe.py
@@ -14,6 +14,7 @@
 from wigeonfront.http import NotSent, Pool
 from wigeonfront.logs import event
 from wigeonfront.side.execution import Execution, TargetCondition
+from wigeonfront.side.target import UNREACHABLE
 
 logger = logging.getLogger(__name__)
 
@@ -55,10 +56,12 @@
         since = self._clock.monotonic()
         given_up = False
         self._set_serving(False)
+        self._execution.hold(UNREACHABLE)
         while not stop.is_set() and not self._answers():
             if not given_up and self._clock.monotonic() - since > HAND_OVER_AFTER:
                 given_up = self._give_up()
             stop.wait(PROBE_SECONDS)
+        self._execution.release()
         self._set_serving(True)
 
     def _answers(self) -> bool:
--- a/src/wigeonfront/side/target.py
+++ b/src/wigeonfront/side/target.py
@@ -30,7 +30,7 @@
 RETRY_SECONDS = 1.0
 STREAM_SILENCE_SECONDS = 10.0
 CANCEL_SECONDS = 2.0
-UNREACHABLE = "target_unreachable"
+UNREACHABLE = "target_down"
 
 
 @dataclass(slots=True)
--- a/src/wigeonfront/side/weights.py
+++ b/src/wigeonfront/side/weights.py
@@ -15,7 +15,14 @@
 from wigeonfront.clock import Clock
 from wigeonfront.logs import event
 from wigeonfront.platform import Unavailable, Vm, VmList, WeightStore
-from wigeonfront.policy.waves import Peers, Swap, SwapSchedule, Wait, WaveSettings
+from wigeonfront.policy.waves import (
+    Peers,
+    Swap,
+    SwapSchedule,
+    Wait,
+    WaveSettings,
+    drained,
+)
 from wigeonfront.side.execution import Execution, TargetCondition
 from wigeonfront.side.target import EngineState, EngineTarget, Loaded
 
@@ -27,6 +34,7 @@
 LOAD_SECONDS = 120.0
 LOST_STATE_LIMIT = 3
 SMOOTHING = 0.3
+DRAIN_CHECK_SECONDS = 0.05
 
 
 class WeightsKeeper:
@@ -157,12 +165,14 @@
             fencing=fencing,
             **swap.figures,
         )
+        self._set_condition(self._execution.condition.version, False, "swap")
+        self._execution.hold("swapping")
+        self._drain()
         started = self._clock.monotonic()
-        old = self._execution.condition.version
-        self._set_condition(old, False, "swap")
         result = self._engine.load(swap.version, fencing, LOAD_SECONDS)
         state = self._engine.state()
         self._note_state(state)
+        self._execution.release()
         proved = state is not None and state.version >= swap.version
         seconds = self._clock.monotonic() - started
         if proved:
@@ -179,6 +189,16 @@
             with self._lock:
                 self._schedule.failed()
 
+    def _drain(self) -> None:
+        """Let interactive and booking work at the engine end, within bounds."""
+        since = self._clock.monotonic()
+        while not drained(
+            self._execution.urgent_running,
+            self._clock.monotonic() - since,
+            self._waves,
+        ):
+            self._clock.sleep(DRAIN_CHECK_SECONDS)
+
     def _set_waves(self, **changed: float) -> None:
         with self._lock:
             self._waves = replace(self._waves, **changed)
