--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -23,7 +23,7 @@
     Unknown,
 )
 from wigeonfront.policy.admission import AdmissionItem, AdmissionQueue
-from wigeonfront.side.target import Run, Target
+from wigeonfront.side.target import UNREACHABLE, Run, Target
 from wigeonfront.supervisor import BrokenInvariant
 
 logger = logging.getLogger(__name__)
@@ -57,8 +57,13 @@
     queue : AdmissionQueue
     target : Target
     clock : Clock
-    tokens_of : callable
-        Predicted tokens of an attempt; 1 for a plain service.
+    generates : bool
+        The target is a model engine.
+
+    Attributes
+    ----------
+    unreachable : threading.Event
+        Set when a run found that nothing listens at the target's address.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         self._condition = TargetCondition()
         self._serving = threading.Event()
         self._serving.set()
+        self.unreachable = threading.Event()
 
     @property
     def condition(self) -> TargetCondition:
@@ -94,6 +100,11 @@
         with self._lock:
             return len(self._runs)
 
+    @property
+    def urgent_running(self) -> int:
+        """Interactive and booking attempts at the target."""
+        return self._queue.urgent_running
+
     def connect(self, ledger: AttemptLedger) -> None:
         """Set the ledger to which outcomes go; called once while building."""
         self._ledger = ledger
@@ -128,6 +139,16 @@
             if run is not None:
                 run.cancel(reason)
 
+    def hold(self, reason: str) -> None:
+        """Refuse interactive and booking work, and send back what of it waits."""
+        for item in self._queue.hold_urgent(reason):
+            self._forget(item.id)
+            self._finish(item.id, NotRun(reason, 0.0))
+
+    def release(self) -> None:
+        """Take all classes again."""
+        self._queue.release_urgent()
+
     def run(self, stop: threading.Event) -> None:
         """Run attempts one after the other until `stop` (a supervisor's task)."""
         while not stop.is_set():
@@ -180,6 +201,8 @@
             return
         run.started = True
         outcome = self._run_target(run)
+        if isinstance(outcome, NotRun) and outcome.reason == UNREACHABLE:
+            self.unreachable.set()
         produced = _tokens_of(outcome) if self._generates else 1.0
         self._queue.finished(item, produced if _measures(outcome) else None)
         if self._resumes_here(run, outcome):
