--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -98,9 +98,9 @@
     for each in blocking:
         each.send()
     work = Work(bench, name, samples=4 * CAPACITY, tokens=LONG_TOKENS)
-    bench.wait(lambda: bench.load(PLAIN)["running"] >= 2 * CAPACITY, "full")
+    bench.wait(lambda: bench.load(PLAIN)["queued"] > 0, "full")
     work.send()
-    bench.wait(lambda: bench.load(PLAIN)["queued"] > 0, "queued")
+    bench.wait(lambda: bench.load(ENGINE)["queued"] > 0, "samples queued")
     inject()
     work.also = blocking
     return work
