--- a/src/wigeonfront/coordination/keyed_work.py
+++ b/src/wigeonfront/coordination/keyed_work.py
@@ -8,10 +8,12 @@
 
 import msgspec
 
+from wigeonfront.coordination.ownership import LostRecords, SlotOwnership
 from wigeonfront.coordination.sessions import PeerSession
 from wigeonfront.messages import Attempt, OutcomeFrame, from_wire, to_wire
 from wigeonfront.outcomes import Completed, Expired, NotRun, Outcome
 
+NOT_OWNER_RETRY_AFTER = 0.5
 EARLIER_MAY_HAVE_RUN = "an earlier submission of this key may have run"
 
 
@@ -81,10 +83,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Ownership:
-    epoch: int
-    lost_before: int
-    lost_until: float
+class SlotKeys:
+    """What an owner hands over of one slot."""
+
+    keys: tuple[KeyedOutcome, ...]
+    lost: LostRecords | None = None
 
 
 def request_digest(attempt: Attempt) -> bytes:
@@ -130,10 +133,9 @@
         minted_epoch: Callable[[str], int | None] | None = None,
     ) -> None:
         self._retention = retention
-        self._slot_of = slot_of
         self._minted_epoch = minted_epoch or (lambda key: None)
         self._works: dict[str, Work] = {}
-        self._owned: dict[int, _Ownership] = {}
+        self._owned = SlotOwnership(slot_of)
         self._finished: dict[bool, deque[Work]] = {True: deque(), False: deque()}
 
     def __len__(self) -> int:
@@ -195,55 +197,54 @@
     # --- slot ownership ---
 
     def own(
-        self, slot: int, epoch: int, lost_before: int = 0, lost_until: float = 0.0
+        self, slot: int, epoch: int, now: float, lost: LostRecords | None = None
     ) -> None:
         """Take up `slot` at `epoch`.
 
-        Until `lost_until`, keys that may be older than epoch `lost_before` are
-        refused, because an earlier owner's records of them are lost.
+        While records are `lost`, keys that may be among them are refused.
         """
-        self._owned[slot] = _Ownership(epoch, lost_before, lost_until)
+        self._owned.own(slot, epoch, now, lost)
 
     def disown(self, slot: int) -> None:
         """Take no more work for keys of `slot`."""
-        self._owned.pop(slot, None)
+        self._owned.disown(slot)
 
     def refusal(self, attempt: Attempt, now: float) -> NotRun | None:
         """Return why the owner of slots may not look at `attempt`, if so."""
-        if self._slot_of is None or (attempt.idempotent and attempt.epoch == 0):
+        unowned_is_fine = attempt.idempotent and attempt.epoch == 0
+        if unowned_is_fine or not self._owned.enforced:
             return None
-        ownership = self._owned.get(self._slot_of(attempt.key))
-        if ownership is None or ownership.epoch != attempt.epoch:
-            return NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)
-        return self._lost(attempt.key, ownership, now)
-
-    def _lost(self, key: str, ownership: _Ownership, now: float) -> NotRun | None:
-        if key in self._works or now >= ownership.lost_until:
+        if not self._owned.is_owner(attempt.key, attempt.epoch):
+            return NotRun("not_owner", NOT_OWNER_RETRY_AFTER, EARLIER_MAY_HAVE_RUN)
+        lost = self._owned.lost(attempt.key, now)
+        if lost is None or self._is_known_or_newer(attempt.key, lost):
             return None
+        return NotRun("key_records_lost", lost.remaining, EARLIER_MAY_HAVE_RUN)
+
+    def _is_known_or_newer(self, key: str, lost: LostRecords) -> bool:
         minted = self._minted_epoch(key)
-        if minted is not None and minted >= ownership.lost_before:
-            return None
-        retry_after = ownership.lost_until - now
-        return NotRun("key_records_lost", retry_after, EARLIER_MAY_HAVE_RUN)
+        return key in self._works or (minted is not None and minted >= lost.before)
 
-    def export(self, slot: int, now: float) -> tuple[KeyedOutcome, ...] | StillRunning:
+    def export(self, slot: int, now: float) -> SlotKeys | StillRunning:
         """Return the finished non-idempotent keys of a slot no longer owned."""
-        assert slot not in self._owned, "seal the slot before its export"
+        assert not self._owned.owns(slot), "seal the slot before its export"
         works = [work for work in self._works.values() if self._in_slot(work, slot)]
         running = sum(1 for work in works if work.state is not WorkState.DONE)
         if running:
             return StillRunning(running)
-        return tuple(_exported(work, now) for work in works)
+        keys = tuple(_exported(work, now) for work in works)
+        return SlotKeys(keys, self._owned.lost_in(slot, now))
 
-    def adopt(self, records: tuple[KeyedOutcome, ...], now: float) -> None:
-        """Take over keys that another owner exported."""
-        for record in sorted(records, key=lambda record: record.remaining):
+    def adopt(self, slot: int, epoch: int, handed: SlotKeys, now: float) -> None:
+        """Take over the keys of a slot and own it."""
+        for record in handed.keys:
             work = _adopted(record, now)
             self._works[record.key] = work
             self._insert(work)
+        self._owned.own(slot, epoch, now, handed.lost)
 
     def _in_slot(self, work: Work, slot: int) -> bool:
-        return not work.idempotent and self._slot_of(work.key) == slot
+        return not work.idempotent and self._owned.contains(slot, work.key)
 
     def _insert(self, work: Work) -> None:
         """Add to the finished queue, which is in order of expiry."""
--- a/src/wigeonfront/coordination/ledger.py
+++ b/src/wigeonfront/coordination/ledger.py
@@ -53,14 +53,15 @@
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.keyed_work import (
     AttemptRecord,
-    KeyedOutcome,
     KeyedWork,
+    SlotKeys,
     StillRunning,
     Work,
     WorkState,
     is_fresh,
     request_digest,
 )
+from wigeonfront.coordination.ownership import LostRecords
 from wigeonfront.coordination.sessions import (
     Ended,
     FinishedAttempt,
@@ -594,27 +595,25 @@
 
     # --- slots ---
 
-    def own(
-        self, slot: int, epoch: int, lost_before: int = 0, lost_until: float = 0.0
-    ) -> None:
+    def own(self, slot: int, epoch: int, lost: LostRecords | None = None) -> None:
         """Take keyed work of `slot` from now on; see `KeyedWork.own`."""
         with self._lock:
-            self._keys.own(slot, epoch, lost_before, lost_until)
+            self._keys.own(slot, epoch, self._clock.monotonic(), lost)
 
     def seal(self, slot: int) -> None:
         """Take no more keyed work of `slot`."""
         with self._lock:
             self._keys.disown(slot)
 
-    def export(self, slot: int) -> tuple[KeyedOutcome, ...] | StillRunning:
+    def export(self, slot: int) -> SlotKeys | StillRunning:
         """Return the keys of a sealed slot for its next owner."""
         with self._lock:
             return self._keys.export(slot, self._clock.monotonic())
 
-    def adopt(self, records: tuple[KeyedOutcome, ...]) -> None:
-        """Take over the keys of a slot before owning it."""
+    def adopt(self, slot: int, epoch: int, handed: SlotKeys) -> None:
+        """Take over the keys of a slot and own it."""
         with self._lock:
-            self._keys.adopt(records, self._clock.monotonic())
+            self._keys.adopt(slot, epoch, handed, self._clock.monotonic())
 
 
 def _for_waiter(record: AttemptRecord, outcome: Outcome) -> Outcome:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -11,6 +12,7 @@
 from wigeonfront.coordination.keyed_work import (
     EARLIER_MAY_HAVE_RUN,
     KeyedWork,
+    SlotKeys,
     StillRunning,
 )
 from wigeonfront.coordination.ledger import (
@@ -23,6 +25,7 @@
     Replayed,
     SessionOpened,
 )
+from wigeonfront.coordination.ownership import LostRecords
 from wigeonfront.coordination.sessions import Ended, StaleSession
 from wigeonfront.messages import Attempt, Dispatch, Fate, OpenSession
 from wigeonfront.outcomes import (
@@ -260,6 +263,24 @@
     assert peer.outcomes()["long"] == Expired(started=False)
 
 
+def test_a_non_idempotent_run_that_began_is_not_made_again(ledger, peer, clock):
+    peer.admit("short", key="k", idempotent=False, remaining=1.0)
+    peer.admit("long", key="k", idempotent=False, remaining=9.0)
+    ledger.start("short")
+    clock.advance(1.0)
+    assert ledger.expire() == ()
+    assert ledger.finish("short", Expired(started=True)) == ()
+    assert peer.outcomes() == dict.fromkeys(("short", "long"), Expired(started=True))
+
+
+def test_a_cursor_of_another_incarnation_of_the_side_is_ignored(ledger, peer):
+    peer.admit("a")
+    ledger.start("a")
+    ledger.finish("a", completed())
+    peer.open(cursor=1, side_incarnation="before")
+    assert peer.outcomes() == {"a": completed()}
+
+
 @pytest.mark.parametrize(
     ("idempotent", "begun", "stopped", "outcome"),
     [
@@ -339,7 +360,7 @@
     keys = KeyedWork(RETENTION, slot_of, minted_epoch)
     ledger = AttemptLedger("s", clock, keys=keys)
     ledger.own(OWNED, 4)
-    ledger.own(LOST, 6, lost_before=6, lost_until=30.0)
+    ledger.own(LOST, 6, LostRecords(before=6, remaining=30.0))
     peer = Peer(ledger)
     peer.open()
     clock.advance(at)
@@ -351,9 +372,9 @@
 
 
 def test_hand_over_of_keys(clock):
-    keys = [KeyedWork(RETENTION, slot_of) for _ in range(2)]
+    keys = [KeyedWork(RETENTION, slot_of, minted_epoch) for _ in range(2)]
     old, new = (AttemptLedger("s", clock, keys=one) for one in keys)
-    old.own(OWNED, 1)
+    old.own(OWNED, 1, LostRecords(before=1, remaining=RETENTION))
     peer = Peer(old)
     peer.open()
     for name in ("o1", "o2"):
@@ -367,10 +388,12 @@
     assert old.export(OWNED) == StillRunning(1)
     old.finish("o2", completed())
     clock.advance(RETENTION / 2)
-    new.adopt(old.export(OWNED))
-    new.own(OWNED, 2)
+    handed = msgspec.json.encode(old.export(OWNED))
+    new.adopt(OWNED, 2, msgspec.json.decode(handed, type=SlotKeys))
     peer = Peer(new)
     peer.open()
+    lost = peer.admit("c", key="o", epoch=2, idempotent=False)
+    assert lost.outcome.reason == "key_records_lost"
     for name in ("o1", "o2"):
         again = peer.admit(name, key=name, epoch=2, idempotent=False)
         assert again == Replayed()
@@ -391,6 +414,9 @@
     threads[0].start()
     ledger.finish("a", completed())
     threads[0].join()
+    ledger.acknowledge("e", "i", 7)
+    assert peer.outcomes(after=0) == {"a": completed()}
+    assert peer.outcomes(after=1) == {}
     ledger.acknowledge("e", "i", 1)
     threads[1].start()
     peer.open()
