--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -242,14 +242,14 @@
 
     def deliver(
         self, request: DeliveryRequest, timeout: float = DISPATCH_SECONDS
-    ) -> DeliveryReply:
-        """Speak for a Lot to this side as the owner of its slot."""
+    ) -> DeliveryReply | None:
+        """Speak for a Lot to this side as its owner; ``None`` without an answer."""
         answer = self._pool.call("POST", "/peer/delivery", request, timeout=timeout)
         if isinstance(answer, Answer) and answer.status == 200:
             return _delivery_decoder.decode(answer.body)
         if isinstance(answer, Lost):
             self.reset()
-        return DeliveryReply(status="unavailable")
+        return None
 
     def note_not_serving(self) -> None:
         """Place nothing here until the next heartbeat: a refusal is newer news."""
--- a/src/wigeonfront/side/server.py
+++ b/src/wigeonfront/side/server.py
@@ -23,7 +23,6 @@
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     Beat,
-    DeliveryReply,
     DeliveryRequest,
     Dispatch,
     DispatchReply,
@@ -228,14 +227,9 @@
     def deliver(self, call: Call) -> Reply:
         """Decide who may write the answer to a Lot."""
         message = call.decode(DeliveryRequest)
-        if not self._parts.slots.owns(message.key, message.epoch):
-            return Reply(200, DeliveryReply(status="not_owner"))
-        rights = self._parts.rights
-        if message.step == "acknowledge":
-            status = rights.acknowledge(message.key)
-        else:
-            ask = rights.begin if message.step == "begin" else rights.take
-            status = ask(message.key, message.submission, message.holder)
+        reply = self._parts.rights.handle(message)
+        if reply.status == "not_owner":
+            self._parts.slots.suspect()
         event(
             logger,
             "delivery_right",
@@ -243,9 +237,9 @@
             step=message.step,
             submission=message.submission,
             holder=message.holder,
-            status=status,
+            status=reply.status,
         )
-        return Reply(200, DeliveryReply(status=status))
+        return Reply(200, reply)
 
     def adopt(self, call: Call) -> Reply:
         """Take the records of slots that another side hands over."""
--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -10,15 +10,15 @@
 import logging
 import random
 import threading
-from dataclasses import dataclass
 
 import msgspec
 
 from wigeonfront.clock import Clock
 from wigeonfront.coordination import slots
-from wigeonfront.coordination.delivery import DeliveryRights, LotRecord
-from wigeonfront.coordination.keyed_work import KeyedOutcome
+from wigeonfront.coordination.delivery import DeliveryRights, SlotLots
+from wigeonfront.coordination.keyed_work import SlotKeys
 from wigeonfront.coordination.ledger import AttemptLedger
+from wigeonfront.coordination.ownership import LostRecords
 from wigeonfront.coordination.slots import OwnedSlot, SlotTable
 from wigeonfront.http import Answer, Pool
 from wigeonfront.logs import event
@@ -35,13 +35,21 @@
 ADOPT_PATH = "/peer/adopt"
 
 
+class SlotRecords(Message, frozen=True, kw_only=True):
+    """The records of one slot, which its next owner takes up at `epoch`."""
+
+    slot: int
+    epoch: int
+    keys: SlotKeys
+    lots: SlotLots
+
+
 class HandOver(Message, frozen=True, kw_only=True):
-    """Records of slots that a stopping side gives to their next owner."""
+    """Records of sealed slots that a side gives to their next owner."""
 
     service: str
     sender: str
-    keys: list[KeyedOutcome]
-    lots: list[LotRecord]
+    slots: list[SlotRecords]
 
 
 class HandOverReply(Message, frozen=True, kw_only=True):
@@ -50,12 +58,6 @@
     incarnation: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Heir:
-    vm: Vm
-    incarnation: str = ""
-
-
 class SlotKeeper:
     """Keeps a side's ownership in step with its service's table (one task).
 
@@ -96,6 +98,7 @@
         self._table: SlotTable | None = None
         self._revision = 0
         self._owned: dict[int, OwnedSlot] = {}
+        self._given: dict[int, SlotRecords] = {}
         self._wake = threading.Event()
         self._leaving = False
         self._giving = False
@@ -114,15 +117,6 @@
         table = self._table
         return -1 if table is None else table.slot_of(key)
 
-    def owns(self, key: str, epoch: int) -> bool:
-        """Tell whether this side owns the slot of `key` at `epoch`."""
-        with self._lock:
-            owned = self._owned.get(self.slot_of(key))
-        if owned is not None and owned.epoch == epoch:
-            return True
-        self.suspect()
-        return False
-
     def suspect(self) -> None:
         """Read the table again soon: a call knows another one."""
         self._wake.set()
@@ -160,15 +154,17 @@
         return True
 
     def adopt(self, records: HandOver) -> HandOverReply:
-        """Take the records of slots that another side hands over."""
-        self._ledger.adopt(tuple(records.keys))
-        self._rights.adopt(records.lots)
+        """Keep the records of slots until the table says that they are this side's."""
+        with self._lock:
+            for one in records.slots:
+                self._given[one.slot] = one
         event(
             logger,
-            "adopted",
+            "records_received",
             sender=records.sender,
-            keys=len(records.keys),
-            lots=len(records.lots),
+            slots=len(records.slots),
+            keys=sum(len(one.keys.keys) for one in records.slots),
+            lots=sum(len(one.lots.lots) for one in records.slots),
         )
         self.suspect()
         return HandOverReply(incarnation=self._incarnation)
@@ -185,12 +181,12 @@
         Where it isn't, the next reading of the table takes them up again.
         """
         with self._lock:
-            sealed = sorted(self._owned)
-            self._owned.clear()
+            owned, self._owned = self._owned, {}
             self._giving = True
+        sealed = sorted(owned)
         for slot in sealed:
-            self._ledger.seal(slot)
-        given = self._give(sealed, self._heirs(sealed)) if sealed else {}
+            self._seal(slot)
+        given = self._give(owned, self._heirs(sealed)) if sealed else {}
         done = not sealed or (bool(given) and self._write_given(given))
         with self._lock:
             self._giving = False
@@ -221,18 +217,30 @@
             if before.get(slot.slot) != slot:
                 self._own(slot)
         for index in before.keys() - after.keys():
-            self._ledger.seal(index)
+            self._seal(index)
         event(logger, "slots_owned", revision=revision, slots=len(after))
 
     def _own(self, slot: OwnedSlot) -> None:
-        lost_until = self._clock.monotonic() + self._retention
-        if not slot.lost_before:
-            lost_until = 0.0
-        self._ledger.own(slot.slot, slot.epoch, slot.lost_before, lost_until)
+        """Take up a slot, with its records if they were handed over for it."""
+        with self._lock:
+            given = self._given.pop(slot.slot, None)
+        if given is not None and given.epoch == slot.epoch:
+            self._ledger.adopt(slot.slot, slot.epoch, given.keys)
+            self._rights.adopt(slot.slot, slot.epoch, given.lots)
+            return
+        lost = None
+        if slot.lost_before:
+            lost = LostRecords(slot.lost_before, self._retention)
+        self._ledger.own(slot.slot, slot.epoch, lost)
+        self._rights.own(slot.slot, slot.epoch, lost)
+
+    def _seal(self, slot: int) -> None:
+        self._ledger.seal(slot)
+        self._rights.seal(slot)
 
     # --- handing over --------------------------------------------------------
 
-    def _heirs(self, sealed: list[int]) -> dict[int, _Heir]:
+    def _heirs(self, sealed: list[int]) -> dict[int, Vm]:
         listed = self._vm_list.vms()
         if isinstance(listed, Unavailable):
             return {}
@@ -240,7 +248,7 @@
         if not others:
             return {}
         return {
-            slot: _Heir(others[slots.next_owner(self._service, slot, others)])
+            slot: others[slots.next_owner(self._service, slot, others)]
             for slot in sealed
         }
 
@@ -249,35 +257,38 @@
         return same and vm.name != self._name and not vm.leaving
 
     def _give(
-        self, sealed: list[int], heirs: dict[int, _Heir]
+        self, owned: dict[int, OwnedSlot], heirs: dict[int, Vm]
     ) -> dict[int, tuple[str, str]]:
         """Send the records; return the slots whose next owner has them."""
         by_heir: dict[str, list[int]] = {}
-        for slot in sealed:
-            if slot in heirs:
-                by_heir.setdefault(heirs[slot].vm.name, []).append(slot)
+        for slot in sorted(heirs):
+            by_heir.setdefault(heirs[slot].name, []).append(slot)
         given = {}
         for name, group in by_heir.items():
-            message = self._records(set(group))
+            message = self._records([owned[slot] for slot in group])
             if message is None:
                 continue
-            reply = self._send(heirs[group[0]].vm, message)
+            reply = self._send(heirs[group[0]], message)
             if reply is not None:
                 given.update(dict.fromkeys(group, (name, reply.incarnation)))
         return given
 
-    def _records(self, group: set[int]) -> HandOver | None:
-        keys: list[KeyedOutcome] = []
-        for slot in sorted(group):
-            exported = self._ledger.export(slot)
-            if not isinstance(exported, tuple):
-                event(logger, "slot_still_running", slot=slot, runs=exported.count)
+    def _records(self, group: list[OwnedSlot]) -> HandOver | None:
+        records = []
+        for owned in group:
+            keys = self._ledger.export(owned.slot)
+            if not isinstance(keys, SlotKeys):
+                event(logger, "slot_still_running", slot=owned.slot, runs=keys.count)
                 return None
-            keys += exported
-        lots = self._rights.export(lambda key: self.slot_of(key) in group)
-        return HandOver(
-            service=self._service, sender=self._name, keys=keys, lots=list(lots)
-        )
+            records.append(
+                SlotRecords(
+                    slot=owned.slot,
+                    epoch=owned.epoch + 1,
+                    keys=keys,
+                    lots=self._rights.export(owned.slot),
+                )
+            )
+        return HandOver(service=self._service, sender=self._name, slots=records)
 
     def _send(self, vm: Vm, message: HandOver) -> HandOverReply | None:
         pool = Pool(vm.address, read_seconds=HAND_OVER_SECONDS)
