--- a/src/wigeonfront/commands/output.py
+++ b/src/wigeonfront/commands/output.py
@@ -7,7 +7,7 @@
 
 from wigeonfront.commands import exit_codes
 from wigeonfront.commands.api import AnswerLost, Response, Unreachable
-from wigeonfront.commands.rows import flatten
+from wigeonfront.differences import flatten
 
 _GAP = "  "
 _INDENT = "  "
