--- a/src/wigeonfront/cli.py
+++ b/src/wigeonfront/cli.py
@@ -152,16 +152,19 @@
         actions,
         "apply",
         "write catalogue entries and wait until they are in force",
-        "catalogue:apply",
+        "edits:apply",
     )
     _add_catalogue_file(apply)
-    apply.add_argument(
-        "--expected",
-        metavar="REVISION",
-        type=int,
-        help="revision that a single entry is edited from (0: it is new); without "
-        "it, the file's own 'revision', else the entry's revision at the start",
+    _add_edit_flags(
+        apply,
+        "revision that a single entry is edited from (0: it is new); without it, the "
+        "file's own 'revision', else the entry's revision at the start",
     )
+    delete = _add_operation(
+        actions, "delete", "delete a catalogue entry", "edits:delete"
+    )
+    delete.add_argument("catalogue_entry", metavar="ENTRY")
+    _add_edit_flags(delete, "revision that is to be deleted; without it, the present")
     diff = _add_operation(
         actions, "diff", "show what apply would change", "catalogue:diff"
     )
@@ -172,6 +175,17 @@
     history.add_argument("catalogue_entry", metavar="ENTRY")
 
 
+def _add_edit_flags(parser: argparse.ArgumentParser, expected_help: str) -> None:
+    parser.add_argument("--expected", metavar="REVISION", type=int, help=expected_help)
+    parser.add_argument(
+        "--wait",
+        metavar="SECONDS",
+        type=float,
+        default=30.0,
+        help="how long to go on asking until a stored change is in force (default 30)",
+    )
+
+
 def _add_catalogue_file(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "file", metavar="FILE", help="JSON, one row or a list of rows; '-' for input"
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -21,6 +21,7 @@
 _HOST = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]*|\[[0-9A-Fa-f:.]+\]")
 _URL = re.compile(r"https?://(?P<authority>[^/?#\s@]+)(?P<path>/[^?#\s]*)?")
 _MAX_PORT = 65_535
+_MAX_OPERATOR = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +128,13 @@
     return text
 
 
+def parse_operator(text: str) -> str:
+    """Return `text` if it is short enough for the catalogue's history."""
+    if len(text) > _MAX_OPERATOR:
+        raise ValueError(text)
+    return text
+
+
 def one_of(*choices: str) -> Callable[[str], str]:
     """Return a parser that accepts just `choices`."""
 
@@ -322,6 +330,12 @@
     timeout_seconds: float = _decimal(
         0.1, 3600, 10.0, "seconds to wait for an entry's answer"
     )
+    operator: str = _setting(
+        parse_operator,
+        f"at most {_MAX_OPERATOR} characters",
+        "who edits the catalogue, for its history",
+        "",
+    )
 
 
 Settings = TypeVar("Settings", CommonSettings, OperatorSettings)
