--- a/benchmarks/capacity/clients.py
+++ b/benchmarks/capacity/clients.py
@@ -128,7 +128,10 @@
         )
         body = msgspec.json.encode(message)
         self._calls.request("POST", "/peer/dispatch", body)
-        answer = self._calls.getresponse().read()
+        response = self._calls.getresponse()
+        answer = response.read()
+        if response.status != 200:
+            raise RuntimeError(f"dispatch: {response.status} {answer!r}")
         reply = msgspec.json.decode(answer, type=DispatchReply)
         if reply.stale:
             raise RuntimeError("the session is stale")
