--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -12,11 +12,12 @@
 from wigeonfront.clock import Clock
 from wigeonfront.entry.peers import Identity, Peer, PeerState
 from wigeonfront.logs import event
-from wigeonfront.messages import Beat
-from wigeonfront.outcomes import Outcome
+from wigeonfront.messages import Beat, ServicePolicy
+from wigeonfront.outcomes import NotRun, Outcome
 from wigeonfront.platform import Unavailable, Vm, VmList
 from wigeonfront.policy.circuit import CircuitChange, Circuits
 from wigeonfront.policy.placement import SideView
+from wigeonfront.policy.retries import MOVED
 from wigeonfront.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -61,6 +62,8 @@
         Chooses this entry's subset among the sides of a service.
     on_beat : callable
         Told of each heartbeat.
+    policy : callable
+        Returns what the sides of a service follow of the catalogue.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         announcements: Announcements,
         select: Callable[[str, list[Vm]], list[Vm]] = lambda service, vms: vms,
         on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
+        policy: Callable[[str], ServicePolicy | None] = lambda service: None,
     ) -> None:
         self._supervisor = supervisor
         self._identity = identity
@@ -80,6 +84,7 @@
         self._announcements = announcements
         self._select = select
         self._on_beat = on_beat
+        self._policy = policy
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
         self._by_service: dict[str, list[Peer]] = {}
@@ -108,6 +113,17 @@
         with self._lock:
             return list(self._by_service.get(service, ()))
 
+    def behind(self) -> list[str]:
+        """Return the sides with a session that lack the present policy."""
+        with self._lock:
+            peers = list(self._peers.values())
+        return [peer.vm.name for peer in peers if peer.behind]
+
+    def silent(self, name: str) -> bool:
+        """Tell whether no session with the side `name` is open."""
+        peer = self.peer(name)
+        return peer is None or not peer.state.connected
+
     def views(self, service: str) -> list[SideView]:
         """Return what placement needs to know of a service's sides."""
         now = self._clock.monotonic()
@@ -119,6 +135,10 @@
 
     def record(self, service: str, side: str, outcome: Outcome) -> None:
         """Tell the side's circuit how an attempt ended."""
+        if isinstance(outcome, NotRun) and outcome.reason in MOVED:
+            peer = self.peer(side)
+            if peer is not None:
+                peer.note_not_serving()
         change = self._circuits_of(service).record(side, outcome)
         if isinstance(change, CircuitChange):
             event(
@@ -182,6 +202,7 @@
             self._beat_seconds,
             self._announcements.newest,
             self._on_beat,
+            lambda: self._policy(vm.service),
         )
         with self._lock:
             self._peers[vm.name] = peer
--- a/src/wigeonfront/policy/waves.py
+++ b/src/wigeonfront/policy/waves.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from wigeonfront.clock import Clock
-from wigeonfront.policy.rendezvous import order
+from wigeonfront.coordination.rendezvous import order
 
 BASE_RETRY = 0.5
 """Seconds: ceiling of the first pause after a failed load."""
@@ -40,12 +40,15 @@
         Least share of the service's sides that should serve meanwhile.
     store_rate : float
         Loads a second that the weight store allows this service; 0 for no limit.
+    drain_seconds : float
+        Longest time that a swap waits for running interactive and booking work.
     """
 
     width: float = 0.34
     swap_seconds: float = 5.0
     floor: float = 0.5
     store_rate: float = 0.0
+    drain_seconds: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +106,7 @@
     settings : WaveSettings
         Width, duration and the store's rate.
     """
-    at_once = max(1, math.floor(settings.width * members))
+    at_once = max(1, round(settings.width * members))
     wave = place // at_once
     offset = wave * settings.swap_seconds
     if settings.store_rate > 0:
@@ -160,6 +163,25 @@
     return Swap(0, "floor_patience_over" if below else "turn", figures)
 
 
+def drained(urgent_running: int, waited: float, settings: WaveSettings) -> bool:
+    """Tell whether the engine may be stopped for a swap.
+
+    Rollouts are left running: the engine goes on with them after the load, and the
+    answer names both versions. Interactive and booking work is short; letting it
+    end first costs less than making its callers wait through the load.
+
+    Parameters
+    ----------
+    urgent_running : int
+        Interactive and booking items at the engine.
+    waited : float
+        Seconds since the side began to refuse them.
+    settings : WaveSettings
+        Bounds the wait.
+    """
+    return urgent_running == 0 or waited >= settings.drain_seconds
+
+
 class SwapSchedule:
     """One side's run of swaps. Not thread-safe: one task owns it.
 
