--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -35,7 +35,8 @@
 
 def test_table_has_a_row_for_each_figure():
     shown = table([Figure("entry", "RSS", "MiB", (31.04, 30.0, 33.0), "idle")])
-    assert shown.splitlines()[1].split() == [
+    row = shown.splitlines()[1]
+    assert row.split() == ["entry", "RSS", "31", "30", "33", "MiB", "idle"]
         "entry",
         "RSS",
         "31",
