--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -37,14 +37,6 @@
     shown = table([Figure("entry", "RSS", "MiB", (31.04, 30.0, 33.0), "idle")])
     row = shown.splitlines()[1]
     assert row.split() == ["entry", "RSS", "31", "30", "33", "MiB", "idle"]
-        "entry",
-        "RSS",
-        "31",
-        "30",
-        "33",
-        "MiB",
-        "idle",
-    ]
 
 
 def test_cpu_clock_agrees_with_proc_stat():
