--- a/src/wigeonfront/policy/placement.py
+++ b/src/wigeonfront/policy/placement.py
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from wigeonfront.coordination.rendezvous import order
+from wigeonfront.coordination.rendezvous import ranked
 from wigeonfront.messages import WorkClass
 from wigeonfront.outcomes import NotRun
 
@@ -225,16 +225,16 @@
         mean = sum(side.load for side in candidates) / len(candidates)
         bound = self.load_factor * mean
         by_name = {side.name: side for side in candidates}
-        ranked = [by_name[name] for name in order(request.prefix, by_name)]
+        preferred = [by_name[name] for name in ranked(request.prefix, by_name)]
         fitting = [
             side
-            for side in ranked
+            for side in preferred
             if side.has_free_slot(request.tokens) or side.load <= bound
         ]
         # Some load is at most the mean, but rounding may put it just above.
-        fitting = fitting or [min(ranked, key=lambda side: side.load)]
+        fitting = fitting or [min(preferred, key=lambda side: side.load)]
         side = min(fitting[: self.heads], key=lambda side: side.load)
-        rank = ranked.index(side)
+        rank = preferred.index(side)
         reason = "affinity" if rank < self.heads else "affinity_bounded"
         return _placed(side, reason, candidates, rank=rank, mean_load=mean)
 
@@ -267,7 +267,7 @@
     if not request.key:
         return random.sample(pool, CHOICES)
     by_name = {side.name: side for side in pool}
-    return [by_name[name] for name in order(request.key, by_name)[:CHOICES]]
+    return [by_name[name] for name in ranked(request.key, by_name)[:CHOICES]]
 
 
 def _expected_delay(
--- a/src/wigeonfront/side/supervisor.py
+++ b/src/wigeonfront/side/supervisor.py
@@ -70,7 +70,11 @@
         self._execution = Execution(
             self._queue, self._build_target(), self._clock, self._generates
         )
-        self._rights = DeliveryRights(self._clock, settings.retention_seconds)
+        self._rights = DeliveryRights(
+            self._clock,
+            lambda key: self._slots.slot_of(key),
+            settings.retention_seconds,
+        )
         self._slots = SlotKeeper(
             settings.name,
             settings.service,
@@ -153,7 +157,6 @@
         while not stop.wait(EXPIRY_SECONDS):
             self._queue.sweep()
             self._execution.stop_runs(self._ledger.expire(), "expired")
-            self._rights.expire()
 
     def _build_ledger(self) -> AttemptLedger:
         keys = KeyedWork(
