--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import msgspec
+
 from benchmarks.capacity.budget import budget
 from benchmarks.capacity.control import catalogue, peers
 from benchmarks.capacity.data import baseline, requests
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,12 +5,12 @@
 from argparse import Namespace
 
 import pytest
+
 from benchmarks.capacity import procfs
 from benchmarks.capacity.clients import CountingRelay, FakeEntry
 from benchmarks.capacity.figures import Figure, Line, fit, slope_figures, table
 from benchmarks.capacity.fleet import Fleet
 from benchmarks.capacity.load import Load
-
 from wigeonfront.http import Application, Reply, Server
 from wigeonfront.supervisor import Supervisor
 
