--- a/src/wigeonfront/platform/memory.py
+++ b/src/wigeonfront/platform/memory.py
@@ -139,6 +139,8 @@
         So many of the next writes take effect but their answers are lost.
     lose_requests : int
         So many of the next writes are lost on the way, unknown to the client.
+    delay_requests : int
+        So many of the next writes reach the service only at `deliver_delayed`.
     calls : Counter
         Calls made so far, by method name.
     """
@@ -150,12 +152,21 @@
         self.outage = False
         self.lose_answers = 0
         self.lose_requests = 0
+        self.delay_requests = 0
+        self._delayed: list[Callable[[], object]] = []
         self.calls: Counter[str] = Counter()
 
     def client(self) -> "MemoryKeyValue":
         """Return another client of the same service."""
         return MemoryKeyValue(state=self.state)
 
+    def deliver_delayed(self) -> None:
+        """Let the service do the delayed writes now; nobody reads the answers."""
+        with self.state.lock:
+            self.state.lapse()
+            while self._delayed:
+                self._delayed.pop(0)()
+
     def get(self, key: str) -> Row | Absent | Unavailable:
         """Read one key."""
         return self._read("get", lambda: self._get(key))
@@ -209,6 +220,11 @@
                 self.calls[name] += 1
                 self.lose_requests -= 1
                 return Uncertain("request lost")
+            if self.delay_requests > 0 and not self._down:
+                self.calls[name] += 1
+                self.delay_requests -= 1
+                self._delayed.append(call)
+                return Uncertain("request delayed")
             reply = self._read(name, call)
             if self.lose_answers > 0 and not self._down:
                 self.lose_answers -= 1
@@ -245,10 +261,12 @@
     ) -> Stored | Conflict | Unavailable:
         if len(value) > MAX_VALUE_BYTES:
             return Unavailable("value too large")
+        conflict = self._conflict(key, expected)
+        if conflict:
+            return conflict
         if lease and lease not in self.state.leases:
             return Unavailable("no such lease")
-        conflict = self._conflict(key, expected)
-        return conflict or self.state.write(key, bytes(value), lease)
+        return self.state.write(key, bytes(value), lease)
 
     def _delete(self, key: str, expected: int | None) -> Stored | Conflict:
         conflict = self._conflict(key, expected)
