Operators' calls over HTTP: edits confirmed by every member, history, explain, drain

An edit is checked, written by compare-and-swap under a mark of its own, and accepted only once each member with a lease has it in force at itself and at its sides, and the former members can't be going on beyond a cut. Drain of a side or an entry ends its process.

--- a/src/wigeonfront/entry/control.py
+++ b/src/wigeonfront/entry/control.py
@@ -11,20 +11,21 @@
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from wigeonfront import catalogue as rows
 from wigeonfront.clock import Clock
 from wigeonfront.entry import members
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.confirmation import Confirmation
-from wigeonfront.entry.contacts import Contacts
+from wigeonfront.entry.contacts import Contacts, Heard
 from wigeonfront.entry.edits import Editor
 from wigeonfront.entry.history import History
 from wigeonfront.entry.joining import Joining
 from wigeonfront.entry.lease import MembershipLease
 from wigeonfront.entry.member_calls import MemberCalls, MemberRow
 from wigeonfront.entry.member_server import MemberServer
-from wigeonfront.entry.members import MemberView
+from wigeonfront.entry.members import Member, MemberView
 from wigeonfront.entry.membership import Membership
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.polling import Polling
@@ -91,6 +92,7 @@
         generator: random.Random | None = None,
     ) -> None:
         jitter = generator or random.Random()
+        self._clock = clock
         self.catalogue = Catalogue(clock, on_catalogue)
         self.view = MemberView(identity.name, clock, listed)
         self.contacts = Contacts(clock, settings.lease)
@@ -186,6 +188,36 @@
         """Return a pause that spreads the first calls of entries that start."""
         return self.joining.spread()
 
+    @property
+    def starting(self) -> str:
+        """Why nothing is admitted yet; empty once the entry has been a member."""
+        if not self.catalogue.loaded:
+            return "catalogue_not_loaded"
+        return "" if self.membership.joined else "joining"
+
+    def describe(self) -> dict[str, Any]:
+        """Return membership and catalogue as JSON data, for operators."""
+        standing = self.membership.standing
+        heard = self.contacts.heard()
+        now = self._clock.monotonic()
+        return {
+            "standing": standing.name,
+            "standing_reason": standing.reason,
+            "catalogue_revision": self.catalogue.revision,
+            "catalogue_newest": self.catalogue.newest,
+            "catalogue_digest": self.catalogue.digest,
+            "catalogue_age": self.catalogue.age,
+            "bad_rows": self.catalogue.bad_rows,
+            "members": [
+                _described(member, heard.get(member.name), now)
+                for member in self.view.present()
+            ],
+            "former_members": [
+                _described(member, heard.get(member.name), now)
+                for member in self.view.former()
+            ],
+        }
+
     def leave(self) -> None:
         """Say to all that this entry admits nothing new any more."""
         self.membership.leave()
@@ -194,3 +226,19 @@
     def end(self) -> None:
         """Give the lease back."""
         self.lease.end()
+
+
+def _described(member: Member, heard: Heard | None, now: float) -> dict[str, Any]:
+    described = {
+        "name": member.name,
+        "address": member.address,
+        "failure_domain": member.failure_domain,
+        "incarnation": member.incarnation,
+        "leaving": member.leaving,
+    }
+    if heard is not None:
+        described["standing"] = heard.reply.standing
+        described["catalogue_revision"] = heard.reply.revision
+        described["catalogue_digest"] = heard.reply.digest
+        described["heard_seconds"] = now - heard.at
+    return described
--- a/src/wigeonfront/entry/edits.py
+++ b/src/wigeonfront/entry/edits.py
@@ -192,7 +192,11 @@
             return EditUnknown(written.reason)
         if isinstance(written, Conflict):
             return self._conflict(name, row)
+        before = self._catalogue.known(name)
         self._catalogue.write(name, row, written.revision)
+        if before is not None and before.value and not edit_of(before.value):
+            # It was written past the entries, so that no one has recorded it.
+            self._history.record(name, before.value, before.revision, "")
         self._history.record(name, row, written.revision, operator)
         return self._confirmed(name, written.revision, wait)
 
--- a/src/wigeonfront/entry/membership.py
+++ b/src/wigeonfront/entry/membership.py
@@ -84,6 +84,7 @@
         self._clock = clock
         self._freshness_seconds = freshness_seconds
         self._lock = threading.Lock()
+        self._joined = False
         self._caught_up = False
         self._cut_off = False
         self._in_touch = False
@@ -105,6 +106,11 @@
         age = min(self._clock.monotonic() - since, self._catalogue.age)
         return self._fresh(age, "detached", "in_touch_with_most")
 
+    @property
+    def joined(self) -> bool:
+        """Whether the entry has been a member since it started."""
+        return self._joined
+
     @property
     def behind(self) -> bool:
         """Whether the catalogue must catch up before the lease counts."""
@@ -131,7 +137,7 @@
 
     def caught_up(self) -> None:
         """Note that the catalogue has caught up since the lease was granted."""
-        self._note(caught_up=True, cut_off=False, in_touch=True)
+        self._note(joined=True, caught_up=True, cut_off=False)
 
     def lapsed(self) -> None:
         """Note that the lease is gone, or that a new one was granted."""
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -7,11 +7,12 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from math import ceil
+from typing import Any
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
 from wigeonfront.entry.admission import EntryAdmission, Ticket
-from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.control import Control
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Work
 from wigeonfront.entry.lots import Lots, LotTerms
@@ -54,7 +55,7 @@
     identity: Identity
     clock: Clock
     max_callers: int
-    catalogue: Catalogue
+    control: Control
     admission: EntryAdmission
     directory: Directory
     announcements: Announcements
@@ -96,6 +97,11 @@
         with self._lock:
             return self._callers
 
+    @property
+    def leaving(self) -> bool:
+        """Whether nothing new is admitted."""
+        return self._leaving
+
     def leave(self) -> None:
         """Admit nothing new from now on."""
         self._leaving = True
@@ -109,7 +115,6 @@
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
         application.route("GET", "/metrics", self.metrics)
-        application.route("GET", "/v1/status", self.status)
 
     # --- callers -------------------------------------------------------------
 
@@ -121,6 +126,8 @@
         if len(key) > MAX_KEY_LENGTH:
             return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
         row = self._terms(body.catalogue_entry, service)
+        if isinstance(row, NotRun):
+            return _outcome_reply("", row)
         if isinstance(row, Reply):
             return row
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
@@ -140,6 +147,8 @@
         if len(names) != len(body.samples):
             return _bad(422, "duplicate_sample", "a sample stands twice in the Lot")
         row = self._terms(body.catalogue_entry, body.service)
+        if isinstance(row, NotRun):
+            return _lot_reply(_lot_not_run(body, row), "")
         if isinstance(row, Reply):
             return row
         if row.work_class != "rollout":
@@ -154,8 +163,7 @@
         if reply is None:
             return Reply(499, ErrorReply(error="caller_gone"))
         self._note(body.service, "lot", reply.status, started)
-        headers = {"X-Request-Id": holder, **_retry_header(reply.retry_after)}
-        return Reply(LOT_STATUSES[reply.status], reply, headers)
+        return _lot_reply(reply, holder)
 
     def acknowledge(self, call: Call) -> Reply:
         """End a Lot: its trainer has the whole answer."""
@@ -195,36 +203,33 @@
         text = self._parts.metrics.render_text()
         return Reply(200, text.encode(), content_type="text/plain; version=0.0.4")
 
-    def status(self, call: Call) -> Reply:
-        """Answer what an operator asks of an entry."""
+    def describe(self) -> dict[str, Any]:
+        """Return what an operator asks of an entry, as JSON data."""
         parts = self._parts
         sides = [
             view
             for service in sorted(parts.directory.services)
             for view in parts.directory.views(service)
         ]
-        return Reply(
-            200,
-            {
-                "name": parts.identity.name,
-                "incarnation": parts.identity.incarnation,
-                "leaving": self._leaving,
-                "in_flight": self.in_flight,
-                "catalogue_revision": parts.catalogue.revision,
-                "catalogue_age": parts.catalogue.age,
-                "bad_rows": parts.catalogue.bad_rows,
-                "sides": sides,
-                "metrics": parts.metrics.snapshot(),
-            },
-        )
+        return {
+            "name": parts.identity.name,
+            "incarnation": parts.identity.incarnation,
+            "leaving": self._leaving,
+            "in_flight": self.in_flight,
+            **parts.control.describe(),
+            "sides_behind": parts.directory.behind(),
+            "sides": sides,
+            "metrics": parts.metrics.snapshot(),
+        }
 
     # --- helpers -------------------------------------------------------------
 
-    def _terms(self, name: str, service: str) -> CatalogueEntry | Reply:
+    def _terms(self, name: str, service: str) -> CatalogueEntry | NotRun | Reply:
         """Return the catalogue entry if it may draw on `service`."""
-        if not self._parts.catalogue.loaded:
-            return _outcome_reply("", NotRun("catalogue_not_loaded", RETRY_SECONDS))
-        row = self._parts.catalogue.get(name)
+        starting = self._parts.control.starting
+        if starting:
+            return NotRun(starting, RETRY_SECONDS)
+        row = self._parts.control.catalogue.get(name)
         if row is None:
             return _bad(403, "no_such_catalogue_entry", name)
         if not row.enabled:
@@ -233,7 +238,8 @@
             if service not in self._parts.directory.services:
                 return _bad(404, "no_such_service", service)
             return _bad(403, "service_not_in_catalogue_entry", service)
-        return row
+        refusal = self._parts.control.membership.refusal(row.work_class)
+        return refusal or row
 
     def _work(
         self,
@@ -308,9 +314,7 @@
     def _not_ready(self) -> str:
         if self._leaving:
             return "leaving"
-        if not self._parts.catalogue.loaded:
-            return "catalogue_not_loaded"
-        return ""
+        return self._parts.control.starting
 
     @contextmanager
     def _caller(self) -> Iterator[NotRun | None]:
@@ -357,6 +361,11 @@
     return Reply(http_status(outcome), reply, headers)
 
 
+def _lot_reply(reply: LotReply, holder: str) -> Reply:
+    headers = {"X-Request-Id": holder, **_retry_header(reply.retry_after)}
+    return Reply(LOT_STATUSES[reply.status], reply, headers)
+
+
 def _lot_not_run(body: LotBody, refusal: NotRun | Expired) -> LotReply:
     return LotReply(
         trainer=body.trainer,
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -6,27 +6,33 @@
     ├── server        callers, trainers and operators, one pool thread for each
     ├── vm_list       polls the VM list
     ├── catalogue     follows the catalogue
+    ├── members       follows the other entries' leases
+    ├── polling       asks other entries for what was missed
+    ├── joining       keeps this entry's lease
     └── peers         one task for each side
 """
 
 import logging
 import uuid
 
-from wigeonfront import catalogue, logs
+from wigeonfront import logs
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.entry.admission import EntryAdmission
-from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.control import Control, ControlSettings
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Dispatcher
+from wigeonfront.entry.explain import DecisionLog
 from wigeonfront.entry.lots import Lots
+from wigeonfront.entry.member_calls import HttpMemberCalls
+from wigeonfront.entry.operators import OperatorParts, Operators
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
 from wigeonfront.entry.slots import SlotView
-from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
 from wigeonfront.platform.key_value import HttpKeyValue
+from wigeonfront.platform.metered import MeteredKeyValue
 from wigeonfront.platform.vm_list import HttpVmList
 from wigeonfront.policy.limits import Grant, LimitEnforcer
 from wigeonfront.settings import EntrySettings
@@ -54,13 +60,28 @@
         self._clock = clock or SystemClock()
         self._identity = Identity(settings.name, uuid.uuid4().hex[:12])
         self._supervisor = Supervisor("entry", self._clock)
-        self._key_value = HttpKeyValue(settings.key_value)
+        self._metrics = Registry()
+        self._key_value = MeteredKeyValue(
+            HttpKeyValue(settings.key_value), self._metrics
+        )
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
-        self._catalogue = Catalogue(self._clock, self._follow_catalogue)
-        self._watch = PrefixWatch(
-            catalogue.PREFIX, self._catalogue, self._key_value, self._clock
+        self._control = Control(
+            self._identity,
+            ControlSettings(
+                str(settings.advertise),
+                settings.failure_domain,
+                settings.lease_seconds,
+                settings.freshness_seconds,
+            ),
+            self._key_value,
+            HttpMemberCalls(),
+            self._clock,
+            self._follow_catalogue,
+            self._listed_entries,
+            lambda: self._directory.behind(),
         )
+        self._catalogue = self._control.catalogue
         announcements = Announcements()
         self._directory = Directory(
             self._supervisor.child("peers"),
@@ -90,19 +111,22 @@
                 identity=self._identity,
                 clock=self._clock,
                 max_callers=settings.threads,
-                catalogue=self._catalogue,
+                control=self._control,
                 admission=EntryAdmission(self._limits, self._clock),
                 directory=self._directory,
                 announcements=announcements,
                 requests=requests,
                 lots=lots,
                 slots=slots,
-                metrics=Registry(),
+                metrics=self._metrics,
                 supervisor=self._supervisor,
             )
         )
         application = Application(settings.max_body_bytes)
         self._server.caller_routes(application)
+        self._control.server.routes(application)
+        self._decisions = DecisionLog(settings.name)
+        self._operators().routes(application)
         threads = settings.threads + settings.control_threads
         self._http = Server(str(settings.listen), application, threads)
 
@@ -112,7 +136,9 @@
         start = self._supervisor.start
         start("server", self._http.run)
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
-        start("catalogue", self._watch.run)
+        for name, task in self._control.tasks().items():
+            start(name, task)
+        logging.getLogger().addHandler(self._decisions)
         logs.event(
             logger,
             "started",
@@ -120,7 +146,7 @@
             incarnation=self._identity.incarnation,
             address=self._settings.listen,
         )
-        while not stop.wait(0.2):
+        while not stop.wait(0.2) and not self._server.leaving:
             if self._supervisor.failed:
                 return EXIT_FAILED
         self._drain()
@@ -130,6 +156,7 @@
         """Answer every caller, then stop."""
         self._server.leave()
         self._http.close_kept_alive()
+        self._control.leave()
         self._clock.sleep(LEAVING_SECONDS)
         wait_until(
             lambda: self._server.in_flight == 0,
@@ -137,16 +164,36 @@
             self._clock,
             "callers",
         )
+        self._control.end()
         self._http.close()
         self._supervisor.stop()
+        logging.getLogger().removeHandler(self._decisions)
         logs.event(logger, "stopped", role="entry")
 
+    def _operators(self) -> Operators:
+        control = self._control
+        return Operators(
+            OperatorParts(
+                catalogue=control.catalogue,
+                editor=control.editor,
+                history=control.history,
+                directory=self._directory,
+                decisions=self._decisions,
+                status=self._server.describe,
+                drain=self._server.leave,
+            )
+        )
+
     def _follow_catalogue(self) -> None:
         """Put the limits of the catalogue in force."""
         for name, row in self._catalogue.rows().items():
             limits = row.limits
             self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
 
+    def _listed_entries(self) -> list[str] | None:
+        listed = self._directory.vms
+        return [vm.name for vm in listed if vm.role == "entry"] if listed else None
+
     def _listed_sides(self, service: str) -> list[str]:
         return [
             vm.name
--- a/src/wigeonfront/side/supervisor.py
+++ b/src/wigeonfront/side/supervisor.py
@@ -93,7 +93,7 @@
             address=self._settings.listen,
             service=self._settings.service,
         )
-        while not stop.wait(0.2):
+        while not stop.wait(0.2) and not self._server.leaving:
             if self._supervisor.failed:
                 return EXIT_FAILED
         self._drain()
