--- a/src/wigeonfront/catalogue.py
+++ b/src/wigeonfront/catalogue.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
+from wigeonfront.coordination.settled import WRITER
 from wigeonfront.messages import Count, Message, Name, WorkClass
 
 PREFIX = "catalogue/"
 DEFAULT_WAVE = 0.34
-EDIT_FIELD = "edit"
 
 
 class Limits(Message, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -55,8 +55,8 @@
         Share of a service's engines that may load weights at once.
     enabled : bool
         ``False`` refuses all new work of the entry.
-    edit : str
-        Identifier of the edit that wrote the row, set by the entry that takes it.
+    writer : str
+        Identifier of the write, set by the entry that takes the edit.
     """
 
     owner: Name
@@ -67,7 +67,7 @@
     bound: Count | None = None
     wave: Annotated[float, msgspec.Meta(gt=0, le=1)] = DEFAULT_WAVE
     enabled: bool = True
-    edit: str = ""
+    writer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,22 +88,11 @@
     return entry
 
 
-def with_edit(row: bytes, edit: str) -> bytes:
-    """Return a good row marked with the edit that writes it."""
-    return msgspec.json.encode(msgspec.json.decode(row) | {EDIT_FIELD: edit})
-
-
-def without_edit(row: bytes | None) -> Any:
-    """Return a row as JSON data without its mark; ``None`` for no row."""
+def plain(row: bytes | None) -> Any:
+    """Return a row as JSON data without its writer; ``None`` for no row."""
     if row is None:
         return None
     data = msgspec.json.decode(row)
     if isinstance(data, dict):
-        data.pop(EDIT_FIELD, None)
+        data.pop(WRITER, None)
     return data
-
-
-def edit_of(row: bytes) -> str:
-    """Return the mark of the edit that wrote a row, or an empty string."""
-    entry = check(row)
-    return "" if isinstance(entry, BadRow) else entry.edit
--- a/src/wigeonfront/entry/control.py
+++ b/src/wigeonfront/entry/control.py
@@ -13,8 +13,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from wigeonfront import catalogue as rows
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.lease import LeaseHolder
 from wigeonfront.entry import members
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.confirmation import Confirmation
@@ -22,13 +25,13 @@
 from wigeonfront.entry.edits import Editor
 from wigeonfront.entry.history import History
 from wigeonfront.entry.joining import Joining
-from wigeonfront.entry.lease import MembershipLease
 from wigeonfront.entry.member_calls import MemberCalls, MemberRow
 from wigeonfront.entry.member_server import MemberServer
 from wigeonfront.entry.members import Member, MemberView
 from wigeonfront.entry.membership import Membership
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.polling import Polling
+from wigeonfront.entry.renewals import RelayedKeyValue
 from wigeonfront.entry.watch import PrefixWatch, WatchTiming
 from wigeonfront.platform import KeyValue
 from wigeonfront.supervisor import Run
@@ -96,16 +99,24 @@
         self.catalogue = Catalogue(clock, on_catalogue)
         self.view = MemberView(identity.name, clock, listed)
         self.contacts = Contacts(clock, settings.lease)
-        row = MemberRow(
+        self._row = MemberRow(
             address=settings.address,
             incarnation=identity.incarnation,
             failure_domain=settings.failure_domain,
         )
-        self.lease = MembershipLease(
-            identity.name, row, key_value, clock, settings.lease
+        relay = RelayedKeyValue(
+            identity.name, key_value, self.view, self.contacts, calls, jitter
+        )
+        self.holder = LeaseHolder(
+            relay,
+            clock,
+            members.PREFIX + identity.name,
+            msgspec.to_builtins(self._row),
+            settings.lease,
+            jitter,
         )
         self.membership = Membership(
-            self.lease,
+            self.holder,
             self.view,
             self.contacts,
             self.catalogue,
@@ -140,18 +151,14 @@
             jitter,
         )
         self.joining = Joining(
-            identity.name,
-            self.lease,
+            self.holder,
+            relay,
             self.membership,
             self.view,
             self.members_watch,
             self.catalogue_watch,
             self.catalogue,
-            self.contacts,
             self.polling,
-            calls,
-            clock,
-            settings.lease,
             jitter,
         )
         self.confirmation = Confirmation(
@@ -221,11 +228,12 @@
     def leave(self) -> None:
         """Say to all that this entry admits nothing new any more."""
         self.membership.leave()
-        self.lease.leave()
+        leaving = msgspec.structs.replace(self._row, leaving=True)
+        self.holder.fenced_write(msgspec.to_builtins(leaving))
 
     def end(self) -> None:
         """Give the lease back."""
-        self.lease.end()
+        self.holder.release()
 
 
 def _described(member: Member, heard: Heard | None, now: float) -> dict[str, Any]:
--- a/src/wigeonfront/entry/edits.py
+++ b/src/wigeonfront/entry/edits.py
@@ -8,14 +8,14 @@
 
 import logging
 import re
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from wigeonfront import catalogue
-from wigeonfront.catalogue import BadRow, edit_of, with_edit, without_edit
+from wigeonfront.catalogue import BadRow, plain
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.settled import new_writer, settled_put, writer_of
 from wigeonfront.differences import FieldChange, changes
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.confirmation import Confirmation, InForce
@@ -150,9 +150,8 @@
         refused = self._refused()
         if refused is not None:
             return refused
-        marked = with_edit(row, f"{uuid.uuid4().hex[:16]}@{expected}")
-        written = self._write(name, marked, expected)
-        return self._finish(name, marked, written, operator, wait)
+        written = self._put(name, row, expected)
+        return self._finish(name, row, written, operator, wait)
 
     def delete(
         self, name: str, expected: int, operator: str, wait: float
@@ -161,7 +160,7 @@
         refused = self._refused()
         if refused is not None:
             return refused
-        written = self._write(name, None, expected)
+        written = self._delete(name, expected)
         return self._finish(name, None, written, operator, wait)
 
     def confirm(self, name: str, wait: float = 0.0) -> EditOutcome:
@@ -194,7 +193,7 @@
             return self._conflict(name, row)
         before = self._catalogue.known(name)
         self._catalogue.write(name, row, written.revision)
-        if before is not None and before.value and not edit_of(before.value):
+        if before is not None and before.value and not writer_of(before.value):
             # It was written past the entries, so that no one has recorded it.
             self._history.record(name, before.value, before.revision, "")
         self._history.record(name, row, written.revision, operator)
@@ -210,54 +209,51 @@
         present = self._key_value.get(catalogue.PREFIX + name)
         if isinstance(present, Unavailable):
             return EditRefused("conflict", f"their row is unknown: {present.reason}")
-        theirs = without_edit(present.value) if isinstance(present, Row) else None
+        theirs = plain(present.value) if isinstance(present, Row) else None
         revision = present.revision if isinstance(present, Row) else 0
-        ours = without_edit(row)
+        ours = plain(row)
         return EditConflict(revision, theirs, tuple(changes(theirs or {}, ours or {})))
 
     # --- writes whose answers may be lost ------------------------------------
 
-    def _write(
-        self, name: str, row: bytes | None, expected: int
+    def _put(
+        self, name: str, row: bytes, expected: int
     ) -> StoredRow | Conflict | Unavailable | Uncertain:
-        """Write by compare-and-swap until it is known how that ended.
-
-        An attempt whose answer was lost is made again: it can't take effect twice,
-        and a conflict then says that it has, or that somebody else was first.
-        """
         key = catalogue.PREFIX + name
-        lost = False
-        for _ in range(WRITE_ATTEMPTS):
-            if row is None:
-                written = self._key_value.delete(key, expected)
-            else:
-                written = self._key_value.put(key, row, expected)
-            if isinstance(written, Conflict) and lost:
-                written = self._settle(key, row, expected)
-            elif isinstance(written, Uncertain):
-                lost = True
-                written = Unavailable(written.reason)
-            if not lost or not isinstance(written, Unavailable):
-                return written
+        writer = new_writer()
+        written = Uncertain("")
+        for attempt in range(WRITE_ATTEMPTS):
+            written = settled_put(
+                self._key_value,
+                key,
+                plain(row),
+                expected,
+                since=self._catalogue.revision,
+                writer=writer,
+                resume=attempt > 0,
+            )
+            if not isinstance(written, Uncertain):
+                break
             self._clock.sleep(RETRY_SECONDS)
-        return Uncertain("the key-value service lost the answer")
+        return written
 
-    def _settle(
-        self, key: str, row: bytes | None, expected: int
+    def _delete(
+        self, name: str, expected: int
     ) -> StoredRow | Conflict | Unavailable | Uncertain:
-        """Tell by the row's mark whose write came after `expected`."""
-        present = self._key_value.get(key)
-        if isinstance(present, Unavailable):
-            return present
-        if isinstance(present, Absent):
-            deleted = row is None and expected > 0
-            return StoredRow(present.revision) if deleted else Uncertain("row deleted")
-        mark = edit_of(present.value)
-        if row is not None and mark == edit_of(row):
-            return StoredRow(present.revision)
-        if mark.endswith(f"@{expected}"):
-            return Conflict(present.revision)
-        return Uncertain("superseded by a later edit")
+        """Delete until it is known how that ended; it can't take effect twice."""
+        key = catalogue.PREFIX + name
+        written = self._key_value.delete(key, expected)
+        for _ in range(WRITE_ATTEMPTS):
+            if not isinstance(written, Uncertain):
+                break
+            self._clock.sleep(RETRY_SECONDS)
+            present = self._key_value.get(key)
+            if isinstance(present, Absent):
+                return StoredRow(present.revision)
+            if isinstance(present, Row):
+                again = self._key_value.delete(key, expected)
+                written = Uncertain("") if isinstance(again, Unavailable) else again
+        return written
 
 
 def _log(name: str, row: bytes | None, written: object, operator: str) -> None:
--- a/src/wigeonfront/entry/history.py
+++ b/src/wigeonfront/entry/history.py
@@ -11,12 +11,12 @@
 
 import msgspec
 
-from wigeonfront.catalogue import without_edit
+from wigeonfront.catalogue import plain
 from wigeonfront.clock import Clock
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.logs import event
 from wigeonfront.messages import Message
-from wigeonfront.platform import KeyValue, Listing, Row, Stored, Unavailable
+from wigeonfront.platform import Conflict, KeyValue, Listing, Row, Stored, Unavailable
 
 logger = logging.getLogger(__name__)
 
@@ -84,13 +84,15 @@
         """Keep one version; a failure is logged and leaves a gap."""
         version = Version(
             revision=revision,
-            row=without_edit(row),
+            row=plain(row),
             operator=operator,
             entry=self._entry,
             time=self._clock.time(),
         )
         key = f"{PREFIX}{name}/{revision}"
-        stored = self._key_value.put(key, msgspec.json.encode(version))
+        stored = self._key_value.put(key, msgspec.json.encode(version), expected=0)
+        if isinstance(stored, Conflict):
+            return  # It was recorded before.
         if not isinstance(stored, Stored):
             event(logger, "history_gap", catalogue_entry=name, revision=revision)
         elif self._random.randrange(PRUNE_ONE_IN) == 0:
@@ -104,7 +106,7 @@
         versions = {one.revision: one for one in map(_decoded, listing.rows) if one}
         known = self._catalogue.known(name)
         if known is not None and not known.deleted:
-            present = Version(revision=known.revision, row=without_edit(known.value))
+            present = Version(revision=known.revision, row=plain(known.value))
             versions.setdefault(known.revision, present)
         return [versions[revision] for revision in sorted(versions)]
 
--- a/src/wigeonfront/entry/member_calls.py
+++ b/src/wigeonfront/entry/member_calls.py
@@ -39,8 +39,6 @@
     incarnation : str
         Of the process; a restarted entry has another.
     failure_domain : str
-    lease : int
-        The lease that the row is bound to.
     leaving : bool
         It admits nothing new any more.
     """
@@ -48,7 +46,6 @@
     address: str
     incarnation: str
     failure_domain: str = ""
-    lease: int = 0
     leaving: bool = False
 
 
--- a/src/wigeonfront/entry/membership.py
+++ b/src/wigeonfront/entry/membership.py
@@ -24,6 +24,8 @@
 logger = logging.getLogger(__name__)
 
 RETRY_SECONDS = 1.0
+JUMP_SECONDS = 2.0
+"""By so much may the machine's two clocks move apart between two renewals."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +51,8 @@
 class HeldLease(Protocol):
     """What is asked of the lease."""
 
-    @property
-    def held(self) -> bool:
-        """Whether the lease is certainly not lapsed, by this entry's own clock."""
+    def check(self) -> bool:
+        """Tell whether the lease has certainly not lapsed, by this entry's clock."""
 
 
 class Membership:
@@ -89,14 +90,21 @@
         self._cut_off = False
         self._in_touch = False
         self._leaving = False
+        self._replaced = False
         self._logged = Standing("fenced", "starting")
+        self._offset = self._clock_offset()
 
     @property
     def standing(self) -> Standing:
         """What this entry may do now."""
-        if self._lease.held and self._caught_up:
+        if self._replaced:
+            return Standing("fenced", "replaced")
+        held = self._lease.check()
+        if held and self._clock_jumped():
+            return Standing("fenced", "clock_jump")
+        if held and self._caught_up:
             return self._fresh(self._catalogue.age, "member", "lease")
-        if self._lease.held and not self._cut_off:
+        if held and not self._cut_off:
             return Standing("fenced", "catching_up")
         if not self._cut_off:
             return Standing("fenced", "lease_lapsed")
@@ -143,8 +151,13 @@
         """Note that the lease is gone, or that a new one was granted."""
         self._note(caught_up=False)
 
+    def replaced(self) -> None:
+        """Note that another process has taken this entry's row for good."""
+        self._note(replaced=True)
+
     def renewed(self, in_touch: bool) -> None:
         """Note a renewal; not `in_touch` if another entry had to ask for it."""
+        self._offset = self._clock_offset()
         self._note(in_touch=in_touch, cut_off=self._cut_off and not self._caught_up)
 
     def unanswered(self) -> None:
@@ -159,6 +172,16 @@
         """Note that the entry admits nothing new any more."""
         self._leaving = True
 
+    def _clock_offset(self) -> float:
+        return self._clock.time() - self._clock.monotonic()
+
+    def _clock_jumped(self) -> bool:
+        """Tell whether the two clocks moved apart since the last renewal.
+
+        The monotonic clock of a VM that was suspended may have stood still.
+        """
+        return abs(self._clock_offset() - self._offset) > JUMP_SECONDS
+
     def _fresh(self, age: float, name: StandingName, reason: str) -> Standing:
         if age > self._freshness_seconds:
             return Standing("fenced", "catalogue_not_fresh")
--- a/src/wigeonfront/entry/operators.py
+++ b/src/wigeonfront/entry/operators.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from wigeonfront.catalogue import without_edit
+from wigeonfront.catalogue import plain
 from wigeonfront.entry.configuration import Catalogue, KnownRow
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.edits import (
@@ -198,13 +198,13 @@
     described = {
         "entry": row.name,
         "revision": row.revision,
-        "row": without_edit(row.value),
+        "row": plain(row.value),
         "state": "bad" if row.reason else "in_force",
     }
     if row.reason:
         described["reason"] = row.reason
         described["in_force_revision"] = row.in_force
-        described["in_force_row"] = without_edit(row.good)
+        described["in_force_row"] = plain(row.good)
     return described
 
 
