Expected wait is corrected by how far predictions have been off

Change: the queue keeps the ratio of real to predicted tokens per class and corrects its expected wait by it; a stopped item's unused tokens go back to its trainer's account; slack decides within 128 tokens, not 512.

--- a/benchmarks/policy/engine.py
+++ b/benchmarks/policy/engine.py
@@ -134,10 +134,11 @@
         self._advance()
         self.loading = False
         self.version = version
+        self._cache.clear()
+        if version < 0:
+            self._cut_all()
         for job in self._running.values():
             job.versions.append(version)
-        if version >= 0:
-            self._cache.clear()
         self._schedule()
         loaded()
 
@@ -146,12 +147,15 @@
         self._advance()
         self.up = False
         self._cache.clear()
+        self._cut_all()
+        self._schedule()
+        self._loop.after(seconds, self._recover)
+
+    def _cut_all(self) -> None:
         cut = list(self._running.values())
         self._running.clear()
         for job in cut:
             job.ended(job, False)
-        self._schedule()
-        self._loop.after(seconds, self._recover)
 
     def _recover(self) -> None:
         self._advance()
--- a/benchmarks/policy/experiments.py
+++ b/benchmarks/policy/experiments.py
@@ -117,8 +117,9 @@
 def greedy(seed: int) -> list[Scenario]:
     """Return a trainer that sends five large Lots at once, beside a small one."""
     frames, poses = HRAUNBOK.trainers
-    flood = replace(frames, groups=32, ahead=5, weight=1.0, timeout=180.0)
-    deployment = replace(HRAUNBOK, trainers=(flood, poses))
+    flood = replace(frames, groups=32, ahead=5, weight=1.0, timeout=120.0)
+    modest = replace(poses, timeout=120.0)
+    deployment = replace(HRAUNBOK, trainers=(flood, modest))
     return [Scenario("greedy trainer", deployment, seed)]
 
 
--- a/src/wigeonfront/policy/admission.py
+++ b/src/wigeonfront/policy/admission.py
@@ -211,6 +211,7 @@
         self._trainer_queues: dict[str, _ClassQueue] = {}
         self._fair = FairShare(weights=weights)
         self._token_seconds = 0.0
+        self._length_ratios = dict.fromkeys(CLASSES, 1.0)
         self.configure(capacity, headroom, limits, weights or {})
 
     def configure(
@@ -356,7 +357,9 @@
             del self._items[item.id]
             self._running_by_class[item.work_class] -= 1
             seconds = self._clock.monotonic() - (item.started or 0.0)
-            if tokens is not None:
+            if tokens is None:
+                self._refund(item)
+            else:
                 self._measure(item, tokens, seconds)
             self._changed.notify_all()
             return seconds
@@ -401,7 +404,8 @@
             return NotRun("swapping", MIN_RETRY_AFTER)
         if self._queued(item.work_class) >= self._limits[item.work_class].queue:
             return NotRun("queue_full", _clamped(wait))
-        service = item.tokens * self._token_seconds
+        expected = item.tokens * self._length_ratios[item.work_class]
+        service = expected * self._token_seconds
         late = wait + service - (item.deadline - now)
         if late > 0 and wait > 0:
             return NotRun("expected_wait", _clamped(late))
@@ -416,12 +420,12 @@
             return 0.0
         if item.work_class != PREEMPTIBLE:
             rank = CLASSES.index(item.work_class)
-            ahead = sum(self._queued_tokens(c) for c in CLASSES[: rank + 1])
+            ahead = sum(self._expected_tokens(c) for c in CLASSES[: rank + 1])
             return ahead / slots
         share = self._share_of(item.trainer)
-        urgent = sum(self._queued_tokens(c) for c in CLASSES[:-1])
+        urgent = sum(self._expected_tokens(c) for c in CLASSES[:-1])
         queue = self._trainer_queues.get(item.trainer)
-        own = queue.tokens if queue else 0.0
+        own = queue.tokens * self._length_ratios[PREEMPTIBLE] if queue else 0.0
         return (urgent + own / share) / slots
 
     def _share_of(self, trainer: str) -> float:
@@ -461,6 +465,14 @@
             return sum(queue.tokens for queue in self._trainer_queues.values())
         return self._queues[work_class].tokens
 
+    def _expected_tokens(self, work_class: WorkClass) -> float:
+        """Tokens waiting, corrected by how far predictions have been off.
+
+        Callers may predict with `max_tokens`, several times the real length; taken
+        at its word that would refuse work that could well be done in time.
+        """
+        return self._queued_tokens(work_class) * self._length_ratios[work_class]
+
     def _may_start(self, work_class: WorkClass) -> bool:
         """Tell whether a slot is free that no other class keeps for itself."""
         limit = self._limits[work_class].concurrency
@@ -513,11 +525,20 @@
         for item in dropped:
             self._on_expired(item, Expired(started=False))
 
+    def _refund(self, item: AdmissionItem) -> None:
+        """Give the trainer back what a stopped item has not used."""
+        if item.work_class == PREEMPTIBLE:
+            left = self._tokens_left(item, self._clock.monotonic())
+            self._fair.charge(item.trainer, -left)
+
     def _measure(self, item: AdmissionItem, tokens: float, seconds: float) -> None:
         if item.work_class == PREEMPTIBLE:
             self._fair.charge(item.trainer, tokens - item.tokens)
         if tokens <= 0:
             return
+        ratio = self._length_ratios[item.work_class]
+        ratio += RATE_SMOOTHING * (tokens / item.tokens - ratio)
+        self._length_ratios[item.work_class] = ratio
         sample = seconds / tokens
         change = RATE_SMOOTHING if self._token_seconds else 1.0
         self._token_seconds += change * (sample - self._token_seconds)
--- a/src/wigeonfront/policy/fairness.py
+++ b/src/wigeonfront/policy/fairness.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Mapping
 
-QUANTUM_TOKENS = 512.0
+QUANTUM_TOKENS = 128.0
 """Tokens of lead, per unit of weight, within which slack decides."""
 
 
