A load order whose connection goes silent is settled by the engine's state

Found by the fault matrix, cell swap-ordered/silent-target: 'all sides serving' was not reached within 30 s. Cause: the order was one HTTP call with a read timeout of 120 s; when its connection went silent for good, the side waited it out with its engine out of service, though the engine had loaded in 0.2 s.

Now the order's answer is awaited for 2 s, then the engine's state is read over new connections until it is no longer loading (bounded by LOAD_SECONDS). An order that never arrived reads back the old version and is tried again.

--- a/src/wigeonfront/side/weights.py
+++ b/src/wigeonfront/side/weights.py
@@ -31,7 +31,11 @@
 STATE_SECONDS = 1.0
 STORE_SECONDS = 30.0
 VM_LIST_SECONDS = 30.0
+# An order's answer is waited for so long; then the engine's state tells the rest,
+# because the order's connection may have gone silent.
+ORDER_SECONDS = 2.0
 LOAD_SECONDS = 120.0
+LOADING_CHECK_SECONDS = 0.25
 LOST_STATE_LIMIT = 3
 SMOOTHING = 0.3
 DRAIN_CHECK_SECONDS = 0.05
@@ -169,8 +173,8 @@
         self._execution.hold("swapping")
         self._drain()
         started = self._clock.monotonic()
-        result = self._engine.load(swap.version, fencing, LOAD_SECONDS)
-        state = self._engine.state()
+        result = self._engine.load(swap.version, fencing, ORDER_SECONDS)
+        state = self._await_loaded()
         self._note_state(state)
         self._execution.release()
         proved = state is not None and state.version >= swap.version
@@ -189,6 +193,15 @@
             with self._lock:
                 self._schedule.failed()
 
+    def _await_loaded(self) -> EngineState | None:
+        """Return the engine's state once it doesn't load, or after `LOAD_SECONDS`."""
+        deadline = self._clock.monotonic() + LOAD_SECONDS
+        state = self._engine.state()
+        while _is_loading(state) and self._clock.monotonic() < deadline:
+            self._clock.sleep(LOADING_CHECK_SECONDS)
+            state = self._engine.state()
+        return state
+
     def _drain(self) -> None:
         """Let interactive and booking work at the engine end, within bounds."""
         since = self._clock.monotonic()
@@ -233,3 +246,7 @@
 
     def _is_member(self, vm: Vm) -> bool:
         return vm.role == "side" and vm.service == self._service and not vm.leaving
+
+
+def _is_loading(state: EngineState | None) -> bool:
+    return state is not None and state.loading is not None
