Refusals of a repeated key don't speak for its earlier submissions

The entry now adds the warning to every refusal of a non-idempotent key whose submission isn't said to be the first, wherever the refusal arises.

The client gave up on a warned refusal at once, which would now lose bookings without need: with its key a request may always be sent again. It now does so within its deadline, unless retry_after lies beyond it, and goes on calling its submission the first until one may have run. One row of REQUEST_TABLE asserted the giving up ([Lost, WARNED, COMPLETED] -> Unknown after 2 calls); it is replaced by four rows: the warned refusal is repeated, and one whose retry_after lies beyond the deadline still ends as Unknown at once. 3 tests fail without the change.

--- a/benchmarks/fault_bench.py
+++ b/benchmarks/fault_bench.py
@@ -19,7 +19,7 @@
 import msgspec
 from tests import histories
 
-from quickstart.cluster import WEIGHT_STORE, Cluster, Options
+from quickstart.cluster import KEY_VALUE, WEIGHT_STORE, Cluster, Options
 from quickstart.processes import HOST, ClusterError
 from standins.deployment import Deployment, Service
 from standins.history import History, digest
@@ -35,12 +35,12 @@
     Sample,
     TrainerClient,
 )
+from wigeonfront.coordination import slots
 from wigeonfront.http import parse_address
 from wigeonfront.outcomes import Outcome
 
 ENTRY, OTHER = "entry-1", "entry-2"
 ENGINE, PLAIN = "judge-llm", "order-desk"
-SIDES = (f"{ENGINE}-1", f"{PLAIN}-1")
 TRAINER = "trainer"
 CALLER = "caller"
 ROLLOUTS, BOOKINGS, PAGES = "rollouts", "bookings", "pages"
@@ -120,6 +120,7 @@
         self.histories = folder / "history"
         self.recorder = self.history("injector")
         self.version = 1
+        self.victims: tuple[str, str] = (f"{ENGINE}-1", f"{PLAIN}-1")
         self._callers: dict[str, Relay] = {}
         self._stopped: set[str] = set()
         self._known: set[histories.Violation] = set()
@@ -155,6 +156,28 @@
         """Where callers reach the entries."""
         return [self.address(entry) for entry in self.cluster.entries]
 
+    def aim(self, work: str) -> None:
+        """Make the owners of a `Work`'s Lot and first booking the victims."""
+        keys = {ENGINE: f"{TRAINER}/{work}", PLAIN: f"{BOOKINGS}/{work}-0"}
+        self.wait(lambda: all(self._owner(*each) for each in keys.items()), "owners")
+        lot_owner, booking_owner = (self._owner(*each) for each in keys.items())
+        self.victims = lot_owner, booking_owner
+
+    def _owner(self, service: str, key: str) -> str:
+        """Return the side that owns a key, or an empty string."""
+        path = f"/kv?key={slots.PREFIX}{service}"
+        row = self.cluster.request(KEY_VALUE, "GET", path)
+        if row.status != 200:
+            return ""
+        table = slots.decode(msgspec.json.encode(row.body["value"]))
+        slot = table.slots[table.slot_of(key)]
+        return "" if slot.moving or not slot.incarnation else slot.owner
+
+    @property
+    def targets(self) -> tuple[str, str]:
+        """The targets beside the victims."""
+        return tuple(f"target-{side}" for side in self.victims)
+
     # --- faults of processes --------------------------------------------------
 
     def kill(self, *names: str) -> None:
@@ -260,11 +283,12 @@
                     self.cluster.fault(name, kind="none")
 
     def settle(self) -> None:
-        """Heal, start what has ended, and wait until all sides serve all entries."""
+        """Heal, start what has ended, and wait until all sides serve and are idle."""
         self.heal()
         ended = [name for name in self.cluster.names if not self.cluster.alive(name)]
         self.restart(*ended)
         self.wait(self._serving, "all sides serving", READY_SECONDS)
+        self.wait(self._idle, "all sides idle", READY_SECONDS)
         self._healed("network")
         for name in self.cluster.names:
             self._healed(name)
@@ -280,6 +304,12 @@
             return False
         return True
 
+    def _idle(self) -> bool:
+        return not any(
+            sum(self.load(service.name).values())
+            for service in self.deployment.services
+        )
+
     # --- what happened --------------------------------------------------------
 
     def wait(
@@ -448,6 +478,11 @@
             address = self._bench.address(entry)
             record_lot_post(self._trainer, address, TRAINER, again, POST_SECONDS, entry)
 
+    @property
+    def requests_ended(self) -> bool:
+        """Whether every request sent so far has ended."""
+        return all(each.done() for sent in [*self._sent, self._others] for each in sent)
+
     def join(self) -> Ends:
         """Wait for every end; the entries' and the client's own bounds apply."""
         for each in self.also:
--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -9,26 +9,24 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from tests import histories
+
 from benchmarks.fault_bench import (
     CAPACITY,
     ENGINE,
     ENTRY,
     OTHER,
     PLAIN,
-    SIDES,
     Bench,
     Ends,
     Work,
     page,
 )
-from tests import histories
-
 from quickstart.cluster import KEY_VALUE, WEIGHT_STORE
 from standins.recording import LOST
 from wigeonfront.client import LotAnswered
 from wigeonfront.outcomes import Completed
 
-TARGETS = tuple(f"target-{side}" for side in SIDES)
 HOLD_SECONDS = 1.5
 RUN_SECONDS = 1.0
 LONG_TOKENS = 64
@@ -42,35 +40,41 @@
 
 
 def _lose_answers(bench: Bench) -> None:
-    for target, path in zip(TARGETS, ("/generate", "/call"), strict=True):
+    for target, path in zip(bench.targets, ("/generate", "/call"), strict=True):
         bench.order(target, kind="lost_answer", path_prefix=path, count=2)
     bench.order(KEY_VALUE, kind="lost_answer", path_prefix="/kv/put", count=1)
 
 
 def _half_swap(bench: Bench) -> None:
-    bench.order(TARGETS[0], kind="half_load", count=1)
+    bench.order(bench.targets[0], kind="half_load", count=1)
     bench.publish()
     bench.announce(OTHER)
 
 
 def _slow(bench: Bench) -> None:
-    bench.delay(bench.relays(*SIDES) + bench.target_relays(*SIDES), SLOW_SECONDS)
+    bench.delay(
+        bench.relays(*bench.victims) + bench.target_relays(*bench.victims), SLOW_SECONDS
+    )
 
 
 FAULTS: dict[str, Callable[[Bench], None]] = {
     "none": lambda bench: None,
     "kill-entry": lambda bench: bench.kill(ENTRY),
-    "kill-side": lambda bench: bench.kill(*SIDES),
-    "kill-target": lambda bench: bench.kill(*TARGETS),
+    "kill-side": lambda bench: bench.kill(*bench.victims),
+    "kill-target": lambda bench: bench.kill(*bench.targets),
     "freeze-entry": lambda bench: bench.freeze(ENTRY),
-    "freeze-side": lambda bench: bench.freeze(*SIDES),
-    "freeze-target": lambda bench: bench.freeze(*TARGETS),
-    "cut": lambda bench: bench.cut(bench.relays(*SIDES)),
-    "partition": lambda bench: bench.partition(bench.relays(*SIDES)),
-    "silent-results": lambda bench: bench.silence(bench.relays(*SIDES), True),
-    "silent-dispatches": lambda bench: bench.silence(bench.relays(*SIDES), False),
-    "cut-target": lambda bench: bench.cut(bench.target_relays(*SIDES)),
-    "silent-target": lambda bench: bench.silence(bench.target_relays(*SIDES), True),
+    "freeze-side": lambda bench: bench.freeze(*bench.victims),
+    "freeze-target": lambda bench: bench.freeze(*bench.targets),
+    "cut": lambda bench: bench.cut(bench.relays(*bench.victims)),
+    "partition": lambda bench: bench.partition(bench.relays(*bench.victims)),
+    "silent-results": lambda bench: bench.silence(bench.relays(*bench.victims), True),
+    "silent-dispatches": lambda bench: bench.silence(
+        bench.relays(*bench.victims), False
+    ),
+    "cut-target": lambda bench: bench.cut(bench.target_relays(*bench.victims)),
+    "silent-target": lambda bench: bench.silence(
+        bench.target_relays(*bench.victims), True
+    ),
     "slow": _slow,
     "lost-answer": _lose_answers,
     "kv-outage": lambda bench: bench.order(KEY_VALUE, kind="down", close=True),
@@ -110,7 +114,11 @@
     """Inject while requests run at their targets and samples at the engines."""
     work = Work(bench, name, RUN_SECONDS, tokens=LONG_TOKENS)
     work.send()
-    bench.wait(lambda: bench.ran(work.request_digests) == 5, "requests running")
+
+    def reached() -> bool:
+        return bench.ran(work.request_digests) == 5 or work.requests_ended
+
+    bench.wait(reached, "requests running")
     bench.wait(lambda: bench.ran(work.sample_digests) > 0, "samples running")
     inject()
     return work
@@ -156,7 +164,7 @@
 
 def swap_read_back(bench: Bench, name: str, inject: Inject) -> Work:
     """Inject when an engine has loaded, before its side reads its state back."""
-    bench.order(TARGETS[0], kind="slow", path_prefix="/state", delay=SLOW_SECONDS)
+    bench.order(bench.targets[0], kind="slow", path_prefix="/state", delay=SLOW_SECONDS)
     return _swapping(bench, name, inject, "loaded")
 
 
@@ -174,7 +182,7 @@
     """Inject during a planned stop of sides, with requests running."""
 
     def stop() -> None:
-        bench.stop(*SIDES)
+        bench.stop(*bench.victims)
         inject()
 
     return running(bench, name, stop)
@@ -182,7 +190,12 @@
 
 def _wait_all_ran(bench: Bench, work: Work) -> None:
     own = work.request_digests | work.sample_digests
-    bench.wait(lambda: bench.ran(own, "execute_end") == len(own), "all ran")
+
+    def reached() -> bool:
+        ran = bench.ran(own, "execute_end") == len(own)
+        return ran or (work.requests_ended and work.answered.is_set())
+
+    bench.wait(reached, "all ran")
 
 
 def _swapping(bench: Bench, name: str, inject: Inject, event: str) -> Work:
@@ -246,6 +259,7 @@
         for fault in cell.faults:
             FAULTS[fault](bench)
 
+    bench.aim(name)
     work = STEPS[cell.step](bench, name, inject)
     work.book(OTHER, 2)
     time.sleep(0 if cell.faults == ("none",) else HOLD_SECONDS)
--- a/src/wigeonfront/client.py
+++ b/src/wigeonfront/client.py
@@ -573,11 +573,14 @@
         """
         deadline = _Deadline(self._entries.clock, timeout)
         doubt = ""
+        submission = request.first_submission
         for tries in count(1):
-            submission = request.first_submission + tries - 1
             answer = self._send(request, submission, deadline, patience)
             end = _request_end(answer)
             doubt = doubt or _doubt(end)
+            if not isinstance(end, NotRun) or end.warning:
+                # Until a submission may have run, the next is as good as the first.
+                submission += 1
             if not _may_repeat(request, end, doubt):
                 return _with_doubt(end, doubt)
             if not self._entries.wait(tries, _retry_after(answer, end), deadline):
@@ -648,7 +651,7 @@
 
 def _may_repeat(request: Request, end: Outcome | CallRejected, doubt: str) -> bool:
     if isinstance(end, NotRun):
-        return not end.warning and (request.repeatable or not doubt)
+        return request.repeatable or not doubt
     return isinstance(end, Unknown) and request.repeatable
 
 
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -5,13 +5,14 @@
 import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 from typing import Any
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
 from wigeonfront.coordination import slots
+from wigeonfront.coordination.keyed_work import EARLIER_MAY_HAVE_RUN
 from wigeonfront.entry.admission import EntryAdmission, Ticket
 from wigeonfront.entry.control import Control
 from wigeonfront.entry.directory import Announcements, Directory
@@ -132,7 +133,7 @@
             return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
         row = self._terms(body.catalogue_entry, service)
         if isinstance(row, NotRun):
-            return _outcome_reply("", row)
+            return _outcome_reply("", _for_key(row, key, body))
         if isinstance(row, Reply):
             return row
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
@@ -143,7 +144,7 @@
                 work = self._work(service, body, row, key, request, started)
                 outcome = self._run_request(work, body, row, call)
         self._note(service, "request", type(outcome).__name__, started)
-        return _outcome_reply(request, outcome)
+        return _outcome_reply(request, _for_key(outcome, key, body))
 
     def lot(self, call: Call) -> Reply:
         """Answer a Lot whole."""
@@ -368,6 +369,17 @@
     return asked if row.bound is None else min(asked, row.bound)
 
 
+def _for_key(outcome: Outcome, key: str, body: RequestBody) -> Outcome:
+    """Return `outcome` so that it doesn't speak for earlier submissions of a key."""
+    if not key or body.idempotent or body.submission == 1:
+        return outcome
+    if isinstance(outcome, NotRun) and not outcome.warning:
+        return replace(outcome, warning=EARLIER_MAY_HAVE_RUN)
+    if isinstance(outcome, Expired):
+        return replace(outcome, started=True)
+    return outcome
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -411,10 +411,11 @@
     """A refusal without a warning holds for the key's earlier submissions too."""
     for own, submissions in history.requests.items():
         for one in submissions:
-            if one.kind != "NotRun" or one.response.outcome.warning:
+            if not one.told_not_run or one.response.outcome.warning:
                 continue
-            if any(start.time < one.invoke.time for start in history.starts[own]):
-                yield f"request {own} had run before {one.invoke.id} was told NotRun"
+            starts = history.starts.get(own, [])
+            if any(start.time < one.invoke.time for start in starts):
+                yield f"request {own} had run before {one.invoke.id} was told it hadn't"
 
 
 def at_most_once(history: History) -> Iterator[str]:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -214,6 +214,9 @@
 COMPLETED = reply("completed")
 NOT_RUN = reply("not_run", 503, reason="full", retry_after=1.0)
 WARNED = reply("not_run", 503, reason="moved", warning="may have run")
+LOST_KEY = reply(
+    "not_run", 503, reason="moved", warning="may have run", retry_after=600.0
+)
 UNKNOWN = reply("unknown", 409, reason="side_restarted")
 OVERLOADED = answer(503, 1.0, error="overloaded")
 
@@ -235,7 +238,10 @@
     (ONCE, [UNKNOWN, COMPLETED], Unknown("side_restarted"), 1),
     (KEYED, [Lost("cut"), COMPLETED], Completed(None), 2),
     (KEYED, [UNKNOWN, COMPLETED], Completed(None), 2),
-    (KEYED, [Lost("cut"), WARNED, COMPLETED], Unknown("cut"), 2),
+    (KEYED, [Lost("cut"), WARNED, COMPLETED], Completed(None), 3),
+    (KEYED, [WARNED, COMPLETED], Completed(None), 2),
+    (KEYED, [Lost("cut"), LOST_KEY, COMPLETED], Unknown("cut"), 2),
+    (KEYED, [LOST_KEY, COMPLETED], Unknown("may have run"), 1),
     (KEYED, [Lost("cut"), NOT_RUN, COMPLETED], Completed(None), 3),
     (PLAIN, [reply("expired", 504, started=False)], Expired(False, 0.0), 1),
     (KEYED, [Lost("cut"), reply("expired", 504)], Expired(True, 0.0), 2),
@@ -280,6 +286,13 @@
     assert sent == [(number, {"Idempotency-Key": "k"}) for number in (1, 2, 3)]
 
 
+def test_submission_stays_first_until_one_may_have_run(play):
+    script = [NOT_RUN, NotSent("refused"), WARNED, Lost("cut"), COMPLETED]
+    caller, pools = play(RequestClient, *script)
+    caller.call(Request("order-desk", "bookings", idempotent=False, key="k"))
+    assert [call[2].submission for call in pools.calls] == [1, 1, 1, 2, 3]
+
+
 def test_service_is_quoted_in_the_path():
     assert client.request_path("a/b c") == "/v1/services/a%2Fb%20c/requests"
 
