--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -243,7 +243,7 @@
         0.05, 60, 1.0, "seconds between two heartbeats of a peer session"
     )
     drain_seconds: float = _decimal(
-        0, 3600, 30.0, "most seconds a planned stop waits for work in flight"
+        0, 3600, 330.0, "most seconds a planned stop waits for work in flight"
     )
     control_threads: int = _integer(
         1, 64, 4, "threads kept for health, drain and control calls"
