--- a/src/wigeonfront/commands/edits.py
+++ b/src/wigeonfront/commands/edits.py
@@ -242,3 +242,5 @@
     if result.differences:
         rows = [[each.field, each.before, each.after] for each in result.differences]
         print_table(["field", "theirs", "yours"], rows)
+    elif result.status == "conflict":
+        print("  their row is the same as yours")
