Placement avoids slow targets by their latency among peers

The affinity path ignored latency, and a slow target with a free slot was taken as long as it was local (ipswich has one worker of dispatch-model). Change: loads count as multiples of the median latency; a target from twice the median is never taken just for its free slot.

--- a/src/wigeonfront/policy/placement.py
+++ b/src/wigeonfront/policy/placement.py
@@ -19,6 +19,9 @@
 AFFINITY_LOAD_FACTOR = 1.1
 """How far above the mean load a side may be and still keep its prefixes."""
 
+SLOW = 2.0
+"""Multiple of the median latency from which a target counts as slow."""
+
 AFFINITY_HEADS = 1
 """Sides that share a prefix."""
 
@@ -222,18 +225,20 @@
     def _by_affinity(
         self, request: PlacementRequest, candidates: list[SideView]
     ) -> Placed:
-        mean = sum(side.load for side in candidates) / len(candidates)
+        slowness = _slowness(candidates)
+        loads = {side.name: side.load * slowness[side.name] for side in candidates}
+        mean = sum(loads.values()) / len(loads)
         bound = self.load_factor * mean
         by_name = {side.name: side for side in candidates}
         ranked = [by_name[name] for name in order(request.prefix, by_name)]
         fitting = [
             side
             for side in ranked
-            if side.has_free_slot(request.tokens) or side.load <= bound
+            if loads[side.name] <= bound or _starts_at_once(side, request, slowness)
         ]
         # Some load is at most the mean, but rounding may put it just above.
-        fitting = fitting or [min(ranked, key=lambda side: side.load)]
-        side = min(fitting[: self.heads], key=lambda side: side.load)
+        fitting = fitting or [min(ranked, key=lambda side: loads[side.name])]
+        side = min(fitting[: self.heads], key=lambda side: loads[side.name])
         rank = ranked.index(side)
         reason = "affinity" if rank < self.heads else "affinity_bounded"
         return _placed(side, reason, candidates, rank=rank, mean_load=mean)
@@ -246,15 +251,15 @@
 def _by_two_choices(
     request: PlacementRequest, candidates: list[SideView], random: Random
 ) -> Placed:
+    slowness = _slowness(candidates)
     local = [
         side
         for side in candidates
         if side.failure_domain == request.failure_domain
-        and side.has_free_slot(request.tokens)
+        and _starts_at_once(side, request, slowness)
     ]
-    pool = local or candidates
-    drawn = _draw(request, pool, random)
-    best = min(drawn, key=lambda side: _expected_delay(side, request, candidates))
+    drawn = _draw(request, local or candidates, random)
+    best = min(drawn, key=lambda side: _load_after(side, request) * slowness[side.name])
     reason = "local_two_choices" if local else "two_choices"
     return _placed(best, reason, candidates, drawn=len(drawn))
 
@@ -270,19 +275,24 @@
     return [by_name[name] for name in order(request.key, by_name)[:CHOICES]]
 
 
-def _expected_delay(
-    side: SideView, request: PlacementRequest, candidates: list[SideView]
-) -> float:
-    """Load after the request, scaled by how slow the target is among its peers."""
-    load = side.load + request.tokens / max(1, side.capacity)
-    return load * _relative_latency(side, candidates)
+def _load_after(side: SideView, request: PlacementRequest) -> float:
+    return side.load + request.tokens / max(1, side.capacity)
+
+
+def _starts_at_once(
+    side: SideView, request: PlacementRequest, slowness: Mapping[str, float]
+) -> bool:
+    return slowness[side.name] < SLOW and side.has_free_slot(request.tokens)
 
 
-def _relative_latency(side: SideView, candidates: list[SideView]) -> float:
-    known = sorted(peer.latency for peer in candidates if peer.latency > 0)
-    if not known or side.latency <= 0:
-        return 1.0
-    return side.latency / known[len(known) // 2]
+def _slowness(candidates: list[SideView]) -> dict[str, float]:
+    """Return each side's latency as a multiple of the median; 1 where unknown."""
+    known = sorted(side.latency for side in candidates if side.latency > 0)
+    median = known[len(known) // 2] if known else 1.0
+    return {
+        side.name: side.latency / median if side.latency > 0 else 1.0
+        for side in candidates
+    }
 
 
 def _placed(
