--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -9,10 +9,12 @@
 from typing import Any
 
 import msgspec
+
 from benchmarks.capacity.budget import budget
 from benchmarks.capacity.control import catalogue, peers
 from benchmarks.capacity.data import baseline, requests
 from benchmarks.capacity.figures import Figure, table
+from benchmarks.capacity.slots import slots
 from benchmarks.capacity.state import attempts, ledger, memory
 from benchmarks.capacity.trial import Experiment, Trial
 
@@ -23,6 +25,7 @@
     "attempts": attempts,
     "ledger": ledger,
     "catalogue": catalogue,
+    "slots": slots,
     "baseline": baseline,
     "budget": budget,
 }
--- a/benchmarks/capacity/clients.py
+++ b/benchmarks/capacity/clients.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 import msgspec
+
 from benchmarks.capacity.fleet import HOST
 from benchmarks.capacity.load import LoadReport
-
 from standins.relay import CHUNK, Relay
 from wigeonfront.messages import (
     Attempt,
--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -12,7 +12,6 @@
     side_row,
 )
 from benchmarks.capacity.trial import Spent, Trial, spend
-
 from standins.vm_list import VmRow
 
 PEERS = (1, 8, 32, 64)
--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -18,8 +18,8 @@
 
 import msgspec
 import urllib3
-from benchmarks.capacity import procfs
 
+from benchmarks.capacity import procfs
 from standins.vm_list import VmRow
 
 ROOT = Path(__file__).resolve().parents[2]
