--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -46,6 +46,7 @@
 MAX_SAMPLE_FAILURES = 20
 DELIVERY_PAUSE = 0.1
 RETRY_SECONDS = 1.0
+FINAL_STATUSES = ("superseded", "already_delivered")
 
 
 @dataclass(slots=True)
@@ -149,11 +150,14 @@
         self._missing = len(self._samples)
         self._waiting = deque(longest_first(self._samples, self._predicted))
         self._seconds_per_token = 0.0
+        self._begun = False
 
     def run(self) -> LotReply | None:
-        refusal = self._deliver("begin")
-        if refusal in ("superseded", "already_delivered"):
-            return self._reply(refusal)
+        standing = self._begin()
+        if standing in FINAL_STATUSES:
+            return self._reply(standing)
+        if standing == "unavailable":
+            return self._reply("partial", reason="delivery_records_lost")
         event(
             logger,
             "lot_begun",
@@ -372,22 +376,41 @@
     def _finish(self) -> LotReply | None:
         """Take the delivery right, then return the whole answer."""
         while True:
-            status = self._deliver("take")
-            if status == "granted":
+            status = self._begin() if not self._begun else self._take_right()
+            if status == "taken":
                 return self._reply("complete")
-            if status in ("superseded", "already_delivered"):
+            if status in FINAL_STATUSES:
                 return self._reply(status)
+            if status == "unavailable":
+                return self._reply("partial", reason="delivery_records_lost")
             if self._remaining() <= 0:
-                return self._reply("partial", reason="delivery_right_unavailable")
+                return self._reply("partial", reason="delivery_owner_unreachable")
             if self._caller_gone():
                 return None
-            self._clock.sleep(DELIVERY_PAUSE)
+            if status != "granted":
+                self._clock.sleep(DELIVERY_PAUSE)
+
+    def _begin(self) -> str:
+        """Register this submission with the Lot's owner."""
+        status = self._deliver("begin")
+        self._begun = status == "granted"
+        return status
+
+    def _take_right(self) -> str:
+        status = self._deliver("take")
+        if status == "granted":
+            return "taken"
+        if status == "unavailable":
+            # The owner has changed since the submission was registered.
+            self._begun = False
+            return "not_begun"
+        return status
 
     def _deliver(self, step: str) -> str:
         owner = self._lots.slots.owner(self._body.service, self._body.key)
         peer = self._lots.directory.peer(owner.side) if owner else None
         if peer is None:
-            return "unavailable"
+            return "unreachable"
         request = DeliveryRequest(
             step=step,
             key=self._body.key,
@@ -397,6 +420,7 @@
             epoch=owner.epoch,
         )
         reply = peer.deliver(request)
+        status = "unreachable" if reply is None else reply.status
         event(
             logger,
             "delivery",
@@ -404,9 +428,9 @@
             lot=self._body.key,
             step=step,
             side=owner.side,
-            status=reply.status,
+            status=status,
         )
-        return reply.status
+        return status
 
     def _reply(self, status: str, reason: str = "") -> LotReply:
         body = self._body
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -168,12 +168,13 @@
         key = f"{body.trainer}/{body.lot}"
         owner = self._parts.slots.owner(body.service, key)
         peer = self._parts.directory.peer(owner.side) if owner else None
-        status = "unavailable"
+        status = "unreachable"
         if peer is not None:
             request = DeliveryRequest(
                 step="acknowledge", key=key, service=body.service, epoch=owner.epoch
             )
-            status = peer.deliver(request).status
+            reply = peer.deliver(request)
+            status = status if reply is None else reply.status
         event(logger, "acknowledged", lot=key, status=status)
         if status in ("granted", "already_delivered"):
             return Reply(200, {"status": "acknowledged"})
--- a/src/wigeonfront/policy/waves.py
+++ b/src/wigeonfront/policy/waves.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from wigeonfront.clock import Clock
-from wigeonfront.coordination.rendezvous import order
+from wigeonfront.coordination.rendezvous import ranked
 
 BASE_RETRY = 0.5
 """Seconds: ceiling of the first pause after a failed load."""
@@ -90,8 +90,7 @@
 
     The order differs between versions, so that no side is always the last.
     """
-    ranked = order(f"{model}@{version}", {*names, name})
-    return ranked.index(name)
+    return ranked(f"{model}@{version}", {*names, name}).index(name)
 
 
 def start_offset(place: int, members: int, settings: WaveSettings) -> float:
