--- a/benchmarks/capacity/budget.py
+++ b/benchmarks/capacity/budget.py
@@ -60,6 +60,7 @@
         REQUEST,
         trial.settle + trial.seconds + 1,
         ENTRY_RATE,
+        seed=trial.seed,
     )
     trial.wait()
     (spent,) = spend(fleet, ["entry"], trial.window)
--- a/benchmarks/capacity/clients.py
+++ b/benchmarks/capacity/clients.py
@@ -41,12 +41,13 @@
         seconds: float,
         rate: float = 0.0,
         connections: int = 16,
+        seed: int = 1,
     ) -> None:
         command = [sys.executable, "-m", "benchmarks.capacity.load"]
         command += ["--address", address, "--path", path]
         command += ["--body", msgspec.json.encode(body).decode()]
         command += ["--seconds", str(seconds), "--rate", str(rate)]
-        command += ["--connections", str(connections)]
+        command += ["--connections", str(connections), "--seed", str(seed)]
         self._process = subprocess.Popen(command, stdout=subprocess.PIPE)
 
     def report(self) -> LoadReport:
--- a/benchmarks/capacity/data.py
+++ b/benchmarks/capacity/data.py
@@ -63,7 +63,7 @@
         return spend(fleet, names, trial.window)
     address = fleet.address("entry")
     seconds = trial.settle + trial.seconds + 1
-    load = RunningLoad(address, REQUEST_PATH, REQUEST, seconds, rate)
+    load = RunningLoad(address, REQUEST_PATH, REQUEST, seconds, rate, seed=trial.seed)
     trial.wait()
     spent = spend(fleet, names, trial.window)
     _check(load.report())
@@ -208,7 +208,7 @@
 
 
 def _timed(trial: Trial, address: str, path: str, body: Any) -> LoadReport:
-    load = RunningLoad(address, path, body, trial.seconds, LATENCY_RATE, 4)
+    load = RunningLoad(address, path, body, trial.seconds, LATENCY_RATE, 4, trial.seed)
     report = load.report()
     _check(report)
     return report
--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -40,15 +40,13 @@
     ----------
     folder : Path
         Where logs go.
-    seed : int
-        Of the order in which ports are tried.
     """
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
         self._addresses: dict[str, str] = {}
-        self._ports = _free_ports(random.Random(seed))
+        self._ports = _free_ports()
         self._http = urllib3.PoolManager(retries=False, maxsize=16)
         folder.mkdir(parents=True, exist_ok=True)
 
@@ -184,7 +182,7 @@
         def healthy() -> bool:
             if self._processes[name].poll() is not None:
                 raise RuntimeError(f"{name} ended:\n{self._log(name).read_text()}")
-            return self._status(name, "/health") == 200
+            return self._answers_as(name)
 
         wait_for(healthy, f"{name} healthy")
 
@@ -197,12 +195,15 @@
             raise RuntimeError(f"{name} {path}: {response.status} {response.data!r}")
         return msgspec.json.decode(response.data)
 
-    def _status(self, name: str, path: str) -> int:
-        url = f"http://{self.address(name)}{path}"
+    def _answers_as(self, name: str) -> bool:
+        """Tell whether `name`, not some other process, answers at its address."""
+        url = f"http://{self.address(name)}/health"
         try:
-            return self._http.request("GET", url, timeout=2.0).status
+            response = self._http.request("GET", url, timeout=2.0)
         except urllib3.exceptions.HTTPError:
-            return 0
+            return False
+        health = msgspec.json.decode(response.data)
+        return response.status == 200 and health.get("name", name) == name
 
     # --- the platform --------------------------------------------------------
 
@@ -253,9 +254,10 @@
     ]
 
 
-def _free_ports(order: random.Random) -> Iterator[int]:
+def _free_ports() -> Iterator[int]:
+    """Return ports in an order of this process, as other runs may go on beside."""
     ports = list(range(FIRST_PORT, LAST_PORT))
-    order.shuffle(ports)
+    random.shuffle(ports)
     for port in ports:
         with socket.socket() as probe:
             if probe.connect_ex((HOST, port)) != 0:
--- a/benchmarks/capacity/load.py
+++ b/benchmarks/capacity/load.py
@@ -1,7 +1,7 @@
 """Load generator, a process of its own: ``python -m benchmarks.capacity.load``.
 
-With a rate, calls are due at fixed times whatever became of earlier ones, and the
-time of a call counts from when it was due. Without one, each connection makes its
+With a rate, one call is due in each interval, at a random time of it, whatever became
+of earlier ones, and the time of a call counts from when it was due. Without one, each connection makes its
 next call when it has its answer.
 """
 
@@ -83,9 +83,12 @@
     def _due_times(self) -> Iterator[float]:
         """Yield when the next call is due: at once where there is no rate."""
         rate = self._arguments.rate
+        times = random.Random(self._arguments.seed)
         end = self._start + self._arguments.seconds
         for number in itertools.count():
-            due = self._start + number / rate if rate else time.monotonic()
+            due = time.monotonic()
+            if rate:
+                due = self._start + (number + times.random()) / rate
             if due >= end:
                 return
             yield max(due, self._start)
@@ -126,6 +129,7 @@
     flags.add_argument("--rate", type=float, default=0.0, help="calls a second")
     flags.add_argument("--seconds", type=float, default=10.0)
     flags.add_argument("--connections", type=int, default=16)
+    flags.add_argument("--seed", type=int, default=1, help="of the times of calls")
     report = Load(flags.parse_args()).run()
     sys.stdout.write(msgspec.json.encode(report).decode())
 
--- a/benchmarks/capacity/trial.py
+++ b/benchmarks/capacity/trial.py
@@ -26,7 +26,7 @@
     repeats : int
         How often each figure is taken.
     seed : int
-        Of everything drawn at random here.
+        Of the times at which load generators make their calls.
     """
 
     seconds: float = 10.0
@@ -36,7 +36,7 @@
 
     def fleet(self) -> Fleet:
         """Return a new fleet with logs in a new temporary folder."""
-        return Fleet(Path(tempfile.mkdtemp(prefix="wigeonfront-capacity-")), self.seed)
+        return Fleet(Path(tempfile.mkdtemp(prefix="wigeonfront-capacity-")))
 
     def wait(self) -> None:
         """Let a change settle."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -52,7 +52,7 @@
 
 
 def test_fake_entry_gets_a_result_for_each_attempt(tmp_path):
-    with Fleet(tmp_path, seed=1) as fleet:
+    with Fleet(tmp_path) as fleet:
         fleet.platform()
         fleet.sides(1, fleet.target())
         relay = CountingRelay(fleet.address("side-0"))
@@ -87,6 +87,6 @@
 )
 def test_load_makes_the_calls_that_are_due(address, path, rate, statuses):
     flags = {"address": address, "path": path, "body": "{}", "connections": 2}
-    report = Load(Namespace(**flags, rate=rate, seconds=0.2)).run()
+    report = Load(Namespace(**flags, rate=rate, seconds=0.2, seed=1)).run()
     assert report.statuses == statuses
     assert report.calls == sum(statuses.values())
