--- a/benchmarks/capacity/load.py
+++ b/benchmarks/capacity/load.py
@@ -1,12 +1,13 @@
 """Load generator, a process of its own: ``python -m benchmarks.capacity.load``.
 
 With a rate, one call is due in each interval, at a random time of it, whatever became
-of earlier ones, and the time of a call counts from when it was due. Without one, each connection makes its
-next call when it has its answer.
+of earlier ones, and the time of a call counts from when it was due. Without one, each
+connection makes its next call when it has its answer.
 """
 
 import argparse
 import itertools
+import random
 import sys
 import threading
 import time
