--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -152,11 +152,21 @@
     def run(self, stop: threading.Event) -> None:
         """Run attempts one after the other until `stop` (a supervisor's task)."""
         while not stop.is_set():
-            if not self._serving.wait(TAKE_SECONDS):
-                continue
-            item = self._queue.take(TAKE_SECONDS)
-            if item is not None:
-                self._execute(item)
+            if self._serving.wait(TAKE_SECONDS):
+                self.step(TAKE_SECONDS)
+
+    def step(self, timeout: float) -> bool:
+        """Run the next attempt, waiting for it at most `timeout` seconds.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        item = self._queue.take(timeout)
+        if item is not None:
+            self._execute(item)
+        return item is not None
 
     def _offer(self, run: Run) -> NotRun | None:
         attempt = run.attempt
