A target that stops serving hands back the urgent work that waits

Cause: only a swap held urgent work. With a silent engine, a half swap or at the start of a side, interactive and booking attempts were admitted and waited to their deadlines at a target that served nothing. The condition now holds and releases. Failed before, pass now: test_what_is_refused (two rows), test_a_stopping_target_sends_back_what_waits. Rollouts go on waiting, as in a swap.

--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -91,8 +91,10 @@
         self._condition = condition
         if condition.serving:
             self._serving.set()
+            self.release()
         else:
             self._serving.clear()
+            self.hold("not_serving")
 
     @property
     def in_flight(self) -> int:
