in_flight counts an attempt until the ledger has its outcome

Cause: the run was forgotten before its outcome was told. A stopping side waits for in_flight 0 and then for unread results 0: between the two steps both read 0, and the process could end with the result untold.

--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -144,8 +144,8 @@
     def hold(self, reason: str) -> None:
         """Refuse interactive and booking work, and send back what of it waits."""
         for item in self._queue.hold_urgent(reason):
-            self._forget(item.id)
             self._finish(item.id, NotRun(reason, 0.0))
+            self._forget(item.id)
 
     def release(self) -> None:
         """Take all classes again."""
@@ -219,8 +219,8 @@
         self._queue.finished(item, produced if _measures(outcome) else None)
         if self._resumes_here(run, outcome):
             return
-        self._forget(item.id)
         self._finish(item.id, outcome)
+        self._forget(item.id)
         event(
             logger,
             "ran",
