What has begun is never told as not run

Cause: a preempted rollout waits in the queue again. If it expired there, or its target was gone when it came to resume, the side said Expired(started=False) or NotRun, although tokens had been produced; the caller of a single request was told that it certainly had not run. A NotRun also lost the tokens: it now becomes an Interrupted that carries them, and the entry resumes elsewhere.

--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -127,8 +127,8 @@
 
     def expired(self, item: AdmissionItem, outcome: Expired) -> None:
         """Tell the ledger that `item` expired while waiting."""
+        self._finish(item.id, _as_begun(item.payload, outcome))
         self._forget(item.id)
-        self._finish(item.id, outcome)
 
     def stop_runs(self, names: Iterable[str], reason: str = "cancelled") -> None:
         """Stop runs that nobody waits for any more."""
@@ -211,8 +211,8 @@
             self._queue.finished(item)
             self._forget(item.id)
             return
-        run.started = True
         outcome = self._run_target(run)
+        run.started = True
         if isinstance(outcome, NotRun) and outcome.reason == UNREACHABLE:
             self.unreachable.set()
         produced = _tokens_of(outcome) if self._generates else 1.0
@@ -240,6 +240,7 @@
             # The attempt's end must reach the ledger whatever went wrong here.
             logger.exception("event=target_failed attempt=%s", run.attempt.attempt)
             outcome = Unknown("side_error")
+        outcome = _as_begun(run, outcome)
         if isinstance(outcome, Interrupted) and not run.attempt.idempotent:
             return Unknown(outcome.reason)
         return outcome
@@ -264,6 +265,17 @@
         return max(1.0, run.attempt.max_tokens - len(run.tokens))
 
 
+def _as_begun(run: Run, outcome: Outcome) -> Outcome:
+    """Return `outcome`, without saying that a run did not begin that has before."""
+    if not run.started:
+        return outcome
+    if isinstance(outcome, Expired):
+        return Expired(started=True, retry_after=outcome.retry_after)
+    if isinstance(outcome, NotRun):
+        return run.interrupted(outcome.reason)
+    return outcome
+
+
 def _tokens_of(outcome: Outcome) -> float:
     if isinstance(outcome, Completed):
         return float(len(outcome.payload["tokens"]))
--- a/src/wigeonfront/side/target.py
+++ b/src/wigeonfront/side/target.py
@@ -47,7 +47,7 @@
     reason : str
         Why it was cancelled.
     started : bool
-        The ledger has marked it as begun.
+        It was at the target before; the ledger has marked it as begun.
     tokens : list
         Tokens so far, those of earlier runs included.
     versions : list of VersionSpan
@@ -73,6 +73,10 @@
         self.reason = reason
         self.cancelled.set()
 
+    def interrupted(self, reason: str) -> Interrupted:
+        """Return the outcome of a run that ends here, with what it has."""
+        return Interrupted(reason, tuple(self.tokens), tuple(self.versions))
+
     def extend(self, tokens: list[Any], version: int) -> None:
         """Append `tokens`, produced by `version`."""
         start = len(self.tokens)
@@ -208,7 +212,7 @@
         if remaining <= 0:
             return Expired(started=False)
         if run.cancelled.is_set():
-            return self._interrupted(run, run.reason)
+            return run.interrupted(run.reason)
         attempt = run.attempt
         body = {
             "id": attempt.attempt,
@@ -223,16 +227,16 @@
         if isinstance(response, NotSent):
             return NotRun(UNREACHABLE, RETRY_SECONDS)
         if isinstance(response, Lost):
-            return self._interrupted(run, "stream_cut")
+            return run.interrupted("stream_cut")
         if response.status != 200:
             response.drain_conn()
             return self._refused(response.status)
         try:
             return self._read(run, response)
         except (HTTPError, OSError):
-            return self._interrupted(run, "stream_cut")
+            return run.interrupted("stream_cut")
         except msgspec.DecodeError:
-            return self._interrupted(run, "stream_malformed")
+            return run.interrupted("stream_malformed")
 
     def cancel(self, run: Run) -> None:
         """Tell the engine to stop generating for `run`."""
@@ -283,15 +287,12 @@
             if self._clock.monotonic() >= run.deadline:
                 self._stop(run, response, "expired")
                 return Expired(started=True)
-        return self._interrupted(run, "stream_cut")
+        return run.interrupted("stream_cut")
 
     def _stop(self, run: Run, response: Any, reason: str) -> Interrupted:
         response.close()
         self.cancel(run)
-        return self._interrupted(run, reason)
-
-    def _interrupted(self, run: Run, reason: str) -> Interrupted:
-        return Interrupted(reason, tuple(run.tokens), tuple(run.versions))
+        return run.interrupted(reason)
 
     def _refused(self, status: int) -> Outcome:
         if status == 503:
