A cancellation is not lost to a preemption

Cause: both wrote the same reason of the run. A preemption after a cancellation, or a cancellation just after the target had noticed the preemption, put the run back into the queue although nobody waited for it: a whole generation for nothing. Failed before, pass now: test_cancelled_and_preempted_at_once_does_not_run_again.

--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -23,14 +23,13 @@
     Unknown,
 )
 from wigeonfront.policy.admission import AdmissionItem, AdmissionQueue
-from wigeonfront.side.target import UNREACHABLE, Run, Target
+from wigeonfront.side.target import PREEMPTED, UNREACHABLE, Run, Target
 from wigeonfront.supervisor import BrokenInvariant
 
 logger = logging.getLogger(__name__)
 
 TAKE_SECONDS = 0.5
 VERSION_RETRY_SECONDS = 2.0
-PREEMPTED = "preempted"
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,8 +137,8 @@
                 continue
             with self._lock:
                 run = self._runs.get(name)
-            if run is not None:
-                run.cancel(reason)
+                if run is not None:
+                    run.cancel(reason)
 
     def hold(self, reason: str) -> None:
         """Refuse interactive and booking work, and send back what of it waits."""
@@ -249,7 +248,11 @@
         """Queue a preempted run again, with the tokens that it has."""
         if not isinstance(outcome, Interrupted) or outcome.reason != PREEMPTED:
             return False
-        run.cancelled.clear()
+        with self._lock:
+            if run.reason != PREEMPTED:
+                # Nobody waits for it any more.
+                return False
+            run.cancelled.clear()
         return self._offer(run) is None
 
     def _finish(self, name: str, outcome: Outcome) -> None:
--- a/src/wigeonfront/side/target.py
+++ b/src/wigeonfront/side/target.py
@@ -31,6 +31,7 @@
 STREAM_SILENCE_SECONDS = 10.0
 CANCEL_SECONDS = 2.0
 UNREACHABLE = "target_down"
+PREEMPTED = "preempted"
 
 
 @dataclass(slots=True)
@@ -69,8 +70,9 @@
         return cls(attempt, deadline, tokens=list(attempt.prior), versions=spans)
 
     def cancel(self, reason: str) -> None:
-        """Ask the run to end early."""
-        self.reason = reason
+        """Ask the run to end early; a preemption gives way to any other reason."""
+        if reason != PREEMPTED or not self.cancelled.is_set():
+            self.reason = reason
         self.cancelled.set()
 
     def interrupted(self, reason: str) -> Interrupted:
