--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -212,7 +212,7 @@
             return
         outcome = self._run_target(run)
         run.started = True
-        if isinstance(outcome, NotRun) and outcome.reason == UNREACHABLE:
+        if getattr(outcome, "reason", "") == UNREACHABLE:
             self.unreachable.set()
         produced = _tokens_of(outcome) if self._generates else 1.0
         self._queue.finished(item, produced if _measures(outcome) else None)
