--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -23,14 +23,13 @@
     Unknown,
 )
 from wigeonfront.policy.admission import AdmissionItem, AdmissionQueue
-from wigeonfront.side.target import UNREACHABLE, Run, Target
+from wigeonfront.side.target import PREEMPTED, UNREACHABLE, Run, Target
 from wigeonfront.supervisor import BrokenInvariant
 
 logger = logging.getLogger(__name__)
 
 TAKE_SECONDS = 0.5
 VERSION_RETRY_SECONDS = 2.0
-PREEMPTED = "preempted"
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,8 +90,10 @@
         self._condition = condition
         if condition.serving:
             self._serving.set()
+            self.release()
         else:
             self._serving.clear()
+            self.hold("not_serving")
 
     @property
     def in_flight(self) -> int:
@@ -125,8 +126,8 @@
 
     def expired(self, item: AdmissionItem, outcome: Expired) -> None:
         """Tell the ledger that `item` expired while waiting."""
+        self._finish(item.id, _as_begun(item.payload, outcome))
         self._forget(item.id)
-        self._finish(item.id, outcome)
 
     def stop_runs(self, names: Iterable[str], reason: str = "cancelled") -> None:
         """Stop runs that nobody waits for any more."""
@@ -136,14 +137,14 @@
                 continue
             with self._lock:
                 run = self._runs.get(name)
-            if run is not None:
-                run.cancel(reason)
+                if run is not None:
+                    run.cancel(reason)
 
     def hold(self, reason: str) -> None:
         """Refuse interactive and booking work, and send back what of it waits."""
         for item in self._queue.hold_urgent(reason):
-            self._forget(item.id)
             self._finish(item.id, NotRun(reason, 0.0))
+            self._forget(item.id)
 
     def release(self) -> None:
         """Take all classes again."""
@@ -152,11 +153,21 @@
     def run(self, stop: threading.Event) -> None:
         """Run attempts one after the other until `stop` (a supervisor's task)."""
         while not stop.is_set():
-            if not self._serving.wait(TAKE_SECONDS):
-                continue
-            item = self._queue.take(TAKE_SECONDS)
-            if item is not None:
-                self._execute(item)
+            if self._serving.wait(TAKE_SECONDS):
+                self.step(TAKE_SECONDS)
+
+    def step(self, timeout: float) -> bool:
+        """Run the next attempt, waiting for it at most `timeout` seconds.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        item = self._queue.take(timeout)
+        if item is not None:
+            self._execute(item)
+        return item is not None
 
     def _offer(self, run: Run) -> NotRun | None:
         attempt = run.attempt
@@ -199,16 +210,16 @@
             self._queue.finished(item)
             self._forget(item.id)
             return
-        run.started = True
         outcome = self._run_target(run)
-        if isinstance(outcome, NotRun) and outcome.reason == UNREACHABLE:
+        run.started = True
+        if getattr(outcome, "reason", "") == UNREACHABLE:
             self.unreachable.set()
         produced = _tokens_of(outcome) if self._generates else 1.0
         self._queue.finished(item, produced if _measures(outcome) else None)
         if self._resumes_here(run, outcome):
             return
-        self._forget(item.id)
         self._finish(item.id, outcome)
+        self._forget(item.id)
         event(
             logger,
             "ran",
@@ -228,6 +239,7 @@
             # The attempt's end must reach the ledger whatever went wrong here.
             logger.exception("event=target_failed attempt=%s", run.attempt.attempt)
             outcome = Unknown("side_error")
+        outcome = _as_begun(run, outcome)
         if isinstance(outcome, Interrupted) and not run.attempt.idempotent:
             return Unknown(outcome.reason)
         return outcome
@@ -236,7 +248,11 @@
         """Queue a preempted run again, with the tokens that it has."""
         if not isinstance(outcome, Interrupted) or outcome.reason != PREEMPTED:
             return False
-        run.cancelled.clear()
+        with self._lock:
+            if run.reason != PREEMPTED:
+                # Nobody waits for it any more.
+                return False
+            run.cancelled.clear()
         return self._offer(run) is None
 
     def _finish(self, name: str, outcome: Outcome) -> None:
@@ -252,6 +268,17 @@
         return max(1.0, run.attempt.max_tokens - len(run.tokens))
 
 
+def _as_begun(run: Run, outcome: Outcome) -> Outcome:
+    """Return `outcome`, without saying that a run did not begin that has before."""
+    if not run.started:
+        return outcome
+    if isinstance(outcome, Expired):
+        return Expired(started=True, retry_after=outcome.retry_after)
+    if isinstance(outcome, NotRun):
+        return run.interrupted(outcome.reason)
+    return outcome
+
+
 def _tokens_of(outcome: Outcome) -> float:
     if isinstance(outcome, Completed):
         return float(len(outcome.payload["tokens"]))
