Entries keep a subset of sides and reach slot owners outside it; latency feeds placement

The setting subset_size was read by nobody. Placement's measure of slow targets had no input; it gets the smoothed seconds per token.

--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from tests import histories
+
 from benchmarks.fault_bench import (
     CAPACITY,
     ENGINE,
@@ -21,8 +23,6 @@
     Work,
     page,
 )
-from tests import histories
-
 from quickstart.cluster import KEY_VALUE, WEIGHT_STORE
 from standins.recording import LOST
 from wigeonfront.client import LotAnswered
--- a/benchmarks/policy/variants.py
+++ b/benchmarks/policy/variants.py
@@ -135,7 +135,7 @@
             return placement.choose(request, sides, random)
         names = [side.name for side in candidates]
         return placement.Placed(
-            placement.order(request.prefix, names)[0], "strict_affinity"
+            placement.ranked(request.prefix, names)[0], "strict_affinity"
         )
 
 
--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -24,6 +24,8 @@
 
 POLL_SECONDS = 2.0
 GONE_SECONDS = 10.0
+VISIT_SECONDS = 60.0
+LATENCY_SMOOTHING = 0.1
 
 
 class Announcements:
@@ -90,6 +92,8 @@
         self._by_service: dict[str, list[Peer]] = {}
         self._circuits: dict[str, Circuits] = {}
         self._vms: dict[str, Vm] = {}
+        self._visits: dict[str, float] = {}
+        self._latencies: dict[str, float] = {}
 
     @property
     def services(self) -> set[str]:
@@ -108,6 +112,21 @@
         with self._lock:
             return self._peers.get(name)
 
+    def reach(self, name: str) -> Peer | None:
+        """Return the peer of any listed side, also one outside the subset.
+
+        Owners of slots may stand outside it. The session opened for one is kept
+        while it is used and for `VISIT_SECONDS` after.
+        """
+        with self._lock:
+            peer = self._peers.get(name)
+            vm = self._vms.get(name)
+            self._visits[name] = self._clock.monotonic()
+        if peer is None and vm is not None and vm.role == "side":
+            self._add(vm)
+            peer = self.peer(name)
+        return peer
+
     def peers(self, service: str) -> list[Peer]:
         """Return the peers of a service."""
         with self._lock:
@@ -129,7 +148,12 @@
         now = self._clock.monotonic()
         circuits = self._circuits_of(service)
         return [
-            _view(peer.state, now, circuits.is_open(peer.vm.name))
+            _view(
+                peer.state,
+                now,
+                circuits.is_open(peer.vm.name),
+                self._latencies.get(peer.vm.name, 0.0),
+            )
             for peer in self.peers(service)
         ]
 
@@ -151,6 +175,13 @@
                 pause=change.pause,
             )
 
+    def measure(self, side: str, seconds: float, tokens: int) -> None:
+        """Note that an attempt of `tokens` took `seconds` at `side`."""
+        figure = seconds / max(1, tokens)
+        with self._lock:
+            known = self._latencies.get(side, figure)
+            self._latencies[side] = known + LATENCY_SMOOTHING * (figure - known)
+
     def update(self, listed: Iterable[Vm]) -> None:
         """Start peers of newly listed sides; end those gone and silent."""
         vms = {vm.name: vm for vm in listed}
@@ -188,11 +219,20 @@
         for vm in vms.values():
             if vm.role == "side":
                 by_service.setdefault(vm.service, []).append(vm)
-        return {
+        wanted = {
             vm.name: vm
             for service, members in by_service.items()
             for vm in self._select(service, members)
         }
+        return wanted | self._visited(vms)
+
+    def _visited(self, vms: dict[str, Vm]) -> dict[str, Vm]:
+        """Return the sides outside the subset that were called lately."""
+        horizon = self._clock.monotonic() - VISIT_SECONDS
+        with self._lock:
+            for name in [n for n, at in self._visits.items() if at < horizon]:
+                del self._visits[name]
+            return {name: vms[name] for name in self._visits if name in vms}
 
     def _add(self, vm: Vm) -> None:
         peer = Peer(
@@ -235,7 +275,7 @@
             return circuits
 
 
-def _view(state: PeerState, now: float, circuit_open: bool) -> SideView:
+def _view(state: PeerState, now: float, circuit_open: bool, latency: float) -> SideView:
     beat = state.beat or Beat(incarnation="", session=0)
     return SideView(
         name=state.vm.name,
@@ -251,4 +291,5 @@
         sent_tokens=state.sent_tokens,
         age=now - state.beat_time,
         circuit_open=circuit_open,
+        latency=latency,
     )
--- a/src/wigeonfront/entry/dispatch.py
+++ b/src/wigeonfront/entry/dispatch.py
@@ -157,7 +157,7 @@
 
     def send(self, side: str, attempts: list[Attempt], sink: Sink) -> None:
         """Send `attempts` to `side`; each gets one outcome at `sink`."""
-        peer = self._directory.peer(side)
+        peer = self._directory.reach(side)
         if peer is None:
             for attempt in attempts:
                 sink.put(attempt.attempt, NotRun("side_gone", 0.0), side)
--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -276,11 +276,12 @@
         self._missing -= 1
         self._cancel_others(sample)
         if isinstance(outcome, Completed):
-            self._measure(sample, len(outcome.payload["tokens"]))
+            self._measure(sample, len(outcome.payload["tokens"]), side)
 
-    def _measure(self, sample: _Sample, tokens: int) -> None:
+    def _measure(self, sample: _Sample, tokens: int, side: str) -> None:
         self._lots.lengths.add(sample.sample.group, tokens)
         seconds = self._clock.monotonic() - sample.started
+        self._lots.directory.measure(side, seconds, tokens)
         figure = seconds / max(1, tokens)
         change = 0.1 if self._seconds_per_token else 1.0
         self._seconds_per_token += change * (figure - self._seconds_per_token)
@@ -408,7 +409,7 @@
 
     def _deliver(self, step: str) -> str:
         owner = self._lots.slots.owner(self._body.service, self._body.key)
-        peer = self._lots.directory.peer(owner.side) if owner else None
+        peer = self._lots.directory.reach(owner.side) if owner else None
         if peer is None:
             return "unreachable"
         request = DeliveryRequest(
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -113,9 +113,14 @@
             return side
         attempt = self._dispatcher.attempt(work)
         sink = QueueSink()
+        begun = self._clock.monotonic()
         self._dispatcher.send(side, [attempt], sink)
         outcome = self._await(work, attempt.attempt, side, sink, caller_gone)
         self._directory.record(work.service, side, outcome)
+        if isinstance(outcome, Completed):
+            self._directory.measure(
+                side, self._clock.monotonic() - begun, _size(outcome)
+            )
         work.tried.add(side)
         work.may_have_run |= not _certainly_not_run(outcome)
         return outcome
@@ -189,6 +194,11 @@
         return outcome
 
 
+def _size(outcome: Completed) -> int:
+    """Return the tokens generated; 1 for a call of a plain service."""
+    return outcome.versions[-1].end if outcome.versions else 1
+
+
 def _certainly_not_run(outcome: Outcome) -> bool:
     if isinstance(outcome, Expired):
         return not outcome.started
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -175,7 +175,7 @@
         body = call.decode(LotAcknowledgement)
         key = f"{body.trainer}/{body.lot}"
         owner = self._parts.slots.owner(body.service, key)
-        peer = self._parts.directory.peer(owner.side) if owner else None
+        peer = self._parts.directory.reach(owner.side) if owner else None
         status = "unreachable"
         if peer is not None:
             request = DeliveryRequest(
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -20,6 +20,7 @@
 from wigeonfront import logs
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.coordination import slots
+from wigeonfront.coordination.rendezvous import subset
 from wigeonfront.entry.admission import EntryAdmission
 from wigeonfront.entry.control import Control, ControlSettings
 from wigeonfront.entry.directory import Announcements, Directory
@@ -36,6 +37,7 @@
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
+from wigeonfront.platform import Vm
 from wigeonfront.platform.key_value import HttpKeyValue
 from wigeonfront.platform.metered import MeteredKeyValue
 from wigeonfront.platform.vm_list import HttpVmList
@@ -95,8 +97,10 @@
             self._clock,
             settings.beat_seconds,
             announcements,
+            self._select,
             policy=self._catalogue.policy,
         )
+        self._subsets: dict[str, tuple[object, list[str]]] = {}
         self._slots = SlotTables()
         self._slots_watch = PrefixWatch(
             slots.PREFIX, self._slots, self._key_value, self._clock
@@ -210,6 +214,18 @@
             limits = row.limits
             self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
 
+    def _select(self, service: str, sides: list[Vm]) -> list[Vm]:
+        """Return this entry's subset of a service's sides."""
+        by_name = {vm.name: vm for vm in sides}
+        asked = (frozenset(self._listed_entries() or []), frozenset(by_name))
+        known = self._subsets.get(service)
+        if known is None or known[0] != asked:
+            # A few hashes for each side: done again only when the lists change.
+            size = self._settings.subset_size
+            chosen = subset(self._identity.name, asked[0], asked[1], size)
+            known = self._subsets[service] = (asked, chosen)
+        return [by_name[name] for name in known[1]]
+
     def _members(self) -> list[Member] | None:
         """Return the other members that must have a moved slot table."""
         view = self._control.view
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -312,9 +312,6 @@
     retention_seconds: float = _decimal(
         1, 86_400, 600.0, "seconds for which finished results and keys are kept"
     )
-    weights_concurrency: int = _integer(
-        1, 1024, 2, "targets of a service that may load weights at once"
-    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -4,6 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wigeonfront.coordination.rendezvous import ranked
 from wigeonfront.policy.placement import (
     AFFINITY_LOAD_FACTOR,
     Placed,
@@ -14,7 +15,6 @@
     SideView,
     choose,
 )
-from wigeonfront.policy.rendezvous import order
 
 STRATEGIES = {
     "choose": choose,
@@ -123,7 +123,7 @@
 
 def test_affinity_leaves_a_side_above_the_bound():
     views = sides(capacity=4, running=4, queued=4, queued_tokens=400)
-    head = order("group-9", [view.name for view in views])[0]
+    head = ranked("group-9", [view.name for view in views])[0]
     by_name = {view.name: view for view in views}
     by_name[head].queued_tokens = 2000
     decision = place(views, prefix="group-9")
@@ -186,6 +186,6 @@
 def test_rendezvous_moves_only_the_keys_of_a_lost_name():
     names = [f"side-{i}" for i in range(10)]
     for key in (f"key-{i}" for i in range(100)):
-        before = order(key, names)
-        after = order(key, [name for name in names if name != "side-3"])
+        before = ranked(key, names)
+        after = ranked(key, [name for name in names if name != "side-3"])
         assert after == [name for name in before if name != "side-3"]
