--- a/src/wigeonfront/side/supervisor.py
+++ b/src/wigeonfront/side/supervisor.py
@@ -6,6 +6,7 @@
     ├── server        peer sessions and control, one pool thread for each call
     ├── expiry        deadlines and retention of the ledger
     ├── executor-N    one for each attempt that the target runs at once
+    ├── fencing       takes the fencing number (model engines)
     ├── weights       swaps (model engines)
     ├── probe         looks for an unreachable target (plain services)
     └── slots         ownership of idempotency keys and Lots
@@ -29,6 +30,7 @@
 from wigeonfront.policy.admission import AdmissionQueue, ClassLimit
 from wigeonfront.settings import SideSettings
 from wigeonfront.side.execution import Execution, TargetCondition
+from wigeonfront.side.fencing import FencingKeeper
 from wigeonfront.side.learning import FollowedPolicy, Learning
 from wigeonfront.side.probe import TargetProbe
 from wigeonfront.side.server import SideParts, SideServer
@@ -63,6 +65,7 @@
         self._supervisor = Supervisor("side", self._clock)
         self._vm_list = HttpVmList(settings.vm_list)
         self._key_value = HttpKeyValue(settings.key_value)
+        self._fencing = FencingKeeper(settings.name, self._key_value)
         self._weights: WeightsKeeper | None = None
         self._probe: TargetProbe | None = None
         self._generates = settings.target_kind == "engine"
@@ -115,6 +118,7 @@
         for number in range(self._settings.capacity):
             start(f"executor-{number}", self._execution.run)
         if self._weights is not None:
+            start("fencing", self._fencing.run)
             start("weights", self._weights.run)
         if self._probe is not None:
             start("probe", self._probe.run)
@@ -203,7 +207,7 @@
             self._execution,
             store,
             self._vm_list,
-            lambda: 1,
+            lambda: self._fencing.number,
             self._clock,
         )
 
