Lots: a reused key is the caller's error, stale work is tried again, poison ends

Read in review, before: a Lot whose id had been used for other samples was retried until its deadline; a sample that joined a run of too old weights was told as failed (409); a sample that its engine always fails was retried until the deadline.

--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -16,7 +16,7 @@
 from wigeonfront.clock import Clock
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.dispatch import Dispatcher, Work
-from wigeonfront.entry.sink import Ended, QueueSink
+from wigeonfront.entry.sink import Ended, QueueSink, as_told
 from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.messages import (
@@ -43,7 +43,8 @@
 
 TICK_SECONDS = 0.1
 AHEAD_FACTOR = 2
-MAX_SAMPLE_FAILURES = 20
+# An engine's own errors for one sample, after which the sample is told as failed.
+MAX_SAMPLE_FAILURES = 5
 DELIVERY_PAUSE = 0.1
 RETRY_SECONDS = 1.0
 FINAL_STATUSES = ("superseded", "already_delivered")
@@ -57,6 +58,7 @@
     started: float = 0.0
     expected: float = 0.0
     hedges: int = 0
+    tries: int = 0
     failures: int = 0
     not_before: float = 0.0
     outcome: Completed | Failed | None = None
@@ -254,16 +256,19 @@
         self._lots.directory.record(self._body.service, ended.side, ended.outcome)
         if sample.outcome is not None:
             return
-        outcome = ended.outcome
-        if self._is_final(outcome):
+        outcome = as_told(ended.outcome)
+        if isinstance(outcome, Failed):
+            sample.failures += 1
+        if self._is_final(sample, outcome):
             self._complete(sample, outcome, ended.side)
         else:
             self._again(sample, outcome, ended.side)
 
-    def _is_final(self, outcome: Outcome) -> bool:
+    def _is_final(self, sample: _Sample, outcome: Outcome) -> bool:
         """Tell whether `outcome` answers its sample, from new enough weights."""
         if isinstance(outcome, Failed):
-            return outcome.status < 500
+            poisoned = sample.failures >= MAX_SAMPLE_FAILURES
+            return outcome.status < 500 or poisoned
         if not isinstance(outcome, Completed) or not outcome.versions:
             return False
         oldest = self._terms.min_version
@@ -290,7 +295,7 @@
         """Queue a sample again unless another attempt of it still runs."""
         if isinstance(outcome, Interrupted):
             sample.work.keep_prior(outcome)
-        sample.failures += 1
+        sample.tries += 1
         event(
             logger,
             "sample_again",
@@ -298,11 +303,11 @@
             side=side,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
-            failures=sample.failures,
+            tries=sample.tries,
         )
         if sample.running:
             return
-        pause = backoff(min(sample.failures, 6), self._random)
+        pause = backoff(min(sample.tries, 6), self._random)
         if isinstance(outcome, NotRun):
             pause = max(pause, min(outcome.retry_after, RETRY_SECONDS) / 2)
         sample.not_before = self._clock.monotonic() + pause
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -8,7 +8,7 @@
 from wigeonfront.clock import Clock
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.dispatch import Dispatcher, Work
-from wigeonfront.entry.sink import QueueSink
+from wigeonfront.entry.sink import QueueSink, as_told
 from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.outcomes import (
@@ -168,7 +168,7 @@
                 return Expired(started=True)
             ended = sink.get(min(CALLER_CHECK_SECONDS, remaining))
             if ended is not None:
-                return ended.outcome
+                return as_told(ended.outcome)
             if caller_gone():
                 self._dispatcher.cancel(side, [attempt])
                 return Unknown("caller_gone")
