Frozen sides: requests are hedged, sessions given up in 1.5 s, slots moved

Cause: a dispatch to a frozen side waited 2 s and the new session's head 3 s more, so an idempotent page of 4 s timed out (4.25 s, 504), and the slots of a side that hangs while its VM stays listed were refused for ever. Ruled out: circuits, which need several failures. Now the head of a session and a dispatch get 1.5 s, a request that takes unusually long is hedged elsewhere within the budget, and slots move when no member has had a session with their owner for 10 s.

--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -93,6 +93,7 @@
         self._circuits: dict[str, Circuits] = {}
         self._vms: dict[str, Vm] = {}
         self._visits: dict[str, float] = {}
+        self._unknown_since: dict[str, float] = {}
         self._latencies: dict[str, float] = {}
 
     @property
@@ -138,10 +139,19 @@
             peers = list(self._peers.values())
         return [peer.vm.name for peer in peers if peer.behind]
 
-    def silent(self, name: str) -> bool:
-        """Tell whether no session with the side `name` is open."""
+    def silent_seconds(self, name: str) -> float:
+        """Return for how long no session with the side `name` was open.
+
+        A side without a peer counts from the time at which this was first asked.
+        """
+        now = self._clock.monotonic()
         peer = self.peer(name)
-        return peer is None or not peer.state.connected
+        with self._lock:
+            if peer is None:
+                return now - self._unknown_since.setdefault(name, now)
+            self._unknown_since.pop(name, None)
+        since = peer.state.disconnected_since
+        return 0.0 if since is None else now - since
 
     def views(self, service: str) -> list[SideView]:
         """Return what placement needs to know of a service's sides."""
@@ -182,6 +192,15 @@
             known = self._latencies.get(side, figure)
             self._latencies[side] = known + LATENCY_SMOOTHING * (figure - known)
 
+    def expected_seconds(self, service: str, max_tokens: int) -> float:
+        """Return the usual time of a request at the service; 0 if unknown."""
+        views = self.views(service)
+        known = sorted(view.latency for view in views if view.latency > 0)
+        if not known:
+            return 0.0
+        generates = any(view.version >= 0 for view in views)
+        return known[len(known) // 2] * (max_tokens if generates else 1)
+
     def update(self, listed: Iterable[Vm]) -> None:
         """Start peers of newly listed sides; end those gone and silent."""
         vms = {vm.name: vm for vm in listed}
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -44,7 +44,9 @@
 logger = logging.getLogger(__name__)
 
 SILENT_BEATS = 3
-DISPATCH_SECONDS = 2.0
+# A side answers a dispatch, and the head of a session's stream, within milliseconds.
+DISPATCH_SECONDS = 1.5
+OPEN_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 LONGEST_PAUSE = 2.0
 FIRST_PAUSE = 0.05
@@ -277,7 +279,9 @@
     def _read_session(self, stop: threading.Event) -> bool:
         message = self._open_message()
         silence = SILENT_BEATS * self._beat_seconds
-        response = self._stream_pool.open_stream("/peer/open", message, silence)
+        response = self._stream_pool.open_stream(
+            "/peer/open", message, silence, head_seconds=OPEN_SECONDS
+        )
         if isinstance(response, NotSent | Lost):
             return False
         if response.status != 200:
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -3,12 +3,12 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 from wigeonfront.clock import Clock
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.dispatch import Dispatcher, Work
-from wigeonfront.entry.sink import QueueSink, as_told
+from wigeonfront.entry.sink import Ended, QueueSink, as_told
 from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.outcomes import (
@@ -21,6 +21,7 @@
 )
 from wigeonfront.policy.placement import Placed
 from wigeonfront.policy.retries import Attempted, GiveUp, RetryBudget, may_retry
+from wigeonfront.policy.stragglers import RunningSample, should_hedge
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +29,18 @@
 # A side's own word on an expired attempt is more exact than this entry's.
 EXPIRY_GRACE_SECONDS = 0.25
 RETRY_SECONDS = 1.0
+# Expected time of a request while nothing has been measured.
+UNKNOWN_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _Race:
+    """The attempts of one try, and where their ends come in."""
+
+    begun: float
+    running: dict[str, str] = field(default_factory=dict)
+    sink: QueueSink = field(default_factory=QueueSink)
+    hedged: bool = False
 
 
 class Requests:
@@ -42,8 +55,8 @@
     clock : Clock
     max_attempts : int
         Most attempts of one request.
-    retry_ratio : float
-        Retries as a share of first attempts.
+    retry_ratio, hedge_ratio : float
+        Retries and hedges as shares of first attempts.
     """
 
     def __init__(
@@ -54,6 +67,7 @@
         clock: Clock,
         max_attempts: int,
         retry_ratio: float,
+        hedge_ratio: float,
     ) -> None:
         self._directory = directory
         self._dispatcher = dispatcher
@@ -61,6 +75,7 @@
         self._clock = clock
         self._max_attempts = max_attempts
         self._budget = RetryBudget(retry_ratio)
+        self._hedges = RetryBudget(hedge_ratio)
         self._random = random.Random()
 
     def run(self, work: Work, caller_gone: Callable[[], bool]) -> Outcome:
@@ -73,6 +88,7 @@
             Tells whether the caller has closed its connection.
         """
         self._budget.earn()
+        self._hedges.earn()
         while True:
             outcome = self._try_once(work, caller_gone)
             verdict = self._verdict(work, outcome)
@@ -106,24 +122,20 @@
 
     def _try_once(self, work: Work, caller_gone: Callable[[], bool]) -> Outcome:
         if work.deadline <= self._clock.monotonic():
-            return Expired(started=work.attempts > 0)
+            return Expired(started=work.may_have_run)
         side = self._choose(work)
         if isinstance(side, NotRun):
             work.attempts += 1
             return side
+        race = _Race(self._clock.monotonic())
+        self._start(work, side, race)
+        return self._await(work, race, caller_gone)
+
+    def _start(self, work: Work, side: str, race: "_Race") -> None:
         attempt = self._dispatcher.attempt(work)
-        sink = QueueSink()
-        begun = self._clock.monotonic()
-        self._dispatcher.send(side, [attempt], sink)
-        outcome = self._await(work, attempt.attempt, side, sink, caller_gone)
-        self._directory.record(work.service, side, outcome)
-        if isinstance(outcome, Completed):
-            self._directory.measure(
-                side, self._clock.monotonic() - begun, _size(outcome)
-            )
+        race.running[attempt.attempt] = side
         work.tried.add(side)
-        work.may_have_run |= not _certainly_not_run(outcome)
-        return outcome
+        self._dispatcher.send(side, [attempt], race.sink)
 
     def _choose(self, work: Work) -> str | NotRun:
         if work.key and not work.idempotent:
@@ -154,24 +166,73 @@
         return owner.side
 
     def _await(
-        self,
-        work: Work,
-        attempt: str,
-        side: str,
-        sink: QueueSink,
-        caller_gone: Callable[[], bool],
+        self, work: Work, race: "_Race", caller_gone: Callable[[], bool]
     ) -> Outcome:
+        """Return the first answer, or the last end if there is none."""
         while True:
             remaining = work.deadline + EXPIRY_GRACE_SECONDS - self._clock.monotonic()
             if remaining <= 0:
-                self._dispatcher.cancel(side, [attempt])
+                self._cancel(race)
                 return Expired(started=True)
-            ended = sink.get(min(CALLER_CHECK_SECONDS, remaining))
+            ended = race.sink.get(min(CALLER_CHECK_SECONDS, remaining))
             if ended is not None:
-                return as_told(ended.outcome)
-            if caller_gone():
-                self._dispatcher.cancel(side, [attempt])
+                outcome = self._take(work, race, ended)
+                if outcome is not None:
+                    return outcome
+            elif caller_gone():
+                self._cancel(race)
                 return Unknown("caller_gone")
+            else:
+                self._hedge(work, race)
+
+    def _take(self, work: Work, race: "_Race", ended: Ended) -> Outcome | None:
+        """Note an attempt's end; return it unless another attempt still runs."""
+        race.running.pop(ended.attempt, None)
+        outcome = as_told(ended.outcome)
+        self._directory.record(work.service, ended.side, outcome)
+        work.may_have_run |= not _certainly_not_run(outcome)
+        if isinstance(outcome, Completed):
+            seconds = self._clock.monotonic() - race.begun
+            self._directory.measure(ended.side, seconds, _size(outcome))
+            self._cancel(race)
+            return outcome
+        return None if race.running else outcome
+
+    def _hedge(self, work: Work, race: "_Race") -> None:
+        """Send a second attempt elsewhere when the first takes unusually long."""
+        if not work.idempotent or race.hedged:
+            return
+        attempt, slow_side = next(iter(race.running.items()))
+        expected = self._directory.expected_seconds(work.service, work.max_tokens)
+        running = RunningSample(
+            attempt=attempt,
+            idempotent=True,
+            elapsed=self._clock.monotonic() - race.begun,
+            expected=expected or UNKNOWN_SECONDS,
+            elsewhere=expected,
+            remaining=work.deadline - self._clock.monotonic(),
+        )
+        decision = should_hedge(running, outstanding_share=0.0)
+        if not decision.hedge or not self._hedges.spend():
+            return
+        race.hedged = True
+        placed = self._dispatcher.place(work, frozenset(work.tried))
+        if not isinstance(placed, Placed):
+            return
+        event(
+            logger,
+            "hedged",
+            request=work.request,
+            side=placed.side,
+            slow_side=slow_side,
+            reason=decision.reason,
+            **decision.figures,
+        )
+        self._start(work, placed.side, race)
+
+    def _cancel(self, race: "_Race") -> None:
+        for attempt, side in race.running.items():
+            self._dispatcher.cancel(side, [attempt])
 
     def _final(self, work: Work, outcome: Outcome, reason: str) -> Outcome:
         """Return what the caller is told; it is always one of the five outcomes."""
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -19,7 +19,12 @@
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
+from wigeonfront.entry.slots import (
+    TABLES_PATH,
+    SlotMover,
+    SlotTables,
+    TablesQuestion,
+)
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
@@ -65,6 +70,7 @@
     requests: Requests
     lots: Lots
     slots: SlotTables
+    mover: SlotMover
     metrics: Registry
     supervisor: Supervisor
 
@@ -208,7 +214,7 @@
 
     def slot_tables(self, call: Call) -> Reply:
         """Answer another entry which slot table is in force here."""
-        return Reply(200, self._parts.slots.answer(call.decode(TablesQuestion)))
+        return Reply(200, self._parts.mover.answer(call.decode(TablesQuestion)))
 
     # --- operators -----------------------------------------------------------
 
--- a/src/wigeonfront/entry/slots.py
+++ b/src/wigeonfront/entry/slots.py
@@ -2,8 +2,9 @@
 
 `SlotTables` follows the tables and answers who owns a key. `SlotMover` creates a
 missing table, names next owners for slots of sides that the VM list and this
-entry's own session have both lost, and lets them begin once every present member
-has the moved table. All of it is compare-and-swap on one document, so several
+entry's own session have both lost, or with which no member has a session though the
+list still has them, and lets them begin once every present member has the moved
+table. All of it is compare-and-swap on one document, so several
 entries may try; while the key-value service is down the tables stay as they are.
 """
 
@@ -48,15 +49,25 @@
 
 
 class TablesQuestion(Message, frozen=True, kw_only=True):
-    """Asks which revision of a service's slot table is in force at an entry."""
+    """Asks an entry for its slot table of a service, and about a side if named."""
 
     service: str
+    side: str = ""
 
 
 class TablesAnswer(Message, frozen=True, kw_only=True):
-    """The revision in force, 0 for none."""
+    """What an entry knows.
+
+    Attributes
+    ----------
+    revision : int
+        Of the table in force there; 0 for none.
+    silent : bool
+        That entry has had no session with the side for long enough.
+    """
 
     revision: int
+    silent: bool = False
 
 
 class SlotTables:
@@ -95,11 +106,6 @@
         # An owner that has not claimed the slot yet does so when it is called.
         return Owner(slot.owner, index, slot.epoch)
 
-    def answer(self, question: TablesQuestion) -> TablesAnswer:
-        """Tell another entry which table is in force here."""
-        known = self.known(question.service)
-        return TablesAnswer(revision=known.revision if known else 0)
-
     def take_listing(self, listing: Listing) -> None:
         """Take all tables."""
         for row in listing.rows:
@@ -139,8 +145,8 @@
     key_value : KeyValue
     vms : callable
         Returns the VMs listed; empty while the list is unknown.
-    silent : callable
-        Tells whether this entry has no live session with a side.
+    silent_seconds : callable
+        Returns for how long this entry has had no session with a side.
     members : callable
         Returns the other present members, or ``None`` while they are unknown.
     calls : MemberCalls
@@ -152,7 +158,7 @@
         tables: SlotTables,
         key_value: KeyValue,
         vms: Callable[[], Collection[Vm]],
-        silent: Callable[[str], bool],
+        silent_seconds: Callable[[str], float],
         members: Callable[[], Iterable[Member] | None],
         calls: MemberCalls,
         clock: Clock,
@@ -160,17 +166,25 @@
         self._tables = tables
         self._key_value = key_value
         self._vms = vms
-        self._silent = silent
+        self._silent_seconds = silent_seconds
         self._members = members
         self._calls = calls
         self._clock = clock
-        self._missing_since: dict[str, float] = {}
+        self._unlisted_since: dict[str, float] = {}
 
     def run(self, stop: threading.Event) -> None:
         """Look after the tables until `stop` (a supervisor's task)."""
         while not stop.wait(random.uniform(0.5, 1.5) * STEP_SECONDS):
             self.step()
 
+    def answer(self, question: TablesQuestion) -> TablesAnswer:
+        """Tell another entry what is known here."""
+        known = self._tables.known(question.service)
+        return TablesAnswer(
+            revision=known.revision if known else 0,
+            silent=bool(question.side) and self._is_silent(question.side),
+        )
+
     def step(self) -> None:
         """Look at each service once."""
         if not self._tables.loaded:
@@ -187,9 +201,9 @@
         if known is None:
             self._create(service, live)
             return
-        gone = self._gone(known.table)
+        gone = self._gone(service, known.table)
         if gone:
-            moved = slots.move(known.table, gone, live)
+            moved = slots.move(known.table, gone, set(live) - gone)
             self._put(service, moved, known.revision, "moved", gone=gone)
         elif any(slot.moving for slot in known.table.slots):
             self._confirm(service, known)
@@ -208,34 +222,62 @@
         self._put(service, confirmed, known.revision, "confirmed")
 
     def _members_without(self, service: str, revision: int) -> list[str] | None:
+        answers = self._ask_members(TablesQuestion(service=service))
+        if answers is None:
+            return None
+        return [
+            name
+            for name, answer in answers.items()
+            if answer is None or answer.revision < revision
+        ]
+
+    def _ask_members(
+        self, question: TablesQuestion
+    ) -> dict[str, TablesAnswer | None] | None:
+        """Return each member's answer; ``None`` while the members are unknown."""
         members = self._members()
         if members is None:
             return None
-        waiting = []
-        for member in members:
-            reply = self._calls.call(
-                member.address,
-                TABLES_PATH,
-                TablesQuestion(service=service),
-                TablesAnswer,
-                ASK_SECONDS,
+
+        def ask(member: Member) -> TablesAnswer | Unreachable:
+            return self._calls.call(
+                member.address, TABLES_PATH, question, TablesAnswer, ASK_SECONDS
             )
-            if isinstance(reply, Unreachable) or reply.revision < revision:
-                waiting.append(member.name)
-        return waiting
 
-    def _gone(self, table: SlotTable) -> set[str]:
-        """Return owners that list and session have both lost for long enough."""
+        asked = list(members)
+        replies = self._calls.each(ask, asked)
+        return {
+            member.name: reply if isinstance(reply, TablesAnswer) else None
+            for member, reply in zip(asked, replies, strict=True)
+        }
+
+    def _gone(self, service: str, table: SlotTable) -> set[str]:
+        """Return owners that are lost for long enough to move their slots."""
         listed = {vm.name for vm in self._vms()}
-        now = self._clock.monotonic()
         gone = set()
         for side in slots.owners(table):
-            if side in listed or not self._silent(side):
-                self._missing_since.pop(side, None)
-            elif now - self._missing_since.setdefault(side, now) >= GONE_SECONDS:
+            if side in listed:
+                self._unlisted_since.pop(side, None)
+                if self._is_silent(side) and self._all_agree(service, side):
+                    gone.add(side)
+            elif self._is_unlisted(side) and self._is_silent(side):
                 gone.add(side)
         return gone
 
+    def _is_silent(self, side: str) -> bool:
+        return self._silent_seconds(side) >= GONE_SECONDS
+
+    def _is_unlisted(self, side: str) -> bool:
+        now = self._clock.monotonic()
+        return now - self._unlisted_since.setdefault(side, now) >= GONE_SECONDS
+
+    def _all_agree(self, service: str, side: str) -> bool:
+        """Tell whether no member has a session with a side that is still listed."""
+        answers = self._ask_members(TablesQuestion(service=service, side=side))
+        if answers is None:
+            return False
+        return all(answer is not None and answer.silent for answer in answers.values())
+
     def _put(
         self, service: str, table: SlotTable | None, expected: int, what: str, **fields
     ) -> None:
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -109,7 +109,7 @@
             self._slots,
             self._key_value,
             lambda: self._directory.vms,
-            self._directory.silent,
+            self._directory.silent_seconds,
             self._members,
             calls,
             self._clock,
@@ -124,6 +124,7 @@
             self._clock,
             settings.max_attempts,
             settings.retry_budget,
+            settings.hedge_budget,
         )
         lots = Lots(
             self._directory, dispatcher, self._slots, self._clock, settings.hedge_budget
@@ -140,6 +141,7 @@
                 requests=requests,
                 lots=lots,
                 slots=self._slots,
+                mover=self._mover,
                 metrics=self._metrics,
                 supervisor=self._supervisor,
             )
--- a/src/wigeonfront/http.py
+++ b/src/wigeonfront/http.py
@@ -415,6 +415,7 @@
         body: Any,
         read_seconds: float,
         fresh: bool = True,
+        head_seconds: float | None = None,
     ) -> urllib3.BaseHTTPResponse | NotSent | Lost:
         """POST `body` and return the response with its body unread.
 
@@ -424,11 +425,17 @@
             Longest silence between two chunks.
         fresh : bool
             Open a new connection instead of an idle one.
+        head_seconds : float, optional
+            Longest wait for the response's head; `read_seconds` by default.
         """
         if fresh:
             self.reset()
+        head = read_seconds if head_seconds is None else head_seconds
         try:
-            return self._request("POST", path, body, None, read_seconds, preload=False)
+            response = self._request("POST", path, body, None, head, preload=False)
+            if response.connection is not None and response.connection.sock:
+                response.connection.sock.settimeout(read_seconds)
+            return response
         except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
             return NotSent(type(error).__name__)
         except (HTTPError, OSError) as error:
