Servers: a pool starts threads when few are idle, and ends them later

Cause: an entry held 260 threads from its start and a side 84.

Ruled out: threading.stack_size changes only what is reserved, not what is resident. A pool grown inside `put` holds up the accepting thread, as cheroot's `grow` sleeps until new threads are ready; so a thread of the pool does it.

--- a/src/wigeonfront/http.py
+++ b/src/wigeonfront/http.py
@@ -17,6 +17,7 @@
 import msgspec
 import urllib3
 from cheroot import wsgi
+from cheroot.workers.threadpool import ThreadPool
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -33,6 +34,10 @@
 DEFAULT_MAX_BODY = 8 * 1024 * 1024
 SOCKET_SECONDS = 30.0
 STOP_SECONDS = 5.0
+SPARE_THREADS = 8
+"""Idle threads that a pool keeps, so that a call need not wait for one to start."""
+
+POOL_CHECK_SECONDS = 10.0
 _SOCKET_KEY = "wigeonfront.socket"
 
 Decoded = TypeVar("Decoded")
@@ -270,6 +275,51 @@
     return host, int(port)
 
 
+class _Pool(ThreadPool):
+    """A pool that starts threads when few are idle, and ends them some time later.
+
+    A thread that was never used holds 17 KiB, so that a pool of its full size would
+    take a seventh of the memory that an entry may use.
+    """
+
+    def __init__(self, server: wsgi.Server, most: int) -> None:
+        super().__init__(server, min=min(SPARE_THREADS, most), max=most)
+        self._wake = threading.Event()
+        self._ending = False
+        self._keeper = threading.Thread(target=self._adapt, daemon=True)
+
+    def start(self) -> None:
+        """Start the first threads."""
+        super().start()
+        self._keeper.start()
+
+    def put(self, obj: Any) -> None:
+        """Queue a connection that has a request to be read."""
+        super().put(obj)
+        if self._spare < SPARE_THREADS:
+            self._wake.set()
+
+    def stop(self, timeout: float = STOP_SECONDS) -> None:
+        """End all threads."""
+        self._ending = True
+        self._wake.set()
+        self._keeper.join()
+        super().stop(timeout)
+
+    @property
+    def _spare(self) -> int:
+        return self.idle - self.qsize
+
+    def _adapt(self) -> None:
+        """Start threads when told to, as `grow` may wait; end some when idle."""
+        while not self._ending:
+            if self._wake.wait(POOL_CHECK_SECONDS):
+                self._wake.clear()
+                self.grow(max(0, SPARE_THREADS - self._spare))
+            else:
+                self.shrink(max(0, self._spare - 2 * SPARE_THREADS))
+
+
 class Server:
     """A cheroot server with a pool of its own.
 
@@ -279,7 +329,7 @@
         ``host:port`` to listen on.
     application : Application
     threads : int
-        Size of the pool; it never grows.
+        Most threads of the pool, and so most calls served at once.
     """
 
     def __init__(self, address: str, application: Application, threads: int) -> None:
@@ -287,12 +337,11 @@
         self._server = wsgi.Server(
             parse_address(address),
             application,
-            numthreads=threads,
-            max=threads,
             request_queue_size=128,
             timeout=SOCKET_SECONDS,
             shutdown_timeout=STOP_SECONDS,
         )
+        self._server.requests = _Pool(self._server, threads)
         self._server.gateway = _Gateway
         self._server.error_log = _log_server_error
 
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,117 @@
+"""A server's pool starts threads as calls need them, and ends them afterwards."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from wigeonfront import http
+from wigeonfront.http import Answer, Application, Pool, Reply, Server
+from wigeonfront.supervisor import Supervisor
+
+LONGEST_WAIT = 20.0
+
+
+class Gate:
+    """A handler that holds its calls until it is opened."""
+
+    def __init__(self):
+        self.opened = threading.Event()
+        self.reached = threading.Semaphore(0)
+
+    def handle(self, call):
+        self.reached.release()
+        self.opened.wait(LONGEST_WAIT)
+        return Reply(200, {})
+
+
+@pytest.fixture
+def gate():
+    gate = Gate()
+    yield gate
+    gate.opened.set()
+
+
+@pytest.fixture
+def serve(gate):
+    tasks = Supervisor("test")
+    servers = []
+
+    def start(threads):
+        application = Application()
+        application.route("GET", "/held", gate.handle)
+        address = free_address()
+        servers.append(Server(address, application, threads))
+        servers[-1].bind()
+        tasks.start("server", servers[-1].run)
+        return address
+
+    yield start
+    gate.opened.set()
+    for server in servers:
+        server.close()
+    tasks.stop()
+
+
+def free_address():
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+def pool_threads():
+    return sum("CP Server" in thread.name for thread in threading.enumerate())
+
+
+def hold(address, calls):
+    """Start `calls` calls; return a function that waits for their answers."""
+    answers = []
+
+    def call():
+        answers.append(Pool(address, read_seconds=LONGEST_WAIT).call("GET", "/held"))
+
+    threads = [threading.Thread(target=call) for _ in range(calls)]
+    for thread in threads:
+        thread.start()
+
+    def wait():
+        for thread in threads:
+            thread.join()
+        return answers
+
+    return wait
+
+
+@pytest.mark.parametrize(
+    ("threads", "calls"), [(1, 1), (4, 4), (40, 8), (40, 9), (40, 40)]
+)
+def test_as_many_calls_run_at_once_as_the_pool_may_hold(serve, gate, threads, calls):
+    wait = hold(serve(threads), calls)
+    for _ in range(calls):
+        assert gate.reached.acquire(timeout=LONGEST_WAIT)
+    gate.opened.set()
+    answers = wait()
+    assert [type(answer) for answer in answers] == [Answer] * calls
+
+
+def test_a_call_beyond_the_pool_waits_and_is_answered(serve, gate):
+    wait = hold(serve(2), 3)
+    for _ in range(2):
+        assert gate.reached.acquire(timeout=LONGEST_WAIT)
+    gate.opened.set()
+    assert [answer.status for answer in wait()] == [200] * 3
+
+
+def test_idle_threads_end(monkeypatch, serve, gate):
+    monkeypatch.setattr(http, "POOL_CHECK_SECONDS", 0.02)
+    before = pool_threads()
+    wait = hold(serve(60), 50)
+    for _ in range(50):
+        assert gate.reached.acquire(timeout=LONGEST_WAIT)
+    assert pool_threads() - before >= 50
+    gate.opened.set()
+    wait()
+    deadline = time.monotonic() + LONGEST_WAIT
+    while pool_threads() - before > 2 * http.SPARE_THREADS:
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
