--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -8,21 +8,28 @@
     ├── catalogue     follows the catalogue
     ├── slot-tables   follows the slot tables
     ├── slot-mover    moves slots from sides that are gone
+    ├── members       follows the other entries' leases
+    ├── polling       asks other entries for what was missed
+    ├── joining       keeps this entry's lease
     └── peers         one task for each side
 """
 
 import logging
 import uuid
 
-from wigeonfront import catalogue, logs
+from wigeonfront import logs
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.coordination import slots
+from wigeonfront.coordination.rendezvous import subset
 from wigeonfront.entry.admission import EntryAdmission
-from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.control import Control, ControlSettings
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Dispatcher
+from wigeonfront.entry.explain import DecisionLog
 from wigeonfront.entry.lots import Lots
 from wigeonfront.entry.member_calls import HttpMemberCalls
+from wigeonfront.entry.members import Member
+from wigeonfront.entry.operators import OperatorParts, Operators
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
@@ -30,7 +37,9 @@
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
+from wigeonfront.platform import Vm
 from wigeonfront.platform.key_value import HttpKeyValue
+from wigeonfront.platform.metered import MeteredKeyValue
 from wigeonfront.platform.vm_list import HttpVmList
 from wigeonfront.policy.limits import Grant, LimitEnforcer
 from wigeonfront.settings import EntrySettings
@@ -58,13 +67,29 @@
         self._clock = clock or SystemClock()
         self._identity = Identity(settings.name, uuid.uuid4().hex[:12])
         self._supervisor = Supervisor("entry", self._clock)
-        self._key_value = HttpKeyValue(settings.key_value)
+        self._metrics = Registry()
+        self._key_value = MeteredKeyValue(
+            HttpKeyValue(settings.key_value), self._metrics
+        )
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
-        self._catalogue = Catalogue(self._clock, self._follow_catalogue)
-        self._watch = PrefixWatch(
-            catalogue.PREFIX, self._catalogue, self._key_value, self._clock
+        calls = HttpMemberCalls()
+        self._control = Control(
+            self._identity,
+            ControlSettings(
+                str(settings.advertise),
+                settings.failure_domain,
+                settings.lease_seconds,
+                settings.freshness_seconds,
+            ),
+            self._key_value,
+            calls,
+            self._clock,
+            self._follow_catalogue,
+            self._listed_entries,
+            lambda: self._directory.behind(),
         )
+        self._catalogue = self._control.catalogue
         announcements = Announcements()
         self._directory = Directory(
             self._supervisor.child("peers"),
@@ -72,8 +97,10 @@
             self._clock,
             settings.beat_seconds,
             announcements,
+            self._select,
             policy=self._catalogue.policy,
         )
+        self._subsets: dict[str, tuple[object, list[str]]] = {}
         self._slots = SlotTables()
         self._slots_watch = PrefixWatch(
             slots.PREFIX, self._slots, self._key_value, self._clock
@@ -83,8 +110,8 @@
             self._key_value,
             lambda: self._directory.vms,
             self._directory.silent,
-            list,
-            HttpMemberCalls(),
+            self._members,
+            calls,
             self._clock,
         )
         dispatcher = Dispatcher(
@@ -106,19 +133,22 @@
                 identity=self._identity,
                 clock=self._clock,
                 max_callers=settings.threads,
-                catalogue=self._catalogue,
+                control=self._control,
                 admission=EntryAdmission(self._limits, self._clock),
                 directory=self._directory,
                 announcements=announcements,
                 requests=requests,
                 lots=lots,
                 slots=self._slots,
-                metrics=Registry(),
+                metrics=self._metrics,
                 supervisor=self._supervisor,
             )
         )
         application = Application(settings.max_body_bytes)
         self._server.caller_routes(application)
+        self._control.server.routes(application)
+        self._decisions = DecisionLog(settings.name)
+        self._operators().routes(application)
         threads = settings.threads + settings.control_threads
         self._http = Server(str(settings.listen), application, threads)
 
@@ -128,9 +158,11 @@
         start = self._supervisor.start
         start("server", self._http.run)
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
-        start("catalogue", self._watch.run)
         start("slot-tables", self._slots_watch.run)
         start("slot-mover", self._mover.run)
+        for name, task in self._control.tasks().items():
+            start(name, task)
+        logging.getLogger().addHandler(self._decisions)
         logs.event(
             logger,
             "started",
@@ -138,7 +170,7 @@
             incarnation=self._identity.incarnation,
             address=self._settings.listen,
         )
-        while not stop.wait(0.2):
+        while not stop.wait(0.2) and not self._server.leaving:
             if self._supervisor.failed:
                 return EXIT_FAILED
         self._drain()
@@ -148,6 +180,7 @@
         """Answer every caller, then stop."""
         self._server.leave()
         self._http.close_kept_alive()
+        self._control.leave()
         self._clock.sleep(LEAVING_SECONDS)
         wait_until(
             lambda: self._server.in_flight == 0,
@@ -155,16 +188,53 @@
             self._clock,
             "callers",
         )
+        self._control.end()
         self._http.close()
         self._supervisor.stop()
+        logging.getLogger().removeHandler(self._decisions)
         logs.event(logger, "stopped", role="entry")
 
+    def _operators(self) -> Operators:
+        control = self._control
+        return Operators(
+            OperatorParts(
+                catalogue=control.catalogue,
+                editor=control.editor,
+                history=control.history,
+                directory=self._directory,
+                decisions=self._decisions,
+                status=self._server.describe,
+                drain=self._server.leave,
+            )
+        )
+
     def _follow_catalogue(self) -> None:
         """Put the limits of the catalogue in force."""
         for name, row in self._catalogue.rows().items():
             limits = row.limits
             self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
 
+    def _select(self, service: str, sides: list[Vm]) -> list[Vm]:
+        """Return this entry's subset of a service's sides."""
+        by_name = {vm.name: vm for vm in sides}
+        asked = (frozenset(self._listed_entries() or []), frozenset(by_name))
+        known = self._subsets.get(service)
+        if known is None or known[0] != asked:
+            # A few hashes for each side: done again only when the lists change.
+            size = self._settings.subset_size
+            chosen = subset(self._identity.name, asked[0], asked[1], size)
+            known = self._subsets[service] = (asked, chosen)
+        return [by_name[name] for name in known[1]]
+
+    def _members(self) -> list[Member] | None:
+        """Return the other members that must have a moved slot table."""
+        view = self._control.view
+        return view.present() if view.loaded else None
+
+    def _listed_entries(self) -> list[str] | None:
+        listed = self._directory.vms
+        return [vm.name for vm in listed if vm.role == "entry"] if listed else None
+
 
 def run(settings: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the exit code."""
