--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -20,7 +20,12 @@
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
+from wigeonfront.entry.slots import (
+    TABLES_PATH,
+    SlotMover,
+    SlotTables,
+    TablesQuestion,
+)
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
@@ -66,6 +71,7 @@
     requests: Requests
     lots: Lots
     slots: SlotTables
+    mover: SlotMover
     metrics: Registry
     supervisor: Supervisor
 
@@ -176,7 +182,7 @@
         body = call.decode(LotAcknowledgement)
         key = f"{body.trainer}/{body.lot}"
         owner = self._parts.slots.owner(body.service, key)
-        peer = self._parts.directory.peer(owner.side) if owner else None
+        peer = self._parts.directory.reach(owner.side) if owner else None
         status = "unreachable"
         if peer is not None:
             request = DeliveryRequest(
@@ -209,7 +215,7 @@
 
     def slot_tables(self, call: Call) -> Reply:
         """Answer another entry which slot table is in force here."""
-        return Reply(200, self._parts.slots.answer(call.decode(TablesQuestion)))
+        return Reply(200, self._parts.mover.answer(call.decode(TablesQuestion)))
 
     # --- operators -----------------------------------------------------------
 
