--- a/src/wigeonfront/client.py
+++ b/src/wigeonfront/client.py
@@ -574,8 +574,9 @@
         deadline = _Deadline(self._entries.clock, timeout)
         doubt = ""
         submission = request.first_submission
+        slot_epoch = 0
         for tries in count(1):
-            answer = self._send(request, submission, deadline, patience)
+            answer = self._send(request, submission, slot_epoch, deadline, patience)
             end = _request_end(answer)
             doubt = doubt or _doubt(end)
             if not isinstance(end, NotRun) or end.warning:
@@ -583,13 +584,16 @@
                 submission += 1
             if not _may_repeat(request, end, doubt):
                 return _with_doubt(end, doubt)
-            if not self._entries.wait(tries, _retry_after(answer, end), deadline):
+            slot_epoch = _slot_epoch(end, submission)
+            retry_after = 0.0 if slot_epoch else _retry_after(answer, end)
+            if not self._entries.wait(tries, retry_after, deadline):
                 return _with_doubt(end, doubt)
 
     def _send(
         self,
         request: Request,
         submission: int,
+        slot_epoch: int,
         deadline: _Deadline,
         patience: float | None,
     ) -> Answer | NotSent | Lost:
@@ -599,6 +603,7 @@
             idempotent=request.idempotent,
             timeout=max(deadline.remaining, 0.001),
             submission=submission if request.key else 0,
+            slot_epoch=slot_epoch,
             prefix=request.prefix,
             max_tokens=request.max_tokens,
         )
@@ -644,6 +649,11 @@
     return end.warning if isinstance(end, NotRun) else ""
 
 
+def _slot_epoch(end: Outcome | CallRejected, submission: int) -> int:
+    """Return the number that proves a first submission to be newer than a loss."""
+    return end.slot_epoch if isinstance(end, NotRun) and submission == 1 else 0
+
+
 def _retry_after(answer: Answer | NotSent | Lost, end: Any) -> float:
     header = answer.retry_after if isinstance(answer, Answer) else 0.0
     return max(header, getattr(end, "retry_after", 0.0))
--- a/src/wigeonfront/coordination/keyed_work.py
+++ b/src/wigeonfront/coordination/keyed_work.py
@@ -220,13 +220,17 @@
         if from_newer_table or not self._owned.is_owner(attempt.key, attempt.epoch):
             return NotRun("not_owner", NOT_OWNER_RETRY_AFTER, EARLIER_MAY_HAVE_RUN)
         lost = self._owned.lost(attempt.key, now)
-        if lost is None or attempt.first or self._is_known_or_newer(attempt.key, lost):
+        if lost is None or self._is_known_or_newer(attempt, lost):
             return None
-        return NotRun("key_records_lost", lost.remaining, EARLIER_MAY_HAVE_RUN)
-
-    def _is_known_or_newer(self, key: str, lost: LostRecords) -> bool:
-        minted = self._minted_epoch(key)
-        return key in self._works or (minted is not None and minted >= lost.before)
+        return NotRun(
+            "key_records_lost", lost.remaining, EARLIER_MAY_HAVE_RUN, attempt.epoch
+        )
+
+    def _is_known_or_newer(self, attempt: Attempt, lost: LostRecords) -> bool:
+        """Tell whether the key is on record, or was first sent after the loss."""
+        minted = self._minted_epoch(attempt.key) or 0
+        newer = max(minted, attempt.unsent_at) >= lost.before
+        return attempt.key in self._works or newer
 
     def export(self, slot: int, now: float) -> SlotKeys | StillRunning:
         """Return the finished non-idempotent keys of a slot no longer owned."""
--- a/src/wigeonfront/entry/dispatch.py
+++ b/src/wigeonfront/entry/dispatch.py
@@ -54,7 +54,7 @@
     idempotent: bool = True
     key: str = ""
     epoch: int = 0
-    first: bool = False
+    unsent_at: int = 0
     trainer: str = ""
     prefix: str = ""
     max_tokens: int = 64
@@ -144,7 +144,7 @@
             idempotent=work.idempotent,
             key=work.key,
             epoch=work.epoch,
-            first=work.first,
+            unsent_at=work.unsent_at,
             work_class=work.work_class,
             trainer=work.trainer,
             remaining=max(0.001, work.deadline - self._clock.monotonic()),
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -116,6 +116,8 @@
         verdict = may_retry(outcome, attempted, remaining, self._random)
         if isinstance(verdict, GiveUp):
             return verdict
+        if isinstance(outcome, NotRun) and outcome.slot_epoch:
+            return GiveUp("only the caller knows whether the key is new")
         if verdict.budgeted and not self._budget.spend():
             return GiveUp("retry_budget_spent")
         return verdict
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -293,7 +293,7 @@
             deadline=started + body.timeout,
             idempotent=body.idempotent,
             key=f"{body.catalogue_entry}/{key}" if key else "",
-            first=body.submission == 1,
+            unsent_at=body.slot_epoch if body.submission == 1 else 0,
             prefix=body.prefix,
             max_tokens=body.max_tokens,
             min_version=min_version,
@@ -376,9 +376,12 @@
 
 
 def _for_key(outcome: Outcome, key: str, body: RequestBody) -> Outcome:
-    """Return `outcome` so that it doesn't speak for earlier submissions of a key."""
-    if not key or body.idempotent or body.submission == 1:
+    """Return `outcome` so that it speaks of earlier submissions of a key as it may."""
+    if not key or body.idempotent:
         return outcome
+    if body.submission == 1:
+        # Its caller knows of no earlier one.
+        return _for_first(outcome)
     if isinstance(outcome, NotRun) and not outcome.warning:
         return replace(outcome, warning=EARLIER_MAY_HAVE_RUN)
     if isinstance(outcome, Expired):
@@ -386,6 +389,14 @@
     return outcome
 
 
+def _for_first(outcome: Outcome) -> Outcome:
+    """Return a refusal without the warning; one for lost records ends at once."""
+    if not isinstance(outcome, NotRun):
+        return outcome
+    retry_after = RETRY_SECONDS if outcome.slot_epoch else outcome.retry_after
+    return replace(outcome, warning="", retry_after=retry_after)
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -56,8 +56,12 @@
         Seconds within which the caller wants its answer.
     submission : int
         1 when this is the first time that the caller sends its idempotency key,
-        higher when it repeats it, 0 when it doesn't say. A key's first submission
-        may run even where the record of earlier keys was lost.
+        higher when it repeats it, 0 when it doesn't say.
+    slot_epoch : int
+        From a refusal of a first submission as ``key_records_lost``: sent again
+        as the first with this number, the key runs although older records are
+        lost. Without it a first submission doesn't, because it may have been
+        under way since before the loss, and a repeat may have overtaken it.
     prefix : str
         Requests of the same prefix share cached prompt tokens.
     max_tokens : int
@@ -71,6 +75,7 @@
     idempotent: bool = True
     timeout: Seconds = 30.0
     submission: Count = 0
+    slot_epoch: Count = 0
     prefix: str = ""
     max_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 64
     version: Count | None = None
@@ -172,6 +177,7 @@
     reason: str = ""
     retry_after: float = 0.0
     warning: str = ""
+    slot_epoch: int = 0
     status: int = 0
     started: bool = False
 
@@ -244,8 +250,9 @@
         Idempotency key, or the Lot's key and the sample, or empty.
     epoch : int
         Epoch of the key's slot, as the entry knows it; 0 without ownership.
-    first : bool
-        The caller says that the key was never sent before.
+    unsent_at : int
+        The caller had heard of this epoch of the slot when it had never sent the
+        key before; 0 where it doesn't say so.
     work_class : str
         Decides admission and engine priority.
     trainer : str
@@ -266,7 +273,7 @@
     idempotent: bool = True
     key: str = ""
     epoch: int = 0
-    first: bool = False
+    unsent_at: int = 0
     work_class: WorkClass = "interactive"
     trainer: str = ""
     remaining: float = 30.0
@@ -519,6 +526,7 @@
         reason=outcome.reason,
         retry_after=outcome.retry_after,
         warning=outcome.warning,
+        slot_epoch=outcome.slot_epoch,
     )
 
 
@@ -548,7 +556,7 @@
         spans = from_span_frames(frame.versions)
         return Interrupted(frame.reason, tuple(frame.payload or ()), spans)
     if frame.kind == "not_run":
-        return NotRun(frame.reason, frame.retry_after, frame.warning)
+        return NotRun(frame.reason, frame.retry_after, frame.warning, frame.slot_epoch)
     if frame.kind == "unknown":
         return Unknown(frame.reason)
     if frame.kind == "failed":
--- a/src/wigeonfront/outcomes.py
+++ b/src/wigeonfront/outcomes.py
@@ -57,11 +57,15 @@
         Seconds after which the caller may come back.
     warning : str
         Says what is not certain about *earlier* submissions of the same key.
+    slot_epoch : int
+        Where records of earlier keys are lost: a caller that has never sent its
+        key before says so with this number. 0 elsewhere.
     """
 
     reason: str
     retry_after: float = 1.0
     warning: str = ""
+    slot_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -293,6 +293,15 @@
     assert [call[2].submission for call in pools.calls] == [1, 1, 1, 2, 3]
 
 
+def test_first_submission_is_proved_newer_than_a_loss(play):
+    lost = reply("not_run", 503, reason="key_records_lost", slot_epoch=7)
+    caller, pools = play(RequestClient, lost, Lost("cut"), lost, COMPLETED)
+    end = caller.call(Request("order-desk", "bookings", idempotent=False, key="k"))
+    sent = [(call[2].submission, call[2].slot_epoch) for call in pools.calls]
+    assert sent == [(1, 0), (1, 7), (2, 0), (2, 0)]
+    assert end == Completed(None)
+
+
 def test_service_is_quoted_in_the_path():
     assert client.request_path("a/b c") == "/v1/services/a%2Fb%20c/requests"
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -351,8 +351,8 @@
         ("x", 4, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
         ("o5", 4, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
         ("o", 0, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
-        ("l", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN)),
-        ("l5", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN)),
+        ("l", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN, 6)),
+        ("l5", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN, 6)),
         ("l6", 6, 10.0, None),
         ("l", 6, 30.0, None),
     ],
@@ -372,6 +372,16 @@
         assert admission == Refused(expected)
 
 
+@pytest.mark.parametrize(("unsent_at", "admitted"), [(0, False), (5, False), (6, True)])
+def test_key_never_sent_before_a_loss_runs(clock, unsent_at, admitted):
+    ledger = AttemptLedger("s", clock, keys=KeyedWork(RETENTION, slot_of))
+    ledger.own(LOST, 6, LostRecords(before=6, remaining=30.0))
+    peer = Peer(ledger)
+    peer.open()
+    fields = {"key": "l", "epoch": 6, "idempotent": False, "unsent_at": unsent_at}
+    assert isinstance(peer.admit("a", **fields), Admitted) == admitted
+
+
 def test_hand_over_of_keys(clock):
     keys = [KeyedWork(RETENTION, slot_of, minted_epoch) for _ in range(2)]
     old, new = (AttemptLedger("s", clock, keys=one) for one in keys)
