Membership tests: faults around an edit, races, starting from an old view

Found by them, each failing first: an entry that left gracefully counted as former where the members were listed after its lease had ended (it now tells every member); a listing from a lagging replica let a new entry take its old view for current (it now catches up with a write made under its lease); a deletion whose answer was lost was called accepted though another edit had come first (settled by the row's history now).

--- a/src/wigeonfront/entry/contacts.py
+++ b/src/wigeonfront/entry/contacts.py
@@ -14,6 +14,9 @@
 POLLED_MARGIN = 1.5
 """Clocks of two VMs may differ in rate; a poller is remembered so much longer."""
 
+REFRESH_SECONDS = 0.25
+"""The majority is worked out anew so often; meanwhile a later answer counts not."""
+
 
 @dataclass(frozen=True, slots=True)
 class Heard:
@@ -29,6 +32,13 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Majority:
+    needed: int
+    since: float | None
+    stale_at: float
+
+
 class Contacts:
     """Answers and polls of the last `bound` seconds.
 
@@ -46,6 +56,7 @@
         self._heard: dict[str, Heard] = {}
         self._polled: dict[str, _Polled] = {}
         self._started = clock.monotonic()
+        self._majority = _Majority(0, None, 0.0)
 
     @property
     def bound(self) -> float:
@@ -83,11 +94,20 @@
         float or None
             A reading of the monotonic clock; ``None`` without a majority.
         """
+        now = self._clock.monotonic()
         needed = electorate // 2
         if needed == 0:
-            return self._clock.monotonic()
-        times = sorted((one.at for one in self.heard().values()), reverse=True)
-        return times[needed - 1] if len(times) >= needed else None
+            return now
+        with self._lock:
+            if self._majority.needed != needed or now >= self._majority.stale_at:
+                self._majority = self._new_majority(needed, now)
+            since = self._majority.since
+        return None if since is None or now - since >= self._bound else since
+
+    def _new_majority(self, needed: int, now: float) -> "_Majority":
+        times = sorted((one.at for one in self._heard.values()), reverse=True)
+        since = times[needed - 1] if len(times) >= needed else None
+        return _Majority(needed, since, now + REFRESH_SECONDS)
 
     def polled_lately(self, names: list[str]) -> dict[str, str]:
         """Return those of `names` that may have polled lately, with their digests.
--- a/src/wigeonfront/entry/control.py
+++ b/src/wigeonfront/entry/control.py
@@ -146,7 +146,7 @@
             self.contacts,
             self.catalogue,
             calls,
-            lambda: self.membership.state,
+            self.membership,
             clock,
             jitter,
         )
@@ -230,6 +230,8 @@
         self.membership.leave()
         leaving = msgspec.structs.replace(self._row, leaving=True)
         self.holder.fenced_write(msgspec.to_builtins(leaving))
+        # Whoever lists the members after the lease has ended would not see the row.
+        self.polling.say_leaving()
 
     def end(self) -> None:
         """Give the lease back."""
--- a/src/wigeonfront/entry/edits.py
+++ b/src/wigeonfront/entry/edits.py
@@ -23,7 +23,6 @@
 from wigeonfront.entry.membership import Standing
 from wigeonfront.logs import event
 from wigeonfront.platform import (
-    Absent,
     Conflict,
     KeyValue,
     Row,
@@ -157,6 +156,8 @@
         self, name: str, expected: int, operator: str, wait: float
     ) -> EditOutcome:
         """Delete a row that is at revision `expected`."""
+        if expected == 0:
+            return EditRejected("a deletion names the revision of the row")
         refused = self._refused()
         if refused is not None:
             return refused
@@ -247,14 +248,27 @@
             if not isinstance(written, Uncertain):
                 break
             self._clock.sleep(RETRY_SECONDS)
-            present = self._key_value.get(key)
-            if isinstance(present, Absent):
-                return StoredRow(present.revision)
-            if isinstance(present, Row):
-                again = self._key_value.delete(key, expected)
-                written = Uncertain("") if isinstance(again, Unavailable) else again
+            written = self._settled_deletion(key, expected)
         return written
 
+    def _settled_deletion(
+        self, key: str, expected: int
+    ) -> StoredRow | Conflict | Uncertain:
+        """Look for the write that followed `expected`, and delete if there is none.
+
+        Deletions by two operators can't be told apart, and need not be.
+        """
+        found = self._key_value.watch(key, expected, 0.0)
+        if isinstance(found, Unavailable) or found.compacted:
+            return Uncertain("the history of the row can't be read")
+        later = [change for change in found.changes if change.key == key]
+        if later and later[0].value is None:
+            return StoredRow(later[0].revision)
+        if later:
+            return Conflict(later[-1].revision)
+        again = self._key_value.delete(key, expected)
+        return Uncertain(again.reason) if isinstance(again, Unavailable) else again
+
 
 def _log(name: str, row: bytes | None, written: object, operator: str) -> None:
     event(
--- a/src/wigeonfront/entry/joining.py
+++ b/src/wigeonfront/entry/joining.py
@@ -1,15 +1,15 @@
 """Keeps this entry a member: holds its lease, and catches up when it is new.
 
-A new lease counts once the catalogue has caught up with a listing of the members
-made under it, which no earlier state of the catalogue can have reached, and with
-what other members report.
+A new lease counts once members and catalogue have caught up with a write made under
+it, which no earlier state of the service can have reached, and with what other
+members report.
 """
 
 import logging
 import random
 import threading
 
-from wigeonfront.coordination.lease import LeaseHolder
+from wigeonfront.coordination.lease import Held, LeaseHolder
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.members import MemberView
 from wigeonfront.entry.membership import Membership
@@ -17,7 +17,6 @@
 from wigeonfront.entry.renewals import RelayedKeyValue
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.logs import event
-from wigeonfront.platform import Listing
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +65,7 @@
         self._catalogue = catalogue
         self._polling = polling
         self._random = generator
+        self._needed = 0
 
     def run(self, stop: threading.Event) -> None:
         """Keep the lease until `stop` (a supervisor's task)."""
@@ -98,6 +98,7 @@
 
     def _note_lost(self, pause: float) -> float:
         event(logger, "lease_lost")
+        self._needed = 0
         self._membership.lapsed()
         # Beside an outage others lose theirs too, and this entry goes on meanwhile.
         if self._membership.cut_off:
@@ -105,17 +106,21 @@
         return min(pause, self._random.uniform(0, CATCH_UP_SECONDS))
 
     def _catch_up(self) -> bool:
-        listing = self._members_watch.list_now()
-        if not isinstance(listing, Listing):
-            return False
+        if not self._needed:
+            written = self._holder.fenced_write()
+            if not isinstance(written, Held):
+                return False
+            self._needed = written.revision
+        self._members_watch.list_now()
         replies = self._polling.ask_some(ASKED_AT_JOIN)
         reported = [one.revision for one in replies if one.standing == "member"]
-        needed = max([listing.revision, *reported])
+        needed = max([self._needed, *reported])
         if self._catalogue.revision < needed:
             self._catalogue_watch.list_now()
-        if self._catalogue.revision < needed:
+        if self._catalogue.revision < needed or self._view.revision < self._needed:
             event(logger, "catching_up", revision=self._catalogue.revision, to=needed)
             return False
         event(logger, "caught_up", revision=self._catalogue.revision)
+        self._needed = 0
         self._membership.caught_up()
         return True
--- a/src/wigeonfront/entry/members.py
+++ b/src/wigeonfront/entry/members.py
@@ -100,8 +100,9 @@
 
     def electorate(self) -> int:
         """Return how many entries a majority is counted from, this one included."""
-        others = sum(not member.leaving for member in self.present())
-        return 1 + others + len(self.former())
+        with self._lock:
+            others = sum(not member.leaving for member in self._present.values())
+            return 1 + others + len(self._former)
 
     def left(self, name: str) -> None:
         """Note that an entry said itself that it leaves."""
--- a/src/wigeonfront/entry/membership.py
+++ b/src/wigeonfront/entry/membership.py
@@ -16,7 +16,6 @@
 from wigeonfront.entry.contacts import Contacts
 from wigeonfront.entry.member_calls import StandingName
 from wigeonfront.entry.members import MemberView
-from wigeonfront.entry.polling import PollState
 from wigeonfront.logs import event
 from wigeonfront.messages import WorkClass
 from wigeonfront.outcomes import NotRun
@@ -130,9 +129,14 @@
         return self._cut_off
 
     @property
-    def state(self) -> PollState:
-        """What this entry says of itself to others."""
-        return PollState(self.standing.name, self._in_touch, self._leaving)
+    def in_touch(self) -> bool:
+        """Whether the key-value service answered its last lease call."""
+        return self._in_touch
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the entry admits nothing new any more."""
+        return self._leaving
 
     def refusal(self, work_class: WorkClass) -> NotRun | None:
         """Return why new work of a class is refused; ``None`` if it may come in."""
--- a/src/wigeonfront/entry/polling.py
+++ b/src/wigeonfront/entry/polling.py
@@ -9,8 +9,6 @@
 import logging
 import random
 import threading
-from collections.abc import Callable
-from dataclasses import dataclass
 from math import ceil
 
 from wigeonfront.clock import Clock
@@ -21,10 +19,10 @@
     MemberCalls,
     Poll,
     PollReply,
-    StandingName,
     Unreachable,
 )
 from wigeonfront.entry.members import Member, MemberView
+from wigeonfront.entry.membership import Membership
 from wigeonfront.entry.peers import Identity
 from wigeonfront.logs import event
 
@@ -36,15 +34,6 @@
 """How often all entries are polled within the contact bound, if need be."""
 
 
-@dataclass(frozen=True, slots=True)
-class PollState:
-    """What this entry says of itself in an answer to a poll."""
-
-    standing: StandingName
-    in_touch: bool
-    leaving: bool
-
-
 class Polling:
     """A task of the entry, and its answers to the polls of others.
 
@@ -56,8 +45,7 @@
     contacts : Contacts
     catalogue : Catalogue
     calls : MemberCalls
-    state : callable
-        Returns the `PollState` of this entry.
+    membership : Membership
     clock : Clock
     generator : random.Random
         Source of jitter.
@@ -70,7 +58,7 @@
         contacts: Contacts,
         catalogue: Catalogue,
         calls: MemberCalls,
-        state: Callable[[], PollState],
+        membership: Membership,
         clock: Clock,
         generator: random.Random | None = None,
     ) -> None:
@@ -79,7 +67,7 @@
         self._contacts = contacts
         self._catalogue = catalogue
         self._calls = calls
-        self._state = state
+        self._membership = membership
         self._clock = clock
         self._random = generator or random.Random()
         self._turn: list[Member] = []
@@ -91,8 +79,8 @@
 
     def step(self) -> float:
         """Poll whose turn it is; return the seconds to wait before the next."""
-        state = self._state()
-        healthy = state.standing == "member" and state.in_touch
+        membership = self._membership
+        healthy = membership.in_touch and membership.standing.name == "member"
         self.ask(self._next(1 if healthy else self._hurried()))
         return self._random.uniform(0.75, 1.25) * POLL_SECONDS
 
@@ -106,19 +94,22 @@
         members = self._view.present()
         return self.ask(self._random.sample(members, min(most, len(members))))
 
+    def say_leaving(self) -> None:
+        """Tell every member that this entry admits nothing new any more."""
+        self.ask(self._view.present())
+
     def answer(self, poll: Poll) -> PollReply:
         """Answer another entry's poll."""
         if poll.leaving:
             self._view.left(poll.name)
         self._contacts.note_polled(poll)
-        state = self._state()
         catalogue = self._catalogue
         digest = catalogue.digest
         return PollReply(
             name=self._identity.name,
             incarnation=self._identity.incarnation,
-            standing=state.standing,
-            in_touch=state.in_touch,
+            standing=self._membership.standing.name,
+            in_touch=self._membership.in_touch,
             revision=catalogue.revision,
             digest=digest,
             age=catalogue.age,
@@ -160,7 +151,7 @@
             revision=self._catalogue.revision,
             digest=self._catalogue.digest,
             after=after,
-            leaving=self._state().leaving,
+            leaving=self._membership.leaving,
         )
         reply = self._calls.call(
             member.address, POLL_PATH, poll, PollReply, POLL_TIMEOUT
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,7 +14,9 @@
 
 from wigeonfront import catalogue
 from wigeonfront.clock import ManualClock
+from wigeonfront.entry import members
 from wigeonfront.entry.control import Control, ControlSettings
+from wigeonfront.entry.edits import Accepted
 from wigeonfront.entry.member_calls import (
     CHANGE_PATH,
     POLL_PATH,
@@ -26,7 +28,7 @@
 )
 from wigeonfront.entry.member_server import renew_for
 from wigeonfront.entry.peers import Identity
-from wigeonfront.platform import Changes
+from wigeonfront.platform import Changes, Listing
 from wigeonfront.platform.memory import MemoryKeyValue, MemoryState
 
 ROW = {"owner": "farm", "class": "rollout", "services": ["judge-llm"]}
@@ -66,7 +68,7 @@
         self.fleet = fleet
         self.misses_events = False
         self.silent = False
-        self.stale = 0
+        self.replica = None
         self.resumed = False
         self.times = []
 
@@ -76,10 +78,25 @@
             self.times.append((self.fleet.clock.monotonic(), name))
         return super()._read(name, call)
 
+    def list(self, prefix):
+        found = super().list(prefix)
+        if self.replica is None or not isinstance(found, Listing):
+            return found
+        return self.replica[prefix]
+
+    def lag(self):
+        """Answer listings and watches from a replica that gets no writes any more."""
+        self.replica = {
+            prefix: super(FleetKeyValue, self).list(prefix)
+            for prefix in (catalogue.PREFIX, members.PREFIX)
+        }
+
     def watch(self, prefix, after, timeout):
         found = super().watch(prefix, after, timeout)
         if not isinstance(found, Changes):
             return found
+        if self.replica is not None:
+            found = Changes((), self.replica[prefix].revision)
         if self.silent or self.misses_events:
             found = Changes((), after if self.silent else found.revision)
         if not found.changes and not found.compacted:
@@ -113,6 +130,7 @@
     """One entry; its address is its name."""
 
     def __init__(self, fleet, name, domain):
+        self.fleet = fleet
         self.name = name
         self.domain = domain
         self.frozen = False
@@ -158,9 +176,18 @@
         entry = self.catalogue.get(name)
         return entry.weight if entry else None
 
-    def put(self, weight, expected, wait=8.0, name="a"):
+    def put(self, weight, expected=None, wait=8.0, name="a"):
+        """Edit a row, by default from the revision known here."""
+        if expected is None:
+            known = self.catalogue.known(name)
+            expected = known.revision if known else 0
         row = encoded(weight=weight)
-        return self.control.editor.put(name, row, expected, "operator", wait)
+        outcome = self.control.editor.put(name, row, expected, "operator", wait)
+        return self.fleet.note(name, outcome)
+
+    def confirm(self, wait=0.0, name="a"):
+        """Ask anew whether the present row is in force."""
+        return self.fleet.note(name, self.control.editor.confirm(name, wait))
 
 
 class Fleet:
@@ -185,6 +212,7 @@
         self.cuts = set()
         self.one_way = set()
         self.listed = None
+        self.accepted = {}
         self.numbers = itertools.count(1)
         self._queue = []
         self._parked = {}
@@ -258,6 +286,22 @@
         self.run(seconds)
         assert {node.standing for node in self.all} == {"member"}
 
+    def note(self, name, outcome):
+        """Remember what was accepted, and check that it is in force at once."""
+        if isinstance(outcome, Accepted):
+            known = self.accepted.get(name, 0)
+            self.accepted[name] = max(known, outcome.revision)
+            for node in self.all:
+                self.check(node)
+        return outcome
+
+    def check(self, node):
+        """What was accepted is in force wherever rollouts are admitted."""
+        if node.frozen or not node.admits:
+            return
+        for name, revision in self.accepted.items():
+            assert node.catalogue.has(name, revision), (node.name, name, revision)
+
     def write(self, weight, name="a", row=None):
         """Write a row directly to the key-value service; return its revision."""
         value = encoded(weight=weight) if row is None else row
@@ -296,6 +340,7 @@
         node.key_value.resumed = resumed
         pause = node.steps[task]()
         node.key_value.resumed = False
+        self.check(node)
         if self._park_asked is None:
             self._schedule(node, task, max(pause, SHORTEST_PAUSE))
             return
