--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -221,6 +221,19 @@
     assert fleet[1].weight() == 2
 
 
+def test_an_entry_beyond_a_cut_is_waited_for_through_those_in_touch_with_it():
+    """It goes on without a lease, in touch with most, and reaches no editor."""
+    fleet = fleet_of(5)
+    for number in (1, 2, 3, 4):
+        fleet[number].key_value.outage = True
+    fleet.cut([fleet[0]], [fleet[4]])
+    fleet.run(2 * LEASE)
+    assert [fleet[n].standing for n in range(5)] == ["member"] * 4 + ["detached"]
+    assert isinstance(fleet[0].put(weight=2, wait=20), Accepted)
+    assert fleet[4].admits
+    assert fleet[4].weight() == 2
+
+
 # --- operators race ------------------------------------------------------------
 
 
@@ -376,3 +389,124 @@
     fleet[0].put(weight=2)
     fleet.run(1)
     assert late.weight() == 2
+
+
+# --- many entries ------------------------------------------------------------------
+
+JOIN_CALLS_PER_SECOND = 600
+"""An entry's start takes about ten calls, and fifty start a second."""
+
+
+def cold_start(count, domains=1):
+    fleet = Fleet()
+    fleet.listed = [f"e{number}" for number in range(count)]
+    for number in range(count):
+        fleet.start(f"e{number}", f"d{number % domains}")
+    return fleet
+
+
+def domain(fleet, name):
+    return [node for node in fleet.all if node.domain == name]
+
+
+@pytest.mark.parametrize("count", [20, 300])
+def test_many_entries_start_at_once_without_a_herd(count):
+    fleet = cold_start(count)
+    fleet.settle(count / 50 + 10)
+    assert fleet.peak(since=0) < JOIN_CALLS_PER_SECOND
+    began = fleet.clock.monotonic()
+    assert isinstance(fleet[0].put(weight=2), Accepted)
+    fleet.run(1)
+    assert fleet.weights() == {2: count}
+    # The row, its history and a list of the members, beside one watch for each.
+    written = fleet.calls(since=began)
+    assert written["put"] == 2
+    assert written["watch"] <= 1.5 * count
+
+
+def test_calls_for_each_entry_do_not_grow_with_the_fleet():
+    """Renewals, short watches and rare listings, as many per entry for any fleet."""
+    rates = []
+    for count in (5, 50):
+        fleet = cold_start(count)
+        fleet.settle(30)
+        began = fleet.clock.monotonic()
+        fleet.run(300)
+        rates.append(sum(fleet.calls(since=began).values()) / 300 / count)
+    assert rates[1] == pytest.approx(rates[0], rel=0.1)
+    assert rates[1] < 0.7
+
+
+def test_every_entry_is_replaced_one_after_the_other():
+    fleet = fleet_of(12)
+    for number in range(12):
+        fleet.listed = list(fleet.nodes)
+        if number % 2:
+            fleet.stop(f"e{number}")
+        else:
+            fleet.kill(f"e{number}")
+        fleet.start(f"new{number}")
+        editor = fleet.nodes[f"new{number - 1}"] if number else fleet[5]
+        assert isinstance(editor.put(weight=number + 1, wait=60), Accepted)
+        fleet.listed = list(fleet.nodes)
+        fleet.run(5)
+    fleet.settle(20)
+    assert fleet.weights() == {12: 12}
+    assert {name for node in fleet.all for name in former(node)} == set()
+
+
+def former(node):
+    return [member.name for member in node.control.view.former()]
+
+
+def test_a_failure_domain_is_lost_and_comes_back():
+    fleet = fleet_of(30, domains=3)
+    lost = domain(fleet, "d2")
+    for node in lost:
+        fleet.kill(node.name)
+    outcome = fleet[0].put(weight=2, wait=60)
+    assert shape(outcome) == (Accepted, tuple(sorted(node.name for node in lost)))
+    assert outcome.seconds < LEASE * 2
+    for node in lost:
+        fleet.start(node.name, "d2")
+    fleet.settle(20)
+    assert fleet.weights() == {2: 30}
+
+
+@pytest.mark.parametrize(
+    ("with_service", "accepted", "admit"),
+    [
+        # The service on the larger side: the smaller one fences itself.
+        ("large", True, {"large": True, "small": False}),
+        # On the smaller side: the larger one goes on, so nothing is accepted.
+        ("small", False, {"large": True, "small": True}),
+        # Reached by both, which don't reach each other: nobody can confirm.
+        ("both", False, {"large": True, "small": True}),
+        ("none", None, {"large": True, "small": False}),
+    ],
+)
+def test_regions_apart_for_an_hour_and_together_again(with_service, accepted, admit):
+    fleet = fleet_of(9)
+    sides = {"large": fleet.all[:6], "small": fleet.all[6:]}
+    fleet[0].put(weight=1)
+    fleet.run(1)
+    fleet.cut(sides["large"], sides["small"])
+    for name, nodes in sides.items():
+        for node in nodes:
+            node.key_value.outage = with_service not in (name, "both")
+    editor = sides["small" if with_service == "small" else "large"][0]
+    outcome = editor.put(weight=2, wait=60)
+    if accepted is None:
+        assert isinstance(outcome, EditRefused)
+    else:
+        assert isinstance(outcome, Accepted if accepted else Stored)
+    for _ in range(6):
+        fleet.run(600)
+        for name, nodes in sides.items():
+            assert {node.admits for node in nodes} == {admit[name]}
+    fleet.heal()
+    for node in fleet.all:
+        node.key_value.outage = False
+    fleet.settle(30)
+    assert fleet.weights() == {1 if accepted is None else 2: 9}
+    assert isinstance(editor.put(weight=3), Accepted)
