--- a/src/wigeonfront/catalogue.py
+++ b/src/wigeonfront/catalogue.py
@@ -5,10 +5,11 @@
 """
 
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
+from wigeonfront.coordination.settled import WRITER
 from wigeonfront.messages import Count, Message, Name, WorkClass
 
 PREFIX = "catalogue/"
@@ -54,6 +55,8 @@
         Share of a service's engines that may load weights at once.
     enabled : bool
         ``False`` refuses all new work of the entry.
+    writer : str
+        Identifier of the write, set by the entry that takes the edit.
     """
 
     owner: Name
@@ -64,6 +67,7 @@
     bound: Count | None = None
     wave: Annotated[float, msgspec.Meta(gt=0, le=1)] = DEFAULT_WAVE
     enabled: bool = True
+    writer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,3 +86,13 @@
     if len(set(entry.services)) != len(entry.services):
         return BadRow("services names one twice - at `$.services`")
     return entry
+
+
+def plain(row: bytes | None) -> Any:
+    """Return a row as JSON data without its writer; ``None`` for no row."""
+    if row is None:
+        return None
+    data = msgspec.json.decode(row)
+    if isinstance(data, dict):
+        data.pop(WRITER, None)
+    return data
--- a/src/wigeonfront/policy/placement.py
+++ b/src/wigeonfront/policy/placement.py
@@ -12,9 +12,9 @@
 from random import Random
 from typing import Any
 
+from wigeonfront.coordination.rendezvous import ranked
 from wigeonfront.messages import WorkClass
 from wigeonfront.outcomes import NotRun
-from wigeonfront.policy.rendezvous import order
 
 AFFINITY_LOAD_FACTOR = 1.1
 """How far above the mean load a side may be and still keep its prefixes."""
@@ -230,16 +230,16 @@
         mean = sum(loads.values()) / len(loads)
         bound = self.load_factor * mean
         by_name = {side.name: side for side in candidates}
-        ranked = [by_name[name] for name in order(request.prefix, by_name)]
+        preferred = [by_name[name] for name in ranked(request.prefix, by_name)]
         fitting = [
             side
-            for side in ranked
+            for side in preferred
             if loads[side.name] <= bound or _starts_at_once(side, request, slowness)
         ]
         # Some load is at most the mean, but rounding may put it just above.
-        fitting = fitting or [min(ranked, key=lambda side: loads[side.name])]
+        fitting = fitting or [min(preferred, key=lambda side: loads[side.name])]
         side = min(fitting[: self.heads], key=lambda side: loads[side.name])
-        rank = ranked.index(side)
+        rank = preferred.index(side)
         reason = "affinity" if rank < self.heads else "affinity_bounded"
         return _placed(side, reason, candidates, rank=rank, mean_load=mean)
 
@@ -272,7 +272,7 @@
     if not request.key:
         return random.sample(pool, CHOICES)
     by_name = {side.name: side for side in pool}
-    return [by_name[name] for name in order(request.key, by_name)[:CHOICES]]
+    return [by_name[name] for name in ranked(request.key, by_name)[:CHOICES]]
 
 
 def _load_after(side: SideView, request: PlacementRequest) -> float:
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -21,6 +21,7 @@
 _HOST = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]*|\[[0-9A-Fa-f:.]+\]")
 _URL = re.compile(r"https?://(?P<authority>[^/?#\s@]+)(?P<path>/[^?#\s]*)?")
 _MAX_PORT = 65_535
+_MAX_OPERATOR = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +108,14 @@
     return text.rstrip("/")
 
 
+def parse_target(text: str) -> str:
+    """Return the URL of a target: plain HTTP, with a port and without a path."""
+    scheme, _, authority = text.rstrip("/").partition("://")
+    if scheme != "http":
+        raise ValueError(text)
+    return f"http://{parse_address(authority)}"
+
+
 def _has_port(authority: str) -> bool:
     return ":" in authority.rpartition("]")[2]
 
@@ -119,6 +128,13 @@
     return text
 
 
+def parse_operator(text: str) -> str:
+    """Return `text` if it is short enough for the catalogue's history."""
+    if len(text) > _MAX_OPERATOR:
+        raise ValueError(text)
+    return text
+
+
 def one_of(*choices: str) -> Callable[[str], str]:
     """Return a parser that accepts just `choices`."""
 
@@ -274,7 +290,11 @@
     """Settings of ``wigeonfront side``."""
 
     service: str = _name("service that the target belongs to")
-    target: str = _url("the target beside this process")
+    target: str = _setting(
+        parse_target,
+        "a URL such as http://127.0.0.1:8080, without a path",
+        "the target beside this process",
+    )
     target_kind: str = _setting(
         one_of(*_TARGET_KINDS),
         " or ".join(_TARGET_KINDS),
@@ -310,6 +330,12 @@
     timeout_seconds: float = _decimal(
         0.1, 3600, 10.0, "seconds to wait for an entry's answer"
     )
+    operator: str = _setting(
+        parse_operator,
+        f"at most {_MAX_OPERATOR} characters",
+        "who edits the catalogue, for its history",
+        "",
+    )
 
 
 Settings = TypeVar("Settings", CommonSettings, OperatorSettings)
--- a/src/wigeonfront/side/server.py
+++ b/src/wigeonfront/side/server.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.delivery import DeliveryRights
 from wigeonfront.coordination.ledger import (
     Admission,
     AttemptLedger,
@@ -22,7 +23,6 @@
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     Beat,
-    DeliveryReply,
     DeliveryRequest,
     Dispatch,
     DispatchReply,
@@ -39,6 +39,7 @@
 from wigeonfront.policy.admission import AdmissionQueue
 from wigeonfront.side.execution import Execution
 from wigeonfront.side.learning import Learning
+from wigeonfront.side.slots import ADOPT_PATH, HandOver, SlotKeeper
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +60,8 @@
     queue: AdmissionQueue
     execution: Execution
     learning: Learning
+    slots: SlotKeeper
+    rights: DeliveryRights
     metrics: Registry
 
 
@@ -101,6 +104,7 @@
         application.route("POST", "/peer/open", self.open)
         application.route("POST", "/peer/dispatch", self.dispatch)
         application.route("POST", "/peer/delivery", self.deliver)
+        application.route("POST", ADOPT_PATH, self.adopt)
         application.route("POST", "/control/drain", self.drain)
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
@@ -211,6 +215,8 @@
             )
             if isinstance(admission, Refused)
         ]
+        if any(one.outcome.reason == "not_owner" for one in refused):
+            parts.slots.suspect()
         self._count(result.admissions)
         return Reply(200, DispatchReply(refused=refused))
 
@@ -220,8 +226,24 @@
 
     def deliver(self, call: Call) -> Reply:
         """Decide who may write the answer to a Lot."""
-        call.decode(DeliveryRequest)
-        return Reply(200, DeliveryReply(status="granted"))
+        message = call.decode(DeliveryRequest)
+        reply = self._parts.rights.handle(message)
+        if reply.status == "not_owner":
+            self._parts.slots.suspect()
+        event(
+            logger,
+            "delivery_right",
+            lot=message.key,
+            step=message.step,
+            submission=message.submission,
+            holder=message.holder,
+            status=reply.status,
+        )
+        return Reply(200, reply)
+
+    def adopt(self, call: Call) -> Reply:
+        """Take the records of slots that another side hands over."""
+        return Reply(200, self._parts.slots.adopt(call.decode(HandOver)))
 
     # --- control -------------------------------------------------------------
 
@@ -263,6 +285,7 @@
                 "serving": condition.serving,
                 "leaving": self._leaving,
                 "revision": parts.learning.revision,
+                "slots": parts.slots.owned,
                 "unacknowledged": parts.ledger.unacknowledged,
                 "records": len(parts.ledger),
                 "metrics": parts.metrics.snapshot(),
