--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -13,16 +13,19 @@
 from wigeonfront.entry.peers import Identity, Peer, PeerState
 from wigeonfront.logs import event
 from wigeonfront.messages import Beat, ServicePolicy
-from wigeonfront.outcomes import Outcome
+from wigeonfront.outcomes import NotRun, Outcome
 from wigeonfront.platform import Unavailable, Vm, VmList
 from wigeonfront.policy.circuit import CircuitChange, Circuits
 from wigeonfront.policy.placement import SideView
+from wigeonfront.policy.retries import MOVED
 from wigeonfront.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
 
 POLL_SECONDS = 2.0
 GONE_SECONDS = 10.0
+VISIT_SECONDS = 60.0
+LATENCY_SMOOTHING = 0.1
 
 
 class Announcements:
@@ -89,6 +92,9 @@
         self._by_service: dict[str, list[Peer]] = {}
         self._circuits: dict[str, Circuits] = {}
         self._vms: dict[str, Vm] = {}
+        self._visits: dict[str, float] = {}
+        self._unknown_since: dict[str, float] = {}
+        self._latencies: dict[str, float] = {}
 
     @property
     def services(self) -> set[str]:
@@ -107,6 +113,21 @@
         with self._lock:
             return self._peers.get(name)
 
+    def reach(self, name: str) -> Peer | None:
+        """Return the peer of any listed side, also one outside the subset.
+
+        Owners of slots may stand outside it. The session opened for one is kept
+        while it is used and for `VISIT_SECONDS` after.
+        """
+        with self._lock:
+            peer = self._peers.get(name)
+            vm = self._vms.get(name)
+            self._visits[name] = self._clock.monotonic()
+        if peer is None and vm is not None and vm.role == "side":
+            self._add(vm)
+            peer = self.peer(name)
+        return peer
+
     def peers(self, service: str) -> list[Peer]:
         """Return the peers of a service."""
         with self._lock:
@@ -118,17 +139,40 @@
             peers = list(self._peers.values())
         return [peer.vm.name for peer in peers if peer.behind]
 
+    def silent_seconds(self, name: str) -> float:
+        """Return for how long no session with the side `name` was open.
+
+        A side without a peer counts from the time at which this was first asked.
+        """
+        now = self._clock.monotonic()
+        peer = self.peer(name)
+        with self._lock:
+            if peer is None:
+                return now - self._unknown_since.setdefault(name, now)
+            self._unknown_since.pop(name, None)
+        since = peer.state.disconnected_since
+        return 0.0 if since is None else now - since
+
     def views(self, service: str) -> list[SideView]:
         """Return what placement needs to know of a service's sides."""
         now = self._clock.monotonic()
         circuits = self._circuits_of(service)
         return [
-            _view(peer.state, now, circuits.is_open(peer.vm.name))
+            _view(
+                peer.state,
+                now,
+                circuits.is_open(peer.vm.name),
+                self._latencies.get(peer.vm.name, 0.0),
+            )
             for peer in self.peers(service)
         ]
 
     def record(self, service: str, side: str, outcome: Outcome) -> None:
         """Tell the side's circuit how an attempt ended."""
+        if isinstance(outcome, NotRun) and outcome.reason in MOVED:
+            peer = self.peer(side)
+            if peer is not None:
+                peer.note_not_serving()
         change = self._circuits_of(service).record(side, outcome)
         if isinstance(change, CircuitChange):
             event(
@@ -141,6 +185,22 @@
                 pause=change.pause,
             )
 
+    def measure(self, side: str, seconds: float, tokens: int) -> None:
+        """Note that an attempt of `tokens` took `seconds` at `side`."""
+        figure = seconds / max(1, tokens)
+        with self._lock:
+            known = self._latencies.get(side, figure)
+            self._latencies[side] = known + LATENCY_SMOOTHING * (figure - known)
+
+    def expected_seconds(self, service: str, max_tokens: int) -> float:
+        """Return the usual time of a request at the service; 0 if unknown."""
+        views = self.views(service)
+        known = sorted(view.latency for view in views if view.latency > 0)
+        if not known:
+            return 0.0
+        generates = any(view.version >= 0 for view in views)
+        return known[len(known) // 2] * (max_tokens if generates else 1)
+
     def update(self, listed: Iterable[Vm]) -> None:
         """Start peers of newly listed sides; end those gone and silent."""
         vms = {vm.name: vm for vm in listed}
@@ -178,11 +238,20 @@
         for vm in vms.values():
             if vm.role == "side":
                 by_service.setdefault(vm.service, []).append(vm)
-        return {
+        wanted = {
             vm.name: vm
             for service, members in by_service.items()
             for vm in self._select(service, members)
         }
+        return wanted | self._visited(vms)
+
+    def _visited(self, vms: dict[str, Vm]) -> dict[str, Vm]:
+        """Return the sides outside the subset that were called lately."""
+        horizon = self._clock.monotonic() - VISIT_SECONDS
+        with self._lock:
+            for name in [n for n, at in self._visits.items() if at < horizon]:
+                del self._visits[name]
+            return {name: vms[name] for name in self._visits if name in vms}
 
     def _add(self, vm: Vm) -> None:
         peer = Peer(
@@ -225,7 +294,7 @@
             return circuits
 
 
-def _view(state: PeerState, now: float, circuit_open: bool) -> SideView:
+def _view(state: PeerState, now: float, circuit_open: bool, latency: float) -> SideView:
     beat = state.beat or Beat(incarnation="", session=0)
     return SideView(
         name=state.vm.name,
@@ -241,4 +310,5 @@
         sent_tokens=state.sent_tokens,
         age=now - state.beat_time,
         circuit_open=circuit_open,
+        latency=latency,
     )
--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -16,8 +16,8 @@
 from wigeonfront.clock import Clock
 from wigeonfront.entry.directory import Directory
 from wigeonfront.entry.dispatch import Dispatcher, Work
-from wigeonfront.entry.sink import Ended, QueueSink
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.sink import Ended, QueueSink, as_told
+from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     Attempt,
@@ -43,9 +43,11 @@
 
 TICK_SECONDS = 0.1
 AHEAD_FACTOR = 2
-MAX_SAMPLE_FAILURES = 20
+# An engine's own errors for one sample, after which the sample is told as failed.
+MAX_SAMPLE_FAILURES = 5
 DELIVERY_PAUSE = 0.1
 RETRY_SECONDS = 1.0
+FINAL_STATUSES = ("superseded", "already_delivered")
 
 
 @dataclass(slots=True)
@@ -56,6 +58,7 @@
     started: float = 0.0
     expected: float = 0.0
     hedges: int = 0
+    tries: int = 0
     failures: int = 0
     not_before: float = 0.0
     outcome: Completed | Failed | None = None
@@ -76,7 +79,7 @@
     ----------
     directory : Directory
     dispatcher : Dispatcher
-    slots : SlotView
+    slots : SlotTables
     clock : Clock
     hedge_ratio : float
         Hedges as a share of samples.
@@ -86,7 +89,7 @@
         self,
         directory: Directory,
         dispatcher: Dispatcher,
-        slots: SlotView,
+        slots: SlotTables,
         clock: Clock,
         hedge_ratio: float,
     ) -> None:
@@ -149,11 +152,14 @@
         self._missing = len(self._samples)
         self._waiting = deque(longest_first(self._samples, self._predicted))
         self._seconds_per_token = 0.0
+        self._begun = False
 
     def run(self) -> LotReply | None:
-        refusal = self._deliver("begin")
-        if refusal in ("superseded", "already_delivered"):
-            return self._reply(refusal)
+        standing = self._begin()
+        if standing in FINAL_STATUSES:
+            return self._reply(standing)
+        if standing == "unavailable":
+            return self._reply("partial", reason="delivery_records_lost")
         event(
             logger,
             "lot_begun",
@@ -250,16 +256,19 @@
         self._lots.directory.record(self._body.service, ended.side, ended.outcome)
         if sample.outcome is not None:
             return
-        outcome = ended.outcome
-        if self._is_final(outcome):
+        outcome = as_told(ended.outcome)
+        if isinstance(outcome, Failed):
+            sample.failures += 1
+        if self._is_final(sample, outcome):
             self._complete(sample, outcome, ended.side)
         else:
             self._again(sample, outcome, ended.side)
 
-    def _is_final(self, outcome: Outcome) -> bool:
+    def _is_final(self, sample: _Sample, outcome: Outcome) -> bool:
         """Tell whether `outcome` answers its sample, from new enough weights."""
         if isinstance(outcome, Failed):
-            return outcome.status < 500
+            poisoned = sample.failures >= MAX_SAMPLE_FAILURES
+            return outcome.status < 500 or poisoned
         if not isinstance(outcome, Completed) or not outcome.versions:
             return False
         oldest = self._terms.min_version
@@ -272,11 +281,12 @@
         self._missing -= 1
         self._cancel_others(sample)
         if isinstance(outcome, Completed):
-            self._measure(sample, len(outcome.payload["tokens"]))
+            self._measure(sample, len(outcome.payload["tokens"]), side)
 
-    def _measure(self, sample: _Sample, tokens: int) -> None:
+    def _measure(self, sample: _Sample, tokens: int, side: str) -> None:
         self._lots.lengths.add(sample.sample.group, tokens)
         seconds = self._clock.monotonic() - sample.started
+        self._lots.directory.measure(side, seconds, tokens)
         figure = seconds / max(1, tokens)
         change = 0.1 if self._seconds_per_token else 1.0
         self._seconds_per_token += change * (figure - self._seconds_per_token)
@@ -285,7 +295,7 @@
         """Queue a sample again unless another attempt of it still runs."""
         if isinstance(outcome, Interrupted):
             sample.work.keep_prior(outcome)
-        sample.failures += 1
+        sample.tries += 1
         event(
             logger,
             "sample_again",
@@ -293,11 +303,11 @@
             side=side,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
-            failures=sample.failures,
+            tries=sample.tries,
         )
         if sample.running:
             return
-        pause = backoff(min(sample.failures, 6), self._random)
+        pause = backoff(min(sample.tries, 6), self._random)
         if isinstance(outcome, NotRun):
             pause = max(pause, min(outcome.retry_after, RETRY_SECONDS) / 2)
         sample.not_before = self._clock.monotonic() + pause
@@ -372,22 +382,41 @@
     def _finish(self) -> LotReply | None:
         """Take the delivery right, then return the whole answer."""
         while True:
-            status = self._deliver("take")
-            if status == "granted":
+            status = self._begin() if not self._begun else self._take_right()
+            if status == "taken":
                 return self._reply("complete")
-            if status in ("superseded", "already_delivered"):
+            if status in FINAL_STATUSES:
                 return self._reply(status)
+            if status == "unavailable":
+                return self._reply("partial", reason="delivery_records_lost")
             if self._remaining() <= 0:
-                return self._reply("partial", reason="delivery_right_unavailable")
+                return self._reply("partial", reason="delivery_owner_unreachable")
             if self._caller_gone():
                 return None
-            self._clock.sleep(DELIVERY_PAUSE)
+            if status != "granted":
+                self._clock.sleep(DELIVERY_PAUSE)
+
+    def _begin(self) -> str:
+        """Register this submission with the Lot's owner."""
+        status = self._deliver("begin")
+        self._begun = status == "granted"
+        return status
+
+    def _take_right(self) -> str:
+        status = self._deliver("take")
+        if status == "granted":
+            return "taken"
+        if status == "unavailable":
+            # The owner has changed since the submission was registered.
+            self._begun = False
+            return "not_begun"
+        return status
 
     def _deliver(self, step: str) -> str:
         owner = self._lots.slots.owner(self._body.service, self._body.key)
-        peer = self._lots.directory.peer(owner.side) if owner else None
+        peer = self._lots.directory.reach(owner.side) if owner else None
         if peer is None:
-            return "unavailable"
+            return "unreachable"
         request = DeliveryRequest(
             step=step,
             key=self._body.key,
@@ -397,6 +426,7 @@
             epoch=owner.epoch,
         )
         reply = peer.deliver(request)
+        status = "unreachable" if reply is None else reply.status
         event(
             logger,
             "delivery",
@@ -404,9 +434,9 @@
             lot=self._body.key,
             step=step,
             side=owner.side,
-            status=reply.status,
+            status=status,
         )
-        return reply.status
+        return status
 
     def _reply(self, status: str, reason: str = "") -> LotReply:
         body = self._body
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -44,7 +44,9 @@
 logger = logging.getLogger(__name__)
 
 SILENT_BEATS = 3
-DISPATCH_SECONDS = 2.0
+# A side answers a dispatch, and the head of a session's stream, within milliseconds.
+DISPATCH_SECONDS = 1.5
+OPEN_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 LONGEST_PAUSE = 2.0
 FIRST_PAUSE = 0.05
@@ -242,14 +244,20 @@
 
     def deliver(
         self, request: DeliveryRequest, timeout: float = DISPATCH_SECONDS
-    ) -> DeliveryReply:
-        """Speak for a Lot to this side as the owner of its slot."""
+    ) -> DeliveryReply | None:
+        """Speak for a Lot to this side as its owner; ``None`` without an answer."""
         answer = self._pool.call("POST", "/peer/delivery", request, timeout=timeout)
         if isinstance(answer, Answer) and answer.status == 200:
             return _delivery_decoder.decode(answer.body)
         if isinstance(answer, Lost):
             self.reset()
-        return DeliveryReply(status="unavailable")
+        return None
+
+    def note_not_serving(self) -> None:
+        """Place nothing here until the next heartbeat: a refusal is newer news."""
+        with self._lock:
+            if self._beat is not None:
+                self._beat = msgspec.structs.replace(self._beat, serving=False)
 
     def gone(self) -> None:
         """Resolve everything outstanding: the VM is gone for good."""
@@ -271,7 +279,9 @@
     def _read_session(self, stop: threading.Event) -> bool:
         message = self._open_message()
         silence = SILENT_BEATS * self._beat_seconds
-        response = self._stream_pool.open_stream("/peer/open", message, silence)
+        response = self._stream_pool.open_stream(
+            "/peer/open", message, silence, head_seconds=OPEN_SECONDS
+        )
         if isinstance(response, NotSent | Lost):
             return False
         if response.status != 200:
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -5,12 +5,14 @@
 import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 from typing import Any
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
+from wigeonfront.coordination import slots
+from wigeonfront.coordination.keyed_work import EARLIER_MAY_HAVE_RUN
 from wigeonfront.entry.admission import EntryAdmission, Ticket
 from wigeonfront.entry.control import Control
 from wigeonfront.entry.directory import Announcements, Directory
@@ -18,12 +20,19 @@
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.slots import (
+    TABLES_PATH,
+    SlotMover,
+    SlotTables,
+    TablesQuestion,
+)
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
     DeliveryRequest,
     ErrorReply,
+    KeyBody,
+    KeyReply,
     LotAcknowledgement,
     LotBody,
     LotReply,
@@ -61,7 +70,8 @@
     announcements: Announcements
     requests: Requests
     lots: Lots
-    slots: SlotView
+    slots: SlotTables
+    mover: SlotMover
     metrics: Registry
     supervisor: Supervisor
 
@@ -112,6 +122,8 @@
         application.route("POST", "/v1/services/*/requests", self.request)
         application.route("POST", "/v1/lots", self.lot)
         application.route("POST", "/v1/lots/acknowledge", self.acknowledge)
+        application.route("POST", "/v1/services/*/keys", self.mint_key)
+        application.route("POST", TABLES_PATH, self.slot_tables)
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
         application.route("GET", "/metrics", self.metrics)
@@ -127,7 +139,7 @@
             return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
         row = self._terms(body.catalogue_entry, service)
         if isinstance(row, NotRun):
-            return _outcome_reply("", row)
+            return _outcome_reply("", _for_key(row, key, body))
         if isinstance(row, Reply):
             return row
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
@@ -138,7 +150,7 @@
                 work = self._work(service, body, row, key, request, started)
                 outcome = self._run_request(work, body, row, call)
         self._note(service, "request", type(outcome).__name__, started)
-        return _outcome_reply(request, outcome)
+        return _outcome_reply(request, _for_key(outcome, key, body))
 
     def lot(self, call: Call) -> Reply:
         """Answer a Lot whole."""
@@ -170,13 +182,14 @@
         body = call.decode(LotAcknowledgement)
         key = f"{body.trainer}/{body.lot}"
         owner = self._parts.slots.owner(body.service, key)
-        peer = self._parts.directory.peer(owner.side) if owner else None
-        status = "unavailable"
+        peer = self._parts.directory.reach(owner.side) if owner else None
+        status = "unreachable"
         if peer is not None:
             request = DeliveryRequest(
                 step="acknowledge", key=key, service=body.service, epoch=owner.epoch
             )
-            status = peer.deliver(request).status
+            reply = peer.deliver(request)
+            status = status if reply is None else reply.status
         event(logger, "acknowledged", lot=key, status=status)
         if status in ("granted", "already_delivered"):
             return Reply(200, {"status": "acknowledged"})
@@ -186,6 +199,24 @@
             _retry_header(RETRY_SECONDS),
         )
 
+    def mint_key(self, call: Call) -> Reply:
+        """Answer with a new idempotency key, which carries its slot's epoch."""
+        service = call.arguments[0]
+        body = call.decode(KeyBody)
+        row = self._terms(body.catalogue_entry, service)
+        if isinstance(row, Reply):
+            return row
+        known = self._parts.slots.known(service)
+        if known is None:
+            return _outcome_reply("", NotRun("no_slot_owner", RETRY_SECONDS))
+        prefix = f"{body.catalogue_entry}/"
+        key = slots.mint(prefix, uuid.uuid4().hex, known.table)
+        return Reply(200, KeyReply(key=key))
+
+    def slot_tables(self, call: Call) -> Reply:
+        """Answer another entry which slot table is in force here."""
+        return Reply(200, self._parts.mover.answer(call.decode(TablesQuestion)))
+
     # --- operators -----------------------------------------------------------
 
     def health(self, call: Call) -> Reply:
@@ -344,6 +375,17 @@
     return asked if row.bound is None else min(asked, row.bound)
 
 
+def _for_key(outcome: Outcome, key: str, body: RequestBody) -> Outcome:
+    """Return `outcome` so that it doesn't speak for earlier submissions of a key."""
+    if not key or body.idempotent or body.submission == 1:
+        return outcome
+    if isinstance(outcome, NotRun) and not outcome.warning:
+        return replace(outcome, warning=EARLIER_MAY_HAVE_RUN)
+    if isinstance(outcome, Expired):
+        return replace(outcome, started=True)
+    return outcome
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -6,6 +6,8 @@
     ├── server        callers, trainers and operators, one pool thread for each
     ├── vm_list       polls the VM list
     ├── catalogue     follows the catalogue
+    ├── slot-tables   follows the slot tables
+    ├── slot-mover    moves slots from sides that are gone
     ├── members       follows the other entries' leases
     ├── polling       asks other entries for what was missed
     ├── joining       keeps this entry's lease
@@ -17,6 +19,8 @@
 
 from wigeonfront import logs
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.coordination import slots
+from wigeonfront.coordination.rendezvous import subset
 from wigeonfront.entry.admission import EntryAdmission
 from wigeonfront.entry.control import Control, ControlSettings
 from wigeonfront.entry.directory import Announcements, Directory
@@ -24,13 +28,16 @@
 from wigeonfront.entry.explain import DecisionLog
 from wigeonfront.entry.lots import Lots
 from wigeonfront.entry.member_calls import HttpMemberCalls
+from wigeonfront.entry.members import Member
 from wigeonfront.entry.operators import OperatorParts, Operators
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
-from wigeonfront.entry.slots import SlotView
+from wigeonfront.entry.slots import SlotMover, SlotTables
+from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
+from wigeonfront.platform import Vm
 from wigeonfront.platform.key_value import HttpKeyValue
 from wigeonfront.platform.metered import MeteredKeyValue
 from wigeonfront.platform.vm_list import HttpVmList
@@ -66,6 +73,7 @@
         )
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
+        calls = HttpMemberCalls()
         self._control = Control(
             self._identity,
             ControlSettings(
@@ -75,7 +83,7 @@
                 settings.freshness_seconds,
             ),
             self._key_value,
-            HttpMemberCalls(),
+            calls,
             self._clock,
             self._follow_catalogue,
             self._listed_entries,
@@ -89,22 +97,37 @@
             self._clock,
             settings.beat_seconds,
             announcements,
+            self._select,
             policy=self._catalogue.policy,
         )
-        slots = SlotView(self._listed_sides)
+        self._subsets: dict[str, tuple[object, list[str]]] = {}
+        self._slots = SlotTables()
+        self._slots_watch = PrefixWatch(
+            slots.PREFIX, self._slots, self._key_value, self._clock
+        )
+        self._mover = SlotMover(
+            self._slots,
+            self._key_value,
+            lambda: self._directory.vms,
+            self._directory.silent_seconds,
+            self._members,
+            calls,
+            self._clock,
+        )
         dispatcher = Dispatcher(
             self._directory, self._identity, self._clock, settings.failure_domain
         )
         requests = Requests(
             self._directory,
             dispatcher,
-            slots,
+            self._slots,
             self._clock,
             settings.max_attempts,
             settings.retry_budget,
+            settings.hedge_budget,
         )
         lots = Lots(
-            self._directory, dispatcher, slots, self._clock, settings.hedge_budget
+            self._directory, dispatcher, self._slots, self._clock, settings.hedge_budget
         )
         self._server = EntryServer(
             EntryParts(
@@ -117,7 +140,8 @@
                 announcements=announcements,
                 requests=requests,
                 lots=lots,
-                slots=slots,
+                slots=self._slots,
+                mover=self._mover,
                 metrics=self._metrics,
                 supervisor=self._supervisor,
             )
@@ -136,6 +160,8 @@
         start = self._supervisor.start
         start("server", self._http.run)
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
+        start("slot-tables", self._slots_watch.run)
+        start("slot-mover", self._mover.run)
         for name, task in self._control.tasks().items():
             start(name, task)
         logging.getLogger().addHandler(self._decisions)
@@ -190,17 +216,27 @@
             limits = row.limits
             self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
 
+    def _select(self, service: str, sides: list[Vm]) -> list[Vm]:
+        """Return this entry's subset of a service's sides."""
+        by_name = {vm.name: vm for vm in sides}
+        asked = (frozenset(self._listed_entries() or []), frozenset(by_name))
+        known = self._subsets.get(service)
+        if known is None or known[0] != asked:
+            # A few hashes for each side: done again only when the lists change.
+            size = self._settings.subset_size
+            chosen = subset(self._identity.name, asked[0], asked[1], size)
+            known = self._subsets[service] = (asked, chosen)
+        return [by_name[name] for name in known[1]]
+
+    def _members(self) -> list[Member] | None:
+        """Return the other members that must have a moved slot table."""
+        view = self._control.view
+        return view.present() if view.loaded else None
+
     def _listed_entries(self) -> list[str] | None:
         listed = self._directory.vms
         return [vm.name for vm in listed if vm.role == "entry"] if listed else None
 
-    def _listed_sides(self, service: str) -> list[str]:
-        return [
-            vm.name
-            for vm in self._directory.vms
-            if vm.role == "side" and vm.service == service
-        ]
-
 
 def run(settings: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the exit code."""
--- a/src/wigeonfront/side/target.py
+++ b/src/wigeonfront/side/target.py
@@ -30,6 +30,8 @@
 RETRY_SECONDS = 1.0
 STREAM_SILENCE_SECONDS = 10.0
 CANCEL_SECONDS = 2.0
+UNREACHABLE = "target_down"
+PREEMPTED = "preempted"
 
 
 @dataclass(slots=True)
@@ -46,7 +48,7 @@
     reason : str
         Why it was cancelled.
     started : bool
-        The ledger has marked it as begun.
+        It was at the target before; the ledger has marked it as begun.
     tokens : list
         Tokens so far, those of earlier runs included.
     versions : list of VersionSpan
@@ -68,10 +70,15 @@
         return cls(attempt, deadline, tokens=list(attempt.prior), versions=spans)
 
     def cancel(self, reason: str) -> None:
-        """Ask the run to end early."""
-        self.reason = reason
+        """Ask the run to end early; a preemption gives way to any other reason."""
+        if reason != PREEMPTED or not self.cancelled.is_set():
+            self.reason = reason
         self.cancelled.set()
 
+    def interrupted(self, reason: str) -> Interrupted:
+        """Return the outcome of a run that ends here, with what it has."""
+        return Interrupted(reason, tuple(self.tokens), tuple(self.versions))
+
     def extend(self, tokens: list[Any], version: int) -> None:
         """Append `tokens`, produced by `version`."""
         start = len(self.tokens)
@@ -134,7 +141,7 @@
 
     def _outcome(self, answer: Answer | NotSent | Lost) -> Outcome:
         if isinstance(answer, NotSent):
-            return NotRun("target_unreachable", RETRY_SECONDS)
+            return NotRun(UNREACHABLE, RETRY_SECONDS)
         if isinstance(answer, Lost):
             return Unknown("target_connection_lost")
         if answer.status != 200:
@@ -207,7 +214,7 @@
         if remaining <= 0:
             return Expired(started=False)
         if run.cancelled.is_set():
-            return self._interrupted(run, run.reason)
+            return run.interrupted(run.reason)
         attempt = run.attempt
         body = {
             "id": attempt.attempt,
@@ -220,18 +227,18 @@
         silence = min(STREAM_SILENCE_SECONDS, remaining + 1.0)
         response = self._pool.open_stream("/generate", body, silence, fresh=False)
         if isinstance(response, NotSent):
-            return NotRun("target_unreachable", RETRY_SECONDS)
+            return NotRun(UNREACHABLE, RETRY_SECONDS)
         if isinstance(response, Lost):
-            return self._interrupted(run, "stream_cut")
+            return run.interrupted("stream_cut")
         if response.status != 200:
             response.drain_conn()
             return self._refused(response.status)
         try:
             return self._read(run, response)
         except (HTTPError, OSError):
-            return self._interrupted(run, "stream_cut")
+            return run.interrupted("stream_cut")
         except msgspec.DecodeError:
-            return self._interrupted(run, "stream_malformed")
+            return run.interrupted("stream_malformed")
 
     def cancel(self, run: Run) -> None:
         """Tell the engine to stop generating for `run`."""
@@ -282,15 +289,12 @@
             if self._clock.monotonic() >= run.deadline:
                 self._stop(run, response, "expired")
                 return Expired(started=True)
-        return self._interrupted(run, "stream_cut")
+        return run.interrupted("stream_cut")
 
     def _stop(self, run: Run, response: Any, reason: str) -> Interrupted:
         response.close()
         self.cancel(run)
-        return self._interrupted(run, reason)
-
-    def _interrupted(self, run: Run, reason: str) -> Interrupted:
-        return Interrupted(reason, tuple(run.tokens), tuple(run.versions))
+        return run.interrupted(reason)
 
     def _refused(self, status: int) -> Outcome:
         if status == 503:
