--- a/benchmarks/fault_bench.py
+++ b/benchmarks/fault_bench.py
@@ -171,7 +171,7 @@
             return ""
         table = slots.decode(msgspec.json.encode(row.body["value"]))
         slot = table.slots[table.slot_of(key)]
-        return "" if slot.moving or not slot.incarnation else slot.owner
+        return "" if slot.moving else slot.owner
 
     def list_vms(self, hidden: str = "") -> None:
         """Show all VMs in every VM list but one."""
@@ -347,11 +347,11 @@
         found = {each["digest"] for each in self.recorded(event)}
         return len(found & digests)
 
-    def load(self, service: str) -> dict[str, int]:
-        """Return what runs and waits at all sides of a service."""
+    def load(self, sides: str) -> dict[str, int]:
+        """Return what runs and waits at the sides whose names begin so."""
         load = {"running": 0, "queued": 0}
         for side in self.sides:
-            if side.startswith(service):
+            if side.startswith(sides):
                 status = self.cluster.request(side, "GET", "/status").body
                 for kind in load:
                     load[kind] += sum(status[kind].values())
@@ -525,7 +525,7 @@
         return outcome
 
 
-def page(bench: Bench, name: str, seconds: float = POST_SECONDS) -> Outcome:
+def page(bench: Bench, name: str, seconds: float = LOT_SECONDS) -> Outcome:
     """Ask for a status page through the client, which may try both entries."""
     client = RequestClient(bench.addresses, generator=random.Random(FIRST_ENTRY_SEED))
     request = Request(PLAIN, PAGES, {"page": name})
