Session numbers rise over all peers of an entry's incarnation

Found by tests/test_faults.py: after a side had been hidden from the VM list for more than 10 s and was shown again, entries did not reach it within 30 s ('all sides serving' timed out; 30 lines 'session_refused status=409'). Cause: the directory made a new Peer, whose session numbers began at 1 again under the same entry incarnation; the side refused each as stale until they had passed the last one, one number for each try with pauses of up to 2 s. Ruled out: a new incarnation for each peer (it would end the attempts of the old one at that side).

The numbers now come from one counter of the entry's identity. Before: not serving after 30 s.

--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -13,8 +13,9 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from itertools import count
 from typing import Any, Protocol
 
 import msgspec
@@ -72,10 +73,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who an entry is: its name and the incarnation of this process."""
+    """Who an entry is: its name and the incarnation of this process.
+
+    Attributes
+    ----------
+    sessions : iterator of int
+        Numbers of sessions. They rise over all peers, because a side whose peer is
+        removed and added again remembers the number of its last session.
+    """
 
     name: str
     incarnation: str
+    sessions: Iterator[int] = field(default_factory=lambda: count(1), compare=False)
 
 
 @dataclass(slots=True)
@@ -318,7 +327,7 @@
 
     def _open_message(self) -> OpenSession:
         with self._lock:
-            self._session += 1
+            self._session = next(self._identity.sessions)
             return OpenSession(
                 entry=self._identity.name,
                 entry_incarnation=self._identity.incarnation,
