--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -157,6 +157,7 @@
 
     def refresh(self) -> bool:
         """Read the table and claim this side's slots; return whether all is done."""
+        began = self._clock.monotonic()
         row = self._key_value.get(slots.PREFIX + self._service)
         if isinstance(row, Absent | Unavailable):
             return False
@@ -165,14 +166,12 @@
             return False
         claimed = slots.claim(table, self._name, self._incarnation)
         if claimed is None:
-            self._follow(table, row.revision)
-            return True
+            return self._follow(table, row.revision, began)
         written = self._key_value.put(row.key, slots.encode(claimed), row.revision)
         if not isinstance(written, Stored):
             # A conflict or a lost answer is settled by the next reading.
             return False
-        self._follow(claimed, written.revision)
-        return True
+        return self._follow(claimed, written.revision, began)
 
     def adopt(self, records: HandOver) -> HandOverReply:
         """Keep the records of slots until the table says that they are this side's."""
@@ -224,11 +223,17 @@
 
     # --- following -----------------------------------------------------------
 
-    def _follow(self, table: SlotTable, revision: int) -> None:
+    def _follow(self, table: SlotTable, revision: int, began: float) -> bool:
+        """Take up what the table says; ``False`` if its reading may be old.
+
+        A process paused while it read holds a table from before the pause.
+        """
         mine = slots.owned(table, self._name, self._incarnation)
         with self._lock:
+            if self._clock.monotonic() - began > PAUSE_SECONDS:
+                return False
             if revision < self._revision or self._leaving or self._giving:
-                return
+                return True
             self._table = table
             self._revision = revision
             before = self._owned
@@ -240,6 +245,7 @@
         for index in before.keys() - after.keys():
             self._seal(index)
         event(logger, "slots_owned", revision=revision, slots=len(after))
+        return True
 
     def _own(self, slot: OwnedSlot) -> None:
         """Take up a slot, with its records if they were handed over for it."""
