Peers against the real side over a network that fails in every way

A peer's session is now a generator of frames, so that a test can take them one at a time, with no threads; the pools of connections are passed in. Giving up on what can't wait moved to the end of each session, where the task did it before.

--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -13,7 +13,8 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import closing
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -128,6 +129,8 @@
         Told of each heartbeat.
     policy : callable
         Returns what the side follows of the catalogue.
+    pools : callable
+        Makes the pools of connections; called like `Pool`.
     """
 
     def __init__(
@@ -139,6 +142,7 @@
         announced: Callable[[], dict[str, int]] = dict,
         on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
         policy: Callable[[], ServicePolicy | None] = lambda: None,
+        pools: Callable[..., Pool] = Pool,
     ) -> None:
         self._vm = vm
         self._identity = identity
@@ -161,8 +165,8 @@
         self._outstanding: dict[str, _Outstanding] = {}
         self._sent_tokens = 0
         self._response: Any = None
-        self._stream_pool = Pool(vm.address, CONNECT_SECONDS, size=1)
-        self._pool = Pool(
+        self._stream_pool = pools(vm.address, CONNECT_SECONDS, size=1)
+        self._pool = pools(
             vm.address, CONNECT_SECONDS, DISPATCH_SECONDS, SPARE_CONNECTIONS
         )
         self.dropped_frames = 0
@@ -195,11 +199,9 @@
         pause = FIRST_PAUSE
         while not stop.is_set():
             opened = self._read_session(stop)
-            self._disconnect()
             if stop.is_set():
                 break
             pause = FIRST_PAUSE if opened else min(LONGEST_PAUSE, pause * 2)
-            self._give_up_outstanding()
             stop.wait(random.uniform(pause / 2, pause))
         self._resolve_all(Unknown("side_gone"))
         self._pool.close()
@@ -275,31 +277,46 @@
     # --- the session's task --------------------------------------------------
 
     def _read_session(self, stop: threading.Event) -> bool:
+        """Read one session to its end; return whether it was opened."""
+        opened = False
+        with closing(self.frames()) as frames:
+            for _ in frames:
+                opened = True
+                if stop.is_set():
+                    break
+        return opened
+
+    def frames(self) -> Iterator[StreamFrame]:
+        """Open a session and act on its frames, one at each step, to its end."""
         message = self._open_message()
+        response = None
+        try:
+            response = self._open(message)
+            for line in lines(response) if response is not None else ():
+                frame = _frame_decoder.decode(line)
+                self._take(frame, message)
+                yield frame
+        except (HTTPError, OSError, msgspec.DecodeError) as error:
+            self._log("session_ended", reason=type(error).__name__)
+        finally:
+            self._disconnect()
+            if response is not None:
+                response.close()
+            self._give_up_outstanding()
+
+    def _open(self, message: OpenSession) -> Any:
+        """Return the session's response, or ``None`` where there is none."""
         silence = SILENT_BEATS * self._beat_seconds
         response = self._stream_pool.open_stream("/peer/open", message, silence)
         if isinstance(response, NotSent | Lost):
-            return False
+            return None
         if response.status != 200:
             self._note_refused(response.status)
             response.close()
-            return False
+            return None
         with self._lock:
             self._response = response
-        opened = False
-        try:
-            for line in lines(response):
-                self._take(_frame_decoder.decode(line), message)
-                opened = True
-                if stop.is_set():
-                    break
-        except (HTTPError, OSError, msgspec.DecodeError) as error:
-            self._log("session_ended", reason=type(error).__name__)
-        finally:
-            with self._lock:
-                self._response = None
-            response.close()
-        return opened
+        return response
 
     def _note_refused(self, status: int) -> None:
         """Forget the side's incarnation when it has forgotten this entry."""
@@ -398,6 +415,7 @@
             if self._connected or self._disconnected_since is None:
                 self._disconnected_since = self._clock.monotonic()
             self._connected = False
+            self._response = None
         self._pool.reset()
 
     def _give_up_outstanding(self) -> None:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,11 +3,13 @@
 import io
 from collections import deque
 
+from urllib3.exceptions import ProtocolError, ReadTimeoutError
+
 from wigeonfront.coordination.delivery import DeliveryRights
 from wigeonfront.coordination.keyed_work import KeyedWork
 from wigeonfront.coordination.ledger import AttemptLedger
 from wigeonfront.coordination.slots import minted_epoch
-from wigeonfront.http import encode
+from wigeonfront.http import Answer, Lost, NotSent, encode
 from wigeonfront.metrics import Registry
 from wigeonfront.outcomes import Completed
 from wigeonfront.platform.memory import MemoryKeyValue, MemoryVmList
@@ -134,3 +136,139 @@
         """Do what the side's expiry task does."""
         self.queue.sweep()
         self.execution.stop_runs(self.ledger.expire(), "expired")
+
+
+class MemoryStream:
+    """A response whose body a test cuts, silences or interleaves."""
+
+    def __init__(self, network, status, chunks, silence):
+        self.network, self.status, self.silence = network, status, silence
+        self.chunks = iter(chunks)
+        self.injected = deque()
+        self.fault = None
+
+    def stream(self, size):
+        while True:
+            if self.injected:
+                yield self.injected.popleft()
+            elif self.fault == "silent":
+                self.network.clock.advance(self.silence)
+                raise ReadTimeoutError(None, "", "silent")
+            elif self.fault:
+                raise ProtocolError(self.fault)
+            else:
+                chunk = self._next()
+                if chunk is None:
+                    return
+                yield chunk
+
+    def lose(self, chunks):
+        """Let the side write so many chunks that never arrive."""
+        for _ in range(chunks):
+            self._next()
+
+    def shutdown(self):
+        self.fault = self.fault or "shut down"
+
+    def close(self):
+        self.shutdown()
+
+    def _next(self):
+        chunk = None if self.fault else next(self.chunks, None)
+        if chunk is not None:
+            self.network.recorded += chunk.splitlines(keepends=True)
+        return chunk
+
+
+class MemoryNetwork:
+    """Calls between processes in one test, and the faults on their way.
+
+    Attributes
+    ----------
+    applications : dict
+        By address; nothing listens where there is none.
+    fates : deque
+        What happens to the next calls; ``whole`` when it is empty.
+    late : list
+        Calls that are still on their way: deliver them by calling them.
+    recorded : list of bytes
+        Every line of a stream.
+    """
+
+    FATES = (
+        "whole",
+        "not_sent",
+        "lost",
+        "late",
+        "answer_lost",
+        "twice",
+        "again_later",
+        "reset_before",
+        "reset_after",
+    )
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.applications = {}
+        self.fates = deque()
+        self.late = []
+        self.recorded = []
+
+    def pool(self, address, *seconds, **options):
+        return MemoryPool(self, address)
+
+    def call(self, pool, method, path, body):
+        """Return status and chunks, or `NotSent` or `Lost`."""
+        fate = self.fates.popleft() if self.fates else "whole"
+        data = encode(body)
+
+        def deliver():
+            application = self.applications.get(pool.address)
+            if application is None:
+                return NotSent("refused")
+            status, _, chunks = wsgi_call(application, method, path, data)
+            return status, chunks
+
+        if fate == "not_sent":
+            return NotSent("refused")
+        if fate in ("late", "again_later"):
+            self.late.append(deliver)
+        if fate in ("lost", "late"):
+            return Lost("timeout")
+        if fate == "reset_before":
+            pool.interrupt()
+        answer = deliver()
+        if fate == "twice":
+            deliver()
+        if fate == "reset_after":
+            pool.interrupt()
+        return Lost("timeout") if fate == "answer_lost" else answer
+
+
+class MemoryPool:
+    """`wigeonfront.http.Pool` over a `MemoryNetwork`."""
+
+    def __init__(self, network, address):
+        self.network, self.address = network, address
+        self.stream = None
+        self.interrupt = lambda: None
+
+    def call(self, method, path, body=None, headers=None, timeout=None):
+        answer = self.network.call(self, method, path, body)
+        if isinstance(answer, tuple):
+            status, chunks = answer
+            return Answer(status, b"".join(chunks))
+        return answer
+
+    def open_stream(self, path, body, read_seconds, fresh=True):
+        answer = self.network.call(self, "POST", path, body)
+        if isinstance(answer, tuple):
+            self.stream = MemoryStream(self.network, *answer, read_seconds)
+            return self.stream
+        return answer
+
+    def reset(self):
+        pass
+
+    def close(self):
+        pass
