A peer acts on its own session's frames only

Cause: sessions of all peers were counted from 1 and a frame doesn't name its entry, so a frame of another entry's stream with the same number was taken. A foreign Opened without fates told each listed attempt as not delivered, also one that ran: a false NotRun. A foreign or skipping Result moved the cursor past results that were never seen; the side then forgot them, and the next session told them as never seen.

Now peers count their sessions from a digest of entry, incarnation and side; a session's first frame must be its Opened, with the fates of just what was listed, and comes once; a result that skips one ends the session, which begins again from the cursor. An outcome is decoded before the cursor moves.

--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import closing
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any, Protocol
 
 import msgspec
@@ -31,7 +32,6 @@
     DeliveryRequest,
     Dispatch,
     DispatchReply,
-    Fate,
     Opened,
     OpenSession,
     Result,
@@ -51,9 +51,13 @@
 FIRST_PAUSE = 0.05
 ACKNOWLEDGE_SECONDS = 5.0
 UNKNOWN_GRACE_SECONDS = 5.0
+# Such an attempt is better made elsewhere at once.
+IDEMPOTENT_GRACE_SECONDS = 0.5
 RETRY_SECONDS = 1.0
 SPARE_CONNECTIONS = 8
 SESSION_ENDED_STATUS = 410
+# Sessions that one peer may open before its numbers run into another's.
+SESSION_BITS = 20
 # Given before the side has looked at the attempts.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 422, 503})
 
@@ -153,7 +157,7 @@
         self._policy = policy
         self._told: ServicePolicy | None = None
         self._lock = threading.Lock()
-        self._session = 0
+        self._session = _first_session(identity, vm)
         self._cursor = 0
         self._acknowledged = 0
         self._acknowledged_at = clock.monotonic()
@@ -344,12 +348,13 @@
             )
 
     def _take(self, frame: StreamFrame, message: OpenSession) -> None:
-        if frame.session != message.session:
+        """Act on one frame; raises `HTTPError` where the stream can't be trusted."""
+        if isinstance(frame, Opened) == self._connected:
             self.dropped_frames += 1
-            return
+            raise HTTPError("not begun by its first frame")
         if isinstance(frame, Opened):
             self._take_opened(frame, message)
-        elif frame.incarnation != self._incarnation:
+        elif (frame.session, frame.incarnation) != (self._session, self._incarnation):
             self.dropped_frames += 1
         elif isinstance(frame, Beat):
             self._take_beat(frame)
@@ -357,9 +362,11 @@
             self._take_result(frame)
 
     def _take_opened(self, frame: Opened, message: OpenSession) -> None:
-        if frame.side != self._vm.name:
+        told = [fate.attempt for fate in frame.fates]
+        expected = (self._vm.name, message.session, message.outstanding)
+        if (frame.side, frame.session, told) != expected:
             self.dropped_frames += 1
-            raise HTTPError(f"answered by {frame.side}")
+            raise HTTPError(f"opened by {frame.side} as another session")
         with self._lock:
             restarted = frame.incarnation != self._incarnation
             if restarted:
@@ -370,18 +377,18 @@
             self._disconnected_since = None
             self._told = message.policy
         self._log("session_opened", session=frame.session, restarted=restarted)
-        self._settle_fates(frame, message)
+        self._settle_fates(frame)
 
-    def _settle_fates(self, frame: Opened, message: OpenSession) -> None:
-        fates = {fate.attempt: fate for fate in frame.fates}
-        for name in message.outstanding:
+    def _settle_fates(self, frame: Opened) -> None:
+        for fate in frame.fates:
+            name = fate.attempt
             with self._lock:
                 waiting = self._outstanding.get(name)
             if waiting is None:
                 continue
             if waiting.side_incarnation != frame.incarnation:
                 self._resolve(name, Unknown("side_restarted"))
-            elif _never_seen(fates.get(name)):
+            elif fate.state == "never_seen":
                 self._resolve(name, NotRun("not_delivered", 0.0))
 
     def _take_beat(self, frame: Beat) -> None:
@@ -402,12 +409,14 @@
                 self._note_told(header, answer)
 
     def _take_result(self, frame: Result) -> None:
+        outcome = from_wire(frame.outcome)
         with self._lock:
-            if frame.sequence <= self._cursor:
-                self.dropped_frames += 1
-                return
-            self._cursor = frame.sequence
-        if not self._resolve(frame.attempt, from_wire(frame.outcome)):
+            expected = self._cursor + 1
+            if frame.sequence > expected:
+                raise HTTPError(f"result {expected} is missing")
+            if frame.sequence == expected:
+                self._cursor = expected
+        if frame.sequence < expected or not self._resolve(frame.attempt, outcome):
             self.dropped_frames += 1
 
     def _disconnect(self) -> None:
@@ -422,11 +431,14 @@
         """Resolve what need not, or can't, wait for the side to come back."""
         now = self._clock.monotonic()
         with self._lock:
-            since = self._disconnected_since or now
+            since = self._disconnected_since
             waiting = list(self._outstanding.values())
-        grace_over = now - since >= UNKNOWN_GRACE_SECONDS
+        away = 0.0 if since is None else now - since
+        grace_over = away >= UNKNOWN_GRACE_SECONDS
         for one in waiting:
-            if grace_over or (one.attempt.idempotent and now - since > 0.5):
+            if grace_over or (
+                one.attempt.idempotent and away > IDEMPOTENT_GRACE_SECONDS
+            ):
                 self._resolve(one.attempt.attempt, Unknown("peer_lost"))
 
     # --- helpers -------------------------------------------------------------
@@ -509,5 +521,12 @@
         event(logger, name, side=self._vm.name, **fields)
 
 
-def _never_seen(fate: Fate | None) -> bool:
-    return fate is None or fate.state == "never_seen"
+def _first_session(identity: Identity, vm: Vm) -> int:
+    """Return where a peer counts its sessions from.
+
+    No two peers have a session of the same number, so that a frame which comes on
+    a wrong stream is told by it.
+    """
+    name = f"{identity.name}/{identity.incarnation}/{vm.name}"
+    digest = blake2b(name.encode(), digest_size=5).digest()
+    return int.from_bytes(digest) << SESSION_BITS
