--- a/src/wigeonfront/entry/edits.py
+++ b/src/wigeonfront/entry/edits.py
@@ -8,14 +8,14 @@
 
 import logging
 import re
-import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from wigeonfront import catalogue
-from wigeonfront.catalogue import BadRow, edit_of, with_edit, without_edit
+from wigeonfront.catalogue import BadRow, plain
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.settled import new_writer, settled_put, writer_of
 from wigeonfront.differences import FieldChange, changes
 from wigeonfront.entry.configuration import Catalogue
 from wigeonfront.entry.confirmation import Confirmation, InForce
@@ -23,7 +23,6 @@
 from wigeonfront.entry.membership import Standing
 from wigeonfront.logs import event
 from wigeonfront.platform import (
-    Absent,
     Conflict,
     KeyValue,
     Row,
@@ -150,18 +149,19 @@
         refused = self._refused()
         if refused is not None:
             return refused
-        marked = with_edit(row, f"{uuid.uuid4().hex[:16]}@{expected}")
-        written = self._write(name, marked, expected)
-        return self._finish(name, marked, written, operator, wait)
+        written = self._put(name, row, expected)
+        return self._finish(name, row, written, operator, wait)
 
     def delete(
         self, name: str, expected: int, operator: str, wait: float
     ) -> EditOutcome:
         """Delete a row that is at revision `expected`."""
+        if expected == 0:
+            return EditRejected("a deletion names the revision of the row")
         refused = self._refused()
         if refused is not None:
             return refused
-        written = self._write(name, None, expected)
+        written = self._delete(name, expected)
         return self._finish(name, None, written, operator, wait)
 
     def confirm(self, name: str, wait: float = 0.0) -> EditOutcome:
@@ -192,7 +192,11 @@
             return EditUnknown(written.reason)
         if isinstance(written, Conflict):
             return self._conflict(name, row)
+        before = self._catalogue.known(name)
         self._catalogue.write(name, row, written.revision)
+        if before is not None and before.value and not writer_of(before.value):
+            # It was written past the entries, so that no one has recorded it.
+            self._history.record(name, before.value, before.revision, "")
         self._history.record(name, row, written.revision, operator)
         return self._confirmed(name, written.revision, wait)
 
@@ -206,54 +210,64 @@
         present = self._key_value.get(catalogue.PREFIX + name)
         if isinstance(present, Unavailable):
             return EditRefused("conflict", f"their row is unknown: {present.reason}")
-        theirs = without_edit(present.value) if isinstance(present, Row) else None
+        theirs = plain(present.value) if isinstance(present, Row) else None
         revision = present.revision if isinstance(present, Row) else 0
-        ours = without_edit(row)
+        ours = plain(row)
         return EditConflict(revision, theirs, tuple(changes(theirs or {}, ours or {})))
 
     # --- writes whose answers may be lost ------------------------------------
 
-    def _write(
-        self, name: str, row: bytes | None, expected: int
+    def _put(
+        self, name: str, row: bytes, expected: int
     ) -> StoredRow | Conflict | Unavailable | Uncertain:
-        """Write by compare-and-swap until it is known how that ended.
+        key = catalogue.PREFIX + name
+        writer = new_writer()
+        written = Uncertain("")
+        for attempt in range(WRITE_ATTEMPTS):
+            written = settled_put(
+                self._key_value,
+                key,
+                plain(row),
+                expected,
+                since=self._catalogue.revision,
+                writer=writer,
+                resume=attempt > 0,
+            )
+            if not isinstance(written, Uncertain):
+                break
+            self._clock.sleep(RETRY_SECONDS)
+        return written
 
-        An attempt whose answer was lost is made again: it can't take effect twice,
-        and a conflict then says that it has, or that somebody else was first.
-        """
+    def _delete(
+        self, name: str, expected: int
+    ) -> StoredRow | Conflict | Unavailable | Uncertain:
+        """Delete until it is known how that ended; it can't take effect twice."""
         key = catalogue.PREFIX + name
-        lost = False
+        written = self._key_value.delete(key, expected)
         for _ in range(WRITE_ATTEMPTS):
-            if row is None:
-                written = self._key_value.delete(key, expected)
-            else:
-                written = self._key_value.put(key, row, expected)
-            if isinstance(written, Conflict) and lost:
-                written = self._settle(key, row, expected)
-            elif isinstance(written, Uncertain):
-                lost = True
-                written = Unavailable(written.reason)
-            if not lost or not isinstance(written, Unavailable):
-                return written
+            if not isinstance(written, Uncertain):
+                break
             self._clock.sleep(RETRY_SECONDS)
-        return Uncertain("the key-value service lost the answer")
+            written = self._settled_deletion(key, expected)
+        return written
 
-    def _settle(
-        self, key: str, row: bytes | None, expected: int
-    ) -> StoredRow | Conflict | Unavailable | Uncertain:
-        """Tell by the row's mark whose write came after `expected`."""
-        present = self._key_value.get(key)
-        if isinstance(present, Unavailable):
-            return present
-        if isinstance(present, Absent):
-            deleted = row is None and expected > 0
-            return StoredRow(present.revision) if deleted else Uncertain("row deleted")
-        mark = edit_of(present.value)
-        if row is not None and mark == edit_of(row):
-            return StoredRow(present.revision)
-        if mark.endswith(f"@{expected}"):
-            return Conflict(present.revision)
-        return Uncertain("superseded by a later edit")
+    def _settled_deletion(
+        self, key: str, expected: int
+    ) -> StoredRow | Conflict | Uncertain:
+        """Look for the write that followed `expected`, and delete if there is none.
+
+        Deletions by two operators can't be told apart, and need not be.
+        """
+        found = self._key_value.watch(key, expected, 0.0)
+        if isinstance(found, Unavailable) or found.compacted:
+            return Uncertain("the history of the row can't be read")
+        later = [change for change in found.changes if change.key == key]
+        if later and later[0].value is None:
+            return StoredRow(later[0].revision)
+        if later:
+            return Conflict(later[-1].revision)
+        again = self._key_value.delete(key, expected)
+        return Uncertain(again.reason) if isinstance(again, Unavailable) else again
 
 
 def _log(name: str, row: bytes | None, written: object, operator: str) -> None:
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -45,7 +45,9 @@
 logger = logging.getLogger(__name__)
 
 SILENT_BEATS = 3
-DISPATCH_SECONDS = 2.0
+# A side answers a dispatch, and the head of a session's stream, within milliseconds.
+DISPATCH_SECONDS = 1.5
+OPEN_SECONDS = 1.5
 CONNECT_SECONDS = 1.0
 LONGEST_PAUSE = 2.0
 FIRST_PAUSE = 0.05
@@ -311,7 +313,9 @@
     def _open(self, message: OpenSession) -> Any:
         """Return the session's response, or ``None`` where there is none."""
         silence = SILENT_BEATS * self._beat_seconds
-        response = self._stream_pool.open_stream("/peer/open", message, silence)
+        response = self._stream_pool.open_stream(
+            "/peer/open", message, silence, head_seconds=OPEN_SECONDS
+        )
         if isinstance(response, NotSent | Lost):
             return None
         if response.status != 200:
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -5,20 +5,27 @@
 import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
+from typing import Any
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
 from wigeonfront.coordination import slots
+from wigeonfront.coordination.keyed_work import EARLIER_MAY_HAVE_RUN
 from wigeonfront.entry.admission import EntryAdmission, Ticket
-from wigeonfront.entry.configuration import Catalogue
+from wigeonfront.entry.control import Control
 from wigeonfront.entry.directory import Announcements, Directory
 from wigeonfront.entry.dispatch import Work
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
+from wigeonfront.entry.slots import (
+    TABLES_PATH,
+    SlotMover,
+    SlotTables,
+    TablesQuestion,
+)
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
@@ -57,13 +64,14 @@
     identity: Identity
     clock: Clock
     max_callers: int
-    catalogue: Catalogue
+    control: Control
     admission: EntryAdmission
     directory: Directory
     announcements: Announcements
     requests: Requests
     lots: Lots
     slots: SlotTables
+    mover: SlotMover
     metrics: Registry
     supervisor: Supervisor
 
@@ -99,6 +107,11 @@
         with self._lock:
             return self._callers
 
+    @property
+    def leaving(self) -> bool:
+        """Whether nothing new is admitted."""
+        return self._leaving
+
     def leave(self) -> None:
         """Admit nothing new from now on."""
         self._leaving = True
@@ -114,7 +127,6 @@
         application.route("GET", "/health", self.health)
         application.route("GET", "/ready", self.ready)
         application.route("GET", "/metrics", self.metrics)
-        application.route("GET", "/v1/status", self.status)
 
     # --- callers -------------------------------------------------------------
 
@@ -126,6 +138,8 @@
         if len(key) > MAX_KEY_LENGTH:
             return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
         row = self._terms(body.catalogue_entry, service)
+        if isinstance(row, NotRun):
+            return _outcome_reply("", _for_key(row, key, body))
         if isinstance(row, Reply):
             return row
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
@@ -136,7 +150,7 @@
                 work = self._work(service, body, row, key, request, started)
                 outcome = self._run_request(work, body, row, call)
         self._note(service, "request", type(outcome).__name__, started)
-        return _outcome_reply(request, outcome)
+        return _outcome_reply(request, _for_key(outcome, key, body))
 
     def lot(self, call: Call) -> Reply:
         """Answer a Lot whole."""
@@ -145,6 +159,8 @@
         if len(names) != len(body.samples):
             return _bad(422, "duplicate_sample", "a sample stands twice in the Lot")
         row = self._terms(body.catalogue_entry, body.service)
+        if isinstance(row, NotRun):
+            return _lot_reply(_lot_not_run(body, row), "")
         if isinstance(row, Reply):
             return row
         if row.work_class != "rollout":
@@ -159,15 +175,14 @@
         if reply is None:
             return Reply(499, ErrorReply(error="caller_gone"))
         self._note(body.service, "lot", reply.status, started)
-        headers = {"X-Request-Id": holder, **_retry_header(reply.retry_after)}
-        return Reply(LOT_STATUSES[reply.status], reply, headers)
+        return _lot_reply(reply, holder)
 
     def acknowledge(self, call: Call) -> Reply:
         """End a Lot: its trainer has the whole answer."""
         body = call.decode(LotAcknowledgement)
         key = f"{body.trainer}/{body.lot}"
         owner = self._parts.slots.owner(body.service, key)
-        peer = self._parts.directory.peer(owner.side) if owner else None
+        peer = self._parts.directory.reach(owner.side) if owner else None
         status = "unreachable"
         if peer is not None:
             request = DeliveryRequest(
@@ -200,7 +215,7 @@
 
     def slot_tables(self, call: Call) -> Reply:
         """Answer another entry which slot table is in force here."""
-        return Reply(200, self._parts.slots.answer(call.decode(TablesQuestion)))
+        return Reply(200, self._parts.mover.answer(call.decode(TablesQuestion)))
 
     # --- operators -----------------------------------------------------------
 
@@ -219,36 +234,33 @@
         text = self._parts.metrics.render_text()
         return Reply(200, text.encode(), content_type="text/plain; version=0.0.4")
 
-    def status(self, call: Call) -> Reply:
-        """Answer what an operator asks of an entry."""
+    def describe(self) -> dict[str, Any]:
+        """Return what an operator asks of an entry, as JSON data."""
         parts = self._parts
         sides = [
             view
             for service in sorted(parts.directory.services)
             for view in parts.directory.views(service)
         ]
-        return Reply(
-            200,
-            {
-                "name": parts.identity.name,
-                "incarnation": parts.identity.incarnation,
-                "leaving": self._leaving,
-                "in_flight": self.in_flight,
-                "catalogue_revision": parts.catalogue.revision,
-                "catalogue_age": parts.catalogue.age,
-                "bad_rows": parts.catalogue.bad_rows,
-                "sides": sides,
-                "metrics": parts.metrics.snapshot(),
-            },
-        )
+        return {
+            "name": parts.identity.name,
+            "incarnation": parts.identity.incarnation,
+            "leaving": self._leaving,
+            "in_flight": self.in_flight,
+            **parts.control.describe(),
+            "sides_behind": parts.directory.behind(),
+            "sides": sides,
+            "metrics": parts.metrics.snapshot(),
+        }
 
     # --- helpers -------------------------------------------------------------
 
-    def _terms(self, name: str, service: str) -> CatalogueEntry | Reply:
+    def _terms(self, name: str, service: str) -> CatalogueEntry | NotRun | Reply:
         """Return the catalogue entry if it may draw on `service`."""
-        if not self._parts.catalogue.loaded:
-            return _outcome_reply("", NotRun("catalogue_not_loaded", RETRY_SECONDS))
-        row = self._parts.catalogue.get(name)
+        starting = self._parts.control.starting
+        if starting:
+            return NotRun(starting, RETRY_SECONDS)
+        row = self._parts.control.catalogue.get(name)
         if row is None:
             return _bad(403, "no_such_catalogue_entry", name)
         if not row.enabled:
@@ -257,7 +269,8 @@
             if service not in self._parts.directory.services:
                 return _bad(404, "no_such_service", service)
             return _bad(403, "service_not_in_catalogue_entry", service)
-        return row
+        refusal = self._parts.control.membership.refusal(row.work_class)
+        return refusal or row
 
     def _work(
         self,
@@ -332,9 +345,7 @@
     def _not_ready(self) -> str:
         if self._leaving:
             return "leaving"
-        if not self._parts.catalogue.loaded:
-            return "catalogue_not_loaded"
-        return ""
+        return self._parts.control.starting
 
     @contextmanager
     def _caller(self) -> Iterator[NotRun | None]:
@@ -364,6 +375,17 @@
     return asked if row.bound is None else min(asked, row.bound)
 
 
+def _for_key(outcome: Outcome, key: str, body: RequestBody) -> Outcome:
+    """Return `outcome` so that it doesn't speak for earlier submissions of a key."""
+    if not key or body.idempotent or body.submission == 1:
+        return outcome
+    if isinstance(outcome, NotRun) and not outcome.warning:
+        return replace(outcome, warning=EARLIER_MAY_HAVE_RUN)
+    if isinstance(outcome, Expired):
+        return replace(outcome, started=True)
+    return outcome
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
@@ -381,6 +403,11 @@
     return Reply(http_status(outcome), reply, headers)
 
 
+def _lot_reply(reply: LotReply, holder: str) -> Reply:
+    headers = {"X-Request-Id": holder, **_retry_header(reply.retry_after)}
+    return Reply(LOT_STATUSES[reply.status], reply, headers)
+
+
 def _lot_not_run(body: LotBody, refusal: NotRun | Expired) -> LotReply:
     return LotReply(
         trainer=body.trainer,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -264,7 +264,7 @@
             return Answer(status, b"".join(chunks))
         return answer
 
-    def open_stream(self, path, body, read_seconds, fresh=True):
+    def open_stream(self, path, body, read_seconds, fresh=True, head_seconds=None):
         answer = self.network.call(self, "POST", path, body)
         if isinstance(answer, tuple):
             self.stream = MemoryStream(self.network, *answer, read_seconds)
