A sealed slot is taken up again only at a higher epoch

Causes, each with what could come of it: - a reading of the table from before a hand-over, acted on after it, took the slots up again at the old epoch beside their next owner: a key could run at both; - a write of the next owners that came late, after the side had given up and gone on at the same epoch: the next owner lacked the keys that ran meanwhile. So a sealed slot is claimed at the next epoch first, which also makes the late write fail; - records that came late replaced newer ones kept for the same slot, and records for a later epoch were thrown away by an older reading; - a following thread told the ledger to own a slot outside the keeper's lock, after another had sealed it; - a leaving side took records that ended with it: it now answers 503.

Availability: nothing is sealed while there is no table to write or no side to take over; a slot whose key still runs stays where it is, and the others go; a next owner that doesn't answer (dead, but listed) is passed over for the next in order. Before, one running key or one dead heir kept the records of all its slots from moving.

--- a/src/wigeonfront/coordination/slots.py
+++ b/src/wigeonfront/coordination/slots.py
@@ -13,7 +13,8 @@
 -------
 - A side that starts claims its slots under its new incarnation: `claim`. What an
   earlier incarnation knew is lost.
-- A side that stops hands its slots over with their records: `hand_over`.
+- A side that stops hands its slots over with their records: `hand_over`. If that
+  does not come off it takes them up again at a higher epoch: `claim`.
 - Slots of a VM that is gone move in two steps: `move` names the next owner, and
   once every live entry has the moved table (or has fenced itself) `confirm` lets
   that owner begin. Before that, an entry might still send work to the old owner.
@@ -31,7 +32,7 @@
 """
 
 import re
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -92,6 +93,15 @@
     lost_before: int
 
 
+@dataclass(frozen=True, slots=True)
+class Heir:
+    """The next owner of a sealed slot, which holds its records for `epoch`."""
+
+    side: str
+    incarnation: str
+    epoch: int
+
+
 def slot_of(key: str, count: int) -> int:
     """Return the slot of `key` among `count`; a minted key's epoch isn't hashed."""
     minted = _MINTED.fullmatch(key)
@@ -142,13 +152,29 @@
     )
 
 
-def claim(table: SlotTable, side: str, incarnation: str) -> SlotTable | None:
-    """Take the slots of `side` under a new incarnation."""
+def claim(
+    table: SlotTable,
+    side: str,
+    incarnation: str,
+    sealed: Mapping[int, int] | None = None,
+) -> SlotTable | None:
+    """Take the slots of `side` under a new incarnation, and sealed ones again.
+
+    Parameters
+    ----------
+    sealed : mapping of int to int, optional
+        Slots that this incarnation has sealed, at which epochs. Their records may
+        lie with a next owner, so that only a higher epoch makes those worthless.
+    """
+    given = sealed or {}
 
     def claimed(index: int, slot: Slot) -> Slot:
-        if slot.owner != side or slot.moving or slot.incarnation == incarnation:
+        if slot.owner != side or slot.moving:
             return slot
         epoch = slot.epoch + 1
+        if slot.incarnation == incarnation:
+            again = given.get(index) == slot.epoch
+            return msgspec.structs.replace(slot, epoch=epoch) if again else slot
         lost = epoch if slot.incarnation else slot.lost_before
         return Slot(owner=side, epoch=epoch, incarnation=incarnation, lost_before=lost)
 
@@ -156,23 +182,17 @@
 
 
 def hand_over(
-    table: SlotTable, side: str, incarnation: str, given: dict[int, tuple[str, str]]
+    table: SlotTable, side: str, incarnation: str, heirs: Mapping[int, Heir]
 ) -> SlotTable | None:
-    """Give sealed slots to their next owners, who hold the records already.
-
-    Parameters
-    ----------
-    given : dict of int to (str, str)
-        For each slot, the next owner and its incarnation.
-    """
+    """Give sealed slots to their next owners, who hold the records already."""
 
     def handed(index: int, slot: Slot) -> Slot:
+        heir = heirs.get(index)
         mine = slot.owner == side and slot.incarnation == incarnation
-        if not mine or index not in given:
+        if not mine or heir is None or heir.epoch != slot.epoch + 1:
             return slot
-        name, heir = given[index]
         return msgspec.structs.replace(
-            slot, owner=name, incarnation=heir, epoch=slot.epoch + 1
+            slot, owner=heir.side, incarnation=heir.incarnation, epoch=heir.epoch
         )
 
     return _changed(table, handed)
--- a/src/wigeonfront/side/server.py
+++ b/src/wigeonfront/side/server.py
@@ -250,7 +250,10 @@
 
     def adopt(self, call: Call) -> Reply:
         """Take the records of slots that another side hands over."""
-        return Reply(200, self._parts.slots.adopt(call.decode(HandOver)))
+        adopted = self._parts.slots.adopt(call.decode(HandOver))
+        if adopted is None:
+            return Reply(503, ErrorReply(error="leaving"))
+        return Reply(200, adopted)
 
     # --- control -------------------------------------------------------------
 
--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -5,11 +5,16 @@
 It reads the table at start and when a call names an epoch that it doesn't know.
 With the key-value service down its ownership stays as it is. A side that stops
 hands its slots and their records over.
+
+A slot is sealed before its records are sent. Whether the next owner has them, and
+whether the table says so, may remain unknown; so a sealed slot is never taken up
+again at the same epoch, but at a higher one, written to the table first.
 """
 
 import logging
 import random
 import threading
+from collections.abc import Callable
 
 import msgspec
 
@@ -19,11 +24,11 @@
 from wigeonfront.coordination.keyed_work import SlotKeys
 from wigeonfront.coordination.ledger import AttemptLedger
 from wigeonfront.coordination.ownership import LostRecords
-from wigeonfront.coordination.slots import OwnedSlot, SlotTable
+from wigeonfront.coordination.slots import Heir, OwnedSlot, SlotTable
 from wigeonfront.http import Answer, Pool
 from wigeonfront.logs import event
 from wigeonfront.messages import Message
-from wigeonfront.platform import Absent, KeyValue, Row, Stored, Unavailable, Vm, VmList
+from wigeonfront.platform import KeyValue, Row, Stored, Unavailable, Vm, VmList
 
 logger = logging.getLogger(__name__)
 
@@ -72,6 +77,8 @@
     retention : float
         Seconds for which records are kept, and so for which lost ones matter.
     clock : Clock
+    pools : callable
+        Makes the pools of connections; called like `Pool`.
     """
 
     def __init__(
@@ -84,6 +91,7 @@
         rights: DeliveryRights,
         retention: float,
         clock: Clock,
+        pools: Callable[..., Pool] = Pool,
     ) -> None:
         self._name = name
         self._service = service
@@ -93,11 +101,13 @@
         self._rights = rights
         self._retention = retention
         self._clock = clock
+        self._pools = pools
         self._ledger: AttemptLedger | None = None
         self._lock = threading.Lock()
         self._table: SlotTable | None = None
         self._revision = 0
         self._owned: dict[int, OwnedSlot] = {}
+        self._sealed: dict[int, int] = {}
         self._given: dict[int, SlotRecords] = {}
         self._wake = threading.Event()
         self._leaving = False
@@ -136,13 +146,12 @@
 
     def refresh(self) -> bool:
         """Read the table and claim this side's slots; return whether all is done."""
-        row = self._key_value.get(slots.PREFIX + self._service)
-        if isinstance(row, Absent | Unavailable):
-            return False
-        table = slots.decode(row.value)
-        if table is None:
-            return False
-        claimed = slots.claim(table, self._name, self._incarnation)
+        row, table = self._read()
+        with self._lock:
+            if table is None or self._giving:
+                return False
+            sealed = dict(self._sealed)
+        claimed = slots.claim(table, self._name, self._incarnation, sealed)
         if claimed is None:
             self._follow(table, row.revision)
             return True
@@ -153,11 +162,27 @@
         self._follow(claimed, written.revision)
         return True
 
-    def adopt(self, records: HandOver) -> HandOverReply:
-        """Keep the records of slots until the table says that they are this side's."""
+    def _read(self) -> tuple[Row | None, SlotTable | None]:
+        row = self._key_value.get(slots.PREFIX + self._service)
+        if not isinstance(row, Row):
+            return None, None
+        return row, slots.decode(row.value)
+
+    def adopt(self, records: HandOver) -> HandOverReply | None:
+        """Keep the records of slots until the table says that they are this side's.
+
+        Returns
+        -------
+        HandOverReply or None
+            ``None``: this side leaves and takes none.
+        """
         with self._lock:
+            if self._leaving:
+                return None
             for one in records.slots:
-                self._given[one.slot] = one
+                known = self._given.get(one.slot)
+                if known is None or known.epoch < one.epoch:
+                    self._given[one.slot] = one
         event(
             logger,
             "records_received",
@@ -171,31 +196,37 @@
 
     def leave(self) -> bool:
         """Give all slots away for good; return whether that is in the table."""
-        self._leaving = True
+        with self._lock:
+            self._leaving = True
         self._wake.set()
-        return self.hand_over("leaving")
+        deadline = self._clock.monotonic() + HAND_OVER_SECONDS
+        while not self.hand_over("leaving"):
+            if self._clock.monotonic() >= deadline:
+                return False
+            self._clock.sleep(FIRST_PAUSE)
+        return True
 
     def hand_over(self, reason: str) -> bool:
         """Seal all slots and give them away; return whether that is in the table.
 
-        Where it isn't, the next reading of the table takes them up again.
+        Nothing is sealed while there is no side or no table to give them to. What is
+        sealed and not given is taken up again by the next reading of the table.
         """
-        with self._lock:
-            owned, self._owned = self._owned, {}
-            self._giving = True
-        sealed = sorted(owned)
-        for slot in sealed:
-            self._seal(slot)
-        given = self._give(owned, self._heirs(sealed)) if sealed else {}
-        done = not sealed or (bool(given) and self._write_given(given))
+        vms = self._others()
+        if self._owned and (not vms or self._read()[1] is None):
+            return False
+        records = self._seal_all()
+        heirs = self._give(records, vms)
+        written = self._write_heirs(heirs)
         with self._lock:
             self._giving = False
+            done = written and len(heirs) == len(records) and not self._owned
         event(
             logger,
             "handed_over",
             reason=reason,
-            slots=len(sealed),
-            given=len(given),
+            slots=len(records),
+            given=len(heirs),
             done=done,
         )
         self.suspect()
@@ -210,20 +241,28 @@
                 return
             self._table = table
             self._revision = revision
+            epochs = {slot.slot: slot.epoch for slot in mine}
+            # A reading from before the seal still has the slot as it was.
+            self._sealed = {
+                index: epoch
+                for index, epoch in self._sealed.items()
+                if epochs.get(index) == epoch
+            }
             before = self._owned
-            self._owned = {slot.slot: slot for slot in mine}
-            after = dict(self._owned)
-        for slot in after.values():
-            if before.get(slot.slot) != slot:
-                self._own(slot)
-        for index in before.keys() - after.keys():
-            self._seal(index)
+            after = {one.slot: one for one in mine if one.slot not in self._sealed}
+            self._owned = after
+            for index in before.keys() - after.keys():
+                self._seal(index)
+            for slot in after.values():
+                if before.get(slot.slot) != slot:
+                    self._own(slot)
         event(logger, "slots_owned", revision=revision, slots=len(after))
 
     def _own(self, slot: OwnedSlot) -> None:
         """Take up a slot, with its records if they were handed over for it."""
-        with self._lock:
-            given = self._given.pop(slot.slot, None)
+        given = self._given.get(slot.slot)
+        if given is not None and given.epoch <= slot.epoch:
+            del self._given[slot.slot]
         if given is not None and given.epoch == slot.epoch:
             self._ledger.adopt(slot.slot, slot.epoch, given.keys)
             self._rights.adopt(slot.slot, slot.epoch, given.lots)
@@ -240,58 +279,70 @@
 
     # --- handing over --------------------------------------------------------
 
-    def _heirs(self, sealed: list[int]) -> dict[int, Vm]:
+    def _others(self) -> dict[str, Vm]:
+        """Return the sides that may take over, by name."""
         listed = self._vm_list.vms()
         if isinstance(listed, Unavailable):
             return {}
-        others = {vm.name: vm for vm in listed if self._may_inherit(vm)}
-        if not others:
-            return {}
-        return {
-            slot: others[slots.next_owner(self._service, slot, others)]
-            for slot in sealed
-        }
+        return {vm.name: vm for vm in listed if self._may_inherit(vm)}
 
     def _may_inherit(self, vm: Vm) -> bool:
         same = vm.role == "side" and vm.service == self._service
         return same and vm.name != self._name and not vm.leaving
 
+    def _seal_all(self) -> dict[int, SlotRecords]:
+        """Seal the slots of which no key runs; return their records."""
+        with self._lock:
+            self._giving = True
+            sealed = {}
+            for owned in list(self._owned.values()):
+                records = self._sealed_records(owned)
+                if records is not None:
+                    sealed[owned.slot] = records
+                    self._sealed[owned.slot] = owned.epoch
+                    del self._owned[owned.slot]
+        return sealed
+
+    def _sealed_records(self, owned: OwnedSlot) -> SlotRecords | None:
+        self._seal(owned.slot)
+        keys = self._ledger.export(owned.slot)
+        if not isinstance(keys, SlotKeys):
+            event(logger, "slot_still_running", slot=owned.slot, runs=keys.count)
+            self._ledger.own(owned.slot, owned.epoch)
+            self._rights.own(owned.slot, owned.epoch)
+            return None
+        lots = self._rights.export(owned.slot)
+        epoch = owned.epoch + 1
+        return SlotRecords(slot=owned.slot, epoch=epoch, keys=keys, lots=lots)
+
     def _give(
-        self, owned: dict[int, OwnedSlot], heirs: dict[int, Vm]
-    ) -> dict[int, tuple[str, str]]:
-        """Send the records; return the slots whose next owner has them."""
-        by_heir: dict[str, list[int]] = {}
-        for slot in sorted(heirs):
-            by_heir.setdefault(heirs[slot].name, []).append(slot)
-        given = {}
-        for name, group in by_heir.items():
-            message = self._records([owned[slot] for slot in group])
-            if message is None:
-                continue
-            reply = self._send(heirs[group[0]], message)
-            if reply is not None:
-                given.update(dict.fromkeys(group, (name, reply.incarnation)))
-        return given
-
-    def _records(self, group: list[OwnedSlot]) -> HandOver | None:
-        records = []
-        for owned in group:
-            keys = self._ledger.export(owned.slot)
-            if not isinstance(keys, SlotKeys):
-                event(logger, "slot_still_running", slot=owned.slot, runs=keys.count)
-                return None
-            records.append(
-                SlotRecords(
-                    slot=owned.slot,
-                    epoch=owned.epoch + 1,
-                    keys=keys,
-                    lots=self._rights.export(owned.slot),
-                )
-            )
-        return HandOver(service=self._service, sender=self._name, slots=records)
-
-    def _send(self, vm: Vm, message: HandOver) -> HandOverReply | None:
-        pool = Pool(vm.address, read_seconds=HAND_OVER_SECONDS)
+        self, records: dict[int, SlotRecords], vms: dict[str, Vm]
+    ) -> dict[int, Heir]:
+        """Send the records; return the next owners that have them.
+
+        A side that doesn't answer is passed over for the next in order.
+        """
+        left = dict(records)
+        candidates = dict(vms)
+        heirs: dict[int, Heir] = {}
+        while left and candidates:
+            by_name: dict[str, list[SlotRecords]] = {}
+            for slot, one in left.items():
+                name = slots.next_owner(self._service, slot, candidates)
+                by_name.setdefault(name, []).append(one)
+            for name, group in by_name.items():
+                reply = self._send(candidates[name], group)
+                if reply is None:
+                    del candidates[name]
+                    continue
+                for one in group:
+                    del left[one.slot]
+                    heirs[one.slot] = Heir(name, reply.incarnation, one.epoch)
+        return heirs
+
+    def _send(self, vm: Vm, records: list[SlotRecords]) -> HandOverReply | None:
+        message = HandOver(service=self._service, sender=self._name, slots=records)
+        pool = self._pools(vm.address, read_seconds=HAND_OVER_SECONDS)
         answer = pool.call("POST", ADOPT_PATH, message)
         pool.close()
         if not isinstance(answer, Answer) or answer.status != 200:
@@ -301,13 +352,13 @@
         except msgspec.DecodeError:
             return None
 
-    def _write_given(self, given: dict[int, tuple[str, str]]) -> bool:
+    def _write_heirs(self, heirs: dict[int, Heir]) -> bool:
+        """Write the next owners into the table; return whether they are there."""
         deadline = self._clock.monotonic() + HAND_OVER_SECONDS
-        while self._clock.monotonic() < deadline:
-            row = self._key_value.get(slots.PREFIX + self._service)
-            table = slots.decode(row.value) if isinstance(row, Row) else None
+        while heirs and self._clock.monotonic() < deadline:
+            row, table = self._read()
             if table is not None:
-                changed = slots.hand_over(table, self._name, self._incarnation, given)
+                changed = slots.hand_over(table, self._name, self._incarnation, heirs)
                 if changed is None:
                     return True
                 value = slots.encode(changed)
@@ -315,4 +366,4 @@
                 if isinstance(written, Stored):
                     return True
             self._clock.sleep(FIRST_PAUSE)
-        return False
+        return not heirs
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,6 +12,7 @@
 from wigeonfront.http import Answer, Lost, NotSent, encode
 from wigeonfront.metrics import Registry
 from wigeonfront.outcomes import Completed
+from wigeonfront.platform import Uncertain
 from wigeonfront.platform.memory import MemoryKeyValue, MemoryVmList
 from wigeonfront.policy.admission import AdmissionQueue, ClassLimit
 from wigeonfront.side.execution import Execution
@@ -276,3 +277,39 @@
 
     def close(self):
         pass
+
+
+class LateKeyValue(MemoryKeyValue):
+    """A client whose writes may be late, and that others may come in between.
+
+    Attributes
+    ----------
+    late : list
+        Writes that are still on their way: make them by calling them.
+    next_put : str
+        ``late`` for a next write that takes effect later, if still expected;
+        ``down`` if the service is not reached any more after it.
+    between : callable or None
+        Called once, after the next reading and before its answer is used.
+    """
+
+    def __init__(self, state, late):
+        super().__init__(state=state)
+        self.late = late
+        self.next_put = ""
+        self.between = None
+
+    def get(self, key):
+        found = super().get(key)
+        between, self.between = self.between, None
+        if between is not None:
+            between()
+        return found
+
+    def put(self, key, value, expected=None, lease=0):
+        fate, self.next_put = self.next_put, ""
+        if not fate:
+            return super().put(key, value, expected, lease)
+        self.outage = self.outage or fate == "down"
+        self.late.append(lambda: MemoryKeyValue.put(self, key, value, expected, lease))
+        return Uncertain("no answer")
