--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -5,13 +5,14 @@
 import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 from typing import Any
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
 from wigeonfront.coordination import slots
+from wigeonfront.coordination.keyed_work import EARLIER_MAY_HAVE_RUN
 from wigeonfront.entry.admission import EntryAdmission, Ticket
 from wigeonfront.entry.control import Control
 from wigeonfront.entry.directory import Announcements, Directory
@@ -19,7 +20,12 @@
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
+from wigeonfront.entry.slots import (
+    TABLES_PATH,
+    SlotMover,
+    SlotTables,
+    TablesQuestion,
+)
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
@@ -65,6 +71,7 @@
     requests: Requests
     lots: Lots
     slots: SlotTables
+    mover: SlotMover
     metrics: Registry
     supervisor: Supervisor
 
@@ -132,7 +139,7 @@
             return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
         row = self._terms(body.catalogue_entry, service)
         if isinstance(row, NotRun):
-            return _outcome_reply("", row)
+            return _outcome_reply("", _for_key(row, key, body))
         if isinstance(row, Reply):
             return row
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
@@ -143,7 +150,7 @@
                 work = self._work(service, body, row, key, request, started)
                 outcome = self._run_request(work, body, row, call)
         self._note(service, "request", type(outcome).__name__, started)
-        return _outcome_reply(request, outcome)
+        return _outcome_reply(request, _for_key(outcome, key, body))
 
     def lot(self, call: Call) -> Reply:
         """Answer a Lot whole."""
@@ -175,7 +182,7 @@
         body = call.decode(LotAcknowledgement)
         key = f"{body.trainer}/{body.lot}"
         owner = self._parts.slots.owner(body.service, key)
-        peer = self._parts.directory.peer(owner.side) if owner else None
+        peer = self._parts.directory.reach(owner.side) if owner else None
         status = "unreachable"
         if peer is not None:
             request = DeliveryRequest(
@@ -208,7 +215,7 @@
 
     def slot_tables(self, call: Call) -> Reply:
         """Answer another entry which slot table is in force here."""
-        return Reply(200, self._parts.slots.answer(call.decode(TablesQuestion)))
+        return Reply(200, self._parts.mover.answer(call.decode(TablesQuestion)))
 
     # --- operators -----------------------------------------------------------
 
@@ -286,7 +293,7 @@
             deadline=started + body.timeout,
             idempotent=body.idempotent,
             key=f"{body.catalogue_entry}/{key}" if key else "",
-            first=body.submission == 1,
+            unsent_at=body.slot_epoch if body.submission == 1 else 0,
             prefix=body.prefix,
             max_tokens=body.max_tokens,
             min_version=min_version,
@@ -368,6 +375,28 @@
     return asked if row.bound is None else min(asked, row.bound)
 
 
+def _for_key(outcome: Outcome, key: str, body: RequestBody) -> Outcome:
+    """Return `outcome` so that it speaks of earlier submissions of a key as it may."""
+    if not key or body.idempotent:
+        return outcome
+    if body.submission == 1:
+        # Its caller knows of no earlier one.
+        return _for_first(outcome)
+    if isinstance(outcome, NotRun) and not outcome.warning:
+        return replace(outcome, warning=EARLIER_MAY_HAVE_RUN)
+    if isinstance(outcome, Expired):
+        return replace(outcome, started=True)
+    return outcome
+
+
+def _for_first(outcome: Outcome) -> Outcome:
+    """Return a refusal without the warning; one for lost records ends at once."""
+    if not isinstance(outcome, NotRun):
+        return outcome
+    retry_after = RETRY_SECONDS if outcome.slot_epoch else outcome.retry_after
+    return replace(outcome, warning="", retry_after=retry_after)
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -243,7 +243,7 @@
         0.05, 60, 1.0, "seconds between two heartbeats of a peer session"
     )
     drain_seconds: float = _decimal(
-        0, 3600, 30.0, "most seconds a planned stop waits for work in flight"
+        0, 3600, 330.0, "most seconds a planned stop waits for work in flight"
     )
     control_threads: int = _integer(
         1, 64, 4, "threads kept for health, drain and control calls"
@@ -312,9 +312,6 @@
     retention_seconds: float = _decimal(
         1, 86_400, 600.0, "seconds for which finished results and keys are kept"
     )
-    weights_concurrency: int = _integer(
-        1, 1024, 2, "targets of a service that may load weights at once"
-    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
