--- a/src/wigeonfront/policy/admission.py
+++ b/src/wigeonfront/policy/admission.py
@@ -19,7 +19,9 @@
 from wigeonfront.clock import Clock
 from wigeonfront.messages import WorkClass
 from wigeonfront.outcomes import Expired, NotRun
+from wigeonfront.policy.estimate import ServiceEstimate
 from wigeonfront.policy.fairness import FairShare
+from wigeonfront.policy.waiting import AdmissionItem, ClassQueue
 
 CLASSES: tuple[WorkClass, ...] = ("interactive", "booking", "rollout")
 """Classes by falling urgency."""
@@ -27,53 +29,12 @@
 PREEMPTIBLE: WorkClass = "rollout"
 """The class that yields running work."""
 
-RATE_SMOOTHING = 0.1
-"""Weight of the newest sample in the smoothed seconds per token."""
-
-ASSUMED_TOKEN_SECONDS = 0.02
-"""Seconds per token for ordering, before any was measured."""
-
 MIN_RETRY_AFTER = 0.1
 MAX_RETRY_AFTER = 60.0
 
 Withdrawn = Literal["queued", "running", "absent"]
 
 
-@dataclass(slots=True, eq=False)
-class AdmissionItem:
-    """One attempt at a side.
-
-    Attributes
-    ----------
-    id : str
-        The attempt.
-    work_class : str
-        Class of work.
-    deadline : float
-        On this process's monotonic clock.
-    tokens : float
-        Predicted tokens, 1 for a call of a plain service.
-    trainer : str
-        Account for fair shares; empty for other callers.
-    idempotent : bool
-        Whether it may be stopped and run again.
-    payload : Any
-        The caller's own handle; the queue doesn't look at it.
-    started : float or None
-        When `take` returned it.
-    """
-
-    id: str
-    work_class: WorkClass
-    deadline: float
-    tokens: float = 1.0
-    trainer: str = ""
-    idempotent: bool = True
-    payload: Any = None
-    started: float | None = None
-    preempting: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class ClassLimit:
     """Bounds of one class at one side.
@@ -130,40 +91,6 @@
     token_seconds: float
 
 
-class _ClassQueue:
-    """Items of one class by latest start; entries removed lazily."""
-
-    def __init__(self) -> None:
-        self._heap: list[tuple[float, int, AdmissionItem]] = []
-        self._order = itertools.count()
-        self._live: set[AdmissionItem] = set()
-        self.tokens = 0.0
-
-    def __len__(self) -> int:
-        return len(self._live)
-
-    def push(self, item: AdmissionItem, latest_start: float) -> None:
-        heapq.heappush(self._heap, (latest_start, next(self._order), item))
-        self._live.add(item)
-        self.tokens += item.tokens
-
-    def head(self) -> float:
-        """Return the latest start of the first item; the queue is not empty."""
-        while self._heap[0][2] not in self._live:
-            heapq.heappop(self._heap)
-        return self._heap[0][0]
-
-    def pop(self) -> AdmissionItem:
-        self.head()
-        item = heapq.heappop(self._heap)[2]
-        self.forget(item)
-        return item
-
-    def forget(self, item: AdmissionItem) -> None:
-        self._live.remove(item)
-        self.tokens -= item.tokens if self._live else self.tokens
-
-
 class AdmissionQueue:
     """What waits at one side, and who may start.
 
@@ -207,11 +134,10 @@
         self._deadlines: list[tuple[float, int, AdmissionItem]] = []
         self._offers = itertools.count()
         self._running_by_class = dict.fromkeys(CLASSES, 0)
-        self._queues = {c: _ClassQueue() for c in CLASSES if c != PREEMPTIBLE}
-        self._trainer_queues: dict[str, _ClassQueue] = {}
+        self._queues = {c: ClassQueue() for c in CLASSES if c != PREEMPTIBLE}
+        self._trainer_queues: dict[str, ClassQueue] = {}
         self._fair = FairShare(weights=weights)
-        self._token_seconds = 0.0
-        self._length_ratios = dict.fromkeys(CLASSES, 1.0)
+        self._estimate = ServiceEstimate()
         self.configure(capacity, headroom, limits, weights or {})
 
     def configure(
@@ -388,9 +314,10 @@
                 queued={c: self._queued(c) for c in CLASSES},
                 queued_tokens=sum(self._queued_tokens(c) for c in CLASSES),
                 running_tokens=sum(
-                    self._tokens_left(item, now) for item in self._running.values()
+                    self._estimate.tokens_left(item, now)
+                    for item in self._running.values()
                 ),
-                token_seconds=self._token_seconds,
+                token_seconds=self._estimate.token_seconds,
             )
 
     def preemption_candidates(self, count: int) -> list[AdmissionItem]:
@@ -409,9 +336,7 @@
             return NotRun(self._holding, MIN_RETRY_AFTER)
         if self._queued(item.work_class) >= self._limits[item.work_class].queue:
             return NotRun("queue_full", _clamped(wait))
-        expected = item.tokens * self._length_ratios[item.work_class]
-        service = expected * self._token_seconds
-        late = wait + service - (item.deadline - now)
+        late = wait + self._estimate.seconds(item) - (item.deadline - now)
         if late > 0 and wait > 0:
             return NotRun("expected_wait", _clamped(late))
         return None
@@ -420,9 +345,9 @@
         """Return seconds until `item` would start, at the measured rate."""
         if self._may_start(item.work_class) and not self._queued(item.work_class):
             return 0.0
-        slots = self._capacity / (self._token_seconds or 1.0)
-        if not self._token_seconds:
+        if not self._estimate.token_seconds:
             return 0.0
+        slots = self._capacity / self._estimate.token_seconds
         if item.work_class != PREEMPTIBLE:
             rank = CLASSES.index(item.work_class)
             ahead = sum(self._expected_tokens(c) for c in CLASSES[: rank + 1])
@@ -430,7 +355,7 @@
         share = self._share_of(item.trainer)
         urgent = sum(self._expected_tokens(c) for c in CLASSES[:-1])
         queue = self._trainer_queues.get(item.trainer)
-        own = queue.tokens * self._length_ratios[PREEMPTIBLE] if queue else 0.0
+        own = queue.tokens * self._estimate.ratio(PREEMPTIBLE) if queue else 0.0
         return (urgent + own / share) / slots
 
     def _share_of(self, trainer: str) -> float:
@@ -441,17 +366,16 @@
     def _push(self, item: AdmissionItem) -> None:
         self._items[item.id] = item
         heapq.heappush(self._deadlines, (item.deadline, next(self._offers), item))
-        token_seconds = self._token_seconds or ASSUMED_TOKEN_SECONDS
-        latest_start = item.deadline - item.tokens * token_seconds
+        latest_start = self._estimate.latest_start(item)
         if item.work_class != PREEMPTIBLE:
             self._queues[item.work_class].push(item, latest_start)
             return
-        queue = self._trainer_queues.setdefault(item.trainer, _ClassQueue())
+        queue = self._trainer_queues.setdefault(item.trainer, ClassQueue())
         if not queue:
             self._fair.activate(item.trainer)
         queue.push(item, latest_start)
 
-    def _queue_of(self, item: AdmissionItem) -> _ClassQueue:
+    def _queue_of(self, item: AdmissionItem) -> ClassQueue:
         if item.work_class == PREEMPTIBLE:
             return self._trainer_queues[item.trainer]
         return self._queues[item.work_class]
@@ -471,12 +395,7 @@
         return self._queues[work_class].tokens
 
     def _expected_tokens(self, work_class: WorkClass) -> float:
-        """Tokens waiting, corrected by how far predictions have been off.
-
-        Callers may predict with `max_tokens`, several times the real length; taken
-        at its word that would refuse work that could well be done in time.
-        """
-        return self._queued_tokens(work_class) * self._length_ratios[work_class]
+        return self._queued_tokens(work_class) * self._estimate.ratio(work_class)
 
     def _may_start(self, work_class: WorkClass) -> bool:
         """Tell whether a slot is free that no other class keeps for itself."""
@@ -533,26 +452,13 @@
     def _refund(self, item: AdmissionItem) -> None:
         """Give the trainer back what a stopped item has not used."""
         if item.work_class == PREEMPTIBLE:
-            left = self._tokens_left(item, self._clock.monotonic())
+            left = self._estimate.tokens_left(item, self._clock.monotonic())
             self._fair.charge(item.trainer, -left)
 
     def _measure(self, item: AdmissionItem, tokens: float, seconds: float) -> None:
         if item.work_class == PREEMPTIBLE:
             self._fair.charge(item.trainer, tokens - item.tokens)
-        if tokens <= 0:
-            return
-        ratio = self._length_ratios[item.work_class]
-        ratio += RATE_SMOOTHING * (tokens / item.tokens - ratio)
-        self._length_ratios[item.work_class] = ratio
-        sample = seconds / tokens
-        change = RATE_SMOOTHING if self._token_seconds else 1.0
-        self._token_seconds += change * (sample - self._token_seconds)
-
-    def _tokens_left(self, item: AdmissionItem, now: float) -> float:
-        if not self._token_seconds:
-            return item.tokens
-        done = (now - (item.started or now)) / self._token_seconds
-        return max(1.0, item.tokens - done)
+        self._estimate.measure(item, tokens, seconds)
 
     def _preempt_for(self, item: AdmissionItem) -> tuple[AdmissionItem, ...]:
         """Mark one running rollout to yield, if `item` can't start without."""
@@ -574,13 +480,9 @@
             and not item.preempting
         ]
         now = self._clock.monotonic()
-        candidates.sort(key=lambda item: self._slack(item, now), reverse=True)
+        candidates.sort(key=lambda item: self._estimate.slack(item, now), reverse=True)
         return candidates
 
-    def _slack(self, item: AdmissionItem, now: float) -> float:
-        left = self._tokens_left(item, now) * self._token_seconds
-        return item.deadline - now - left
-
     def _reason(self, wait: float, preempt: tuple[AdmissionItem, ...]) -> str:
         if preempt:
             return "preempting"
@@ -592,7 +494,7 @@
             "running": len(self._running),
             "capacity": self._capacity,
             "queued": self._queued(item.work_class),
-            "token_seconds": self._token_seconds,
+            "token_seconds": self._estimate.token_seconds,
         }
 
 
