Daemons that reach nothing by HTTPS leave OpenSSL out

Cause: resident memory by module (a hook around each import): of 22 MiB that the imports of an entry take, libcrypto with _hashlib is 3.4 MiB and ssl 1.7 MiB, the two largest. urllib3 imports both for HTTPS, which a deployment without https:// settings never uses.

Ruled out: fewer malloc arenas (MALLOC_ARENA_MAX 1 and 2: entry 33.2 and 33.3 MiB against 32.9, no gain). Leaving out one of the two alone gives 0.7 or 1.4 MiB, as either maps libcrypto.

--- a/benchmarks/capacity/fleet.py
+++ b/benchmarks/capacity/fleet.py
@@ -89,11 +89,13 @@
         """Start an entry; return its address."""
         return self._daemon("entry", name, *flags, **settings)
 
-    def side(self, name: str, target: str, *flags: object) -> str:
+    def side(self, name: str, target: str, *flags: object, **settings: object) -> str:
         """Start a side beside a plain target, or as `flags` say."""
         beside = ("--service", SERVICE, "--target", f"http://{target}")
         kind = () if "--target-kind" in flags else ("--target-kind", "plain")
-        return self._daemon("side", name, *beside, *kind, *flags, wait=False)
+        return self._daemon(
+            "side", name, *beside, *kind, *flags, wait=False, **settings
+        )
 
     def sides(self, count: int, target: str, *flags: object) -> list[str]:
         """Start `count` sides at once; return their names."""
--- a/src/wigeonfront/cli.py
+++ b/src/wigeonfront/cli.py
@@ -10,9 +10,10 @@
 from collections.abc import Sequence
 from importlib import import_module
 
-from wigeonfront import __version__
+from wigeonfront import __version__, openssl
 from wigeonfront.commands import exit_codes
 from wigeonfront.settings import (
+    CommonSettings,
     EntrySettings,
     OperatorSettings,
     Rejected,
@@ -64,6 +65,8 @@
         for error in settings.errors:
             print(f"wigeonfront: {error}", file=sys.stderr)
         return exit_codes.USAGE
+    if isinstance(settings, CommonSettings) and not settings.uses_tls:
+        openssl.leave_out()
     module, _, function = arguments.handler.partition(":")
     handler = getattr(import_module(module), function)
     if arguments.role is OperatorSettings or arguments.takes_arguments:
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -249,6 +249,12 @@
         1, 64, 4, "threads kept for health, drain and control calls"
     )
 
+    @property
+    def uses_tls(self) -> bool:
+        """Whether some service is reached by HTTPS."""
+        texts = (getattr(self, each.name) for each in fields(self))
+        return any(str(text).startswith("https://") for text in texts)
+
     def __post_init__(self) -> None:
         if self.advertise is None:
             object.__setattr__(self, "advertise", self.listen)
