--- a/benchmarks/policy/variants.py
+++ b/benchmarks/policy/variants.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.rendezvous import ranked
 from wigeonfront.outcomes import Expired, NotRun
 from wigeonfront.policy import placement
 from wigeonfront.policy.admission import Accepted, AdmissionItem, QueueLoad
@@ -134,9 +135,7 @@
         if isinstance(candidates, placement.Refused) or not request.prefix:
             return placement.choose(request, sides, random)
         names = [side.name for side in candidates]
-        return placement.Placed(
-            placement.ranked(request.prefix, names)[0], "strict_affinity"
-        )
+        return placement.Placed(ranked(request.prefix, names)[0], "strict_affinity")
 
 
 class CacheDirectory:
