--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -12,7 +12,7 @@
 
 from benchmarks.capacity.budget import budget
 from benchmarks.capacity.control import catalogue, peers
-from benchmarks.capacity.data import baseline, requests
+from benchmarks.capacity.data import baseline, requests, samples
 from benchmarks.capacity.figures import Figure, table
 from benchmarks.capacity.slots import slots
 from benchmarks.capacity.state import attempts, ledger, memory
@@ -22,6 +22,7 @@
     "memory": memory,
     "peers": peers,
     "requests": requests,
+    "samples": samples,
     "attempts": attempts,
     "ledger": ledger,
     "catalogue": catalogue,
--- a/benchmarks/capacity/data.py
+++ b/benchmarks/capacity/data.py
@@ -27,11 +27,7 @@
 
 
 def requests(trial: Trial) -> list[Figure]:
-    """Measure the processor time of a request and of a sample of a Lot."""
-    return _requests(trial) + _samples(trial)
-
-
-def _requests(trial: Trial) -> list[Figure]:
+    """Measure the processor time of a request."""
     with trial.fleet() as fleet:
         sides = _plain(fleet)
         entries, besides = [], []
@@ -89,7 +85,8 @@
 # --- Lots --------------------------------------------------------------------
 
 
-def _samples(trial: Trial) -> list[Figure]:
+def samples(trial: Trial) -> list[Figure]:
+    """Measure the processor time of a sample of a Lot, and of a token."""
     with trial.fleet() as fleet:
         sides = _engines(fleet)
         by_size: list[list[Line]] = [[], []]
