--- a/benchmarks/capacity/data.py
+++ b/benchmarks/capacity/data.py
@@ -9,6 +9,7 @@
 from benchmarks.capacity.trial import Spent, Trial, spend
 
 SIDES = 8
+ENGINE_SIDES = 32
 RATES = (0.0, 20.0, 67.0, 134.0)
 LOT_SIZES = (64, 256, 512)
 LOT_TOKENS = (4, 64)
@@ -104,7 +105,9 @@
             )
             per_sample = [costs[0][1] / LOT_SIZES[0], long[1] / LOT_SIZES[0]]
             tokens.append(fit(zip(LOT_TOKENS, per_sample, strict=True)))
-    note = f"Lots of {LOT_SIZES} samples of {LOT_TOKENS[0]} tokens, {SIDES} sides"
+    note = (
+        f"Lots of {LOT_SIZES} samples of {LOT_TOKENS[0]} tokens, {ENGINE_SIDES} sides"
+    )
     chunks = f"{LOT_TOKENS} tokens, lines of 4 tokens"
     unit = "ms per sample"
     return [
@@ -123,8 +126,8 @@
         ROLLOUTS, {"owner": "bench", "class": "rollout", "services": [SERVICE]}
     )
     target = fleet.standin(TARGET, "engine", *ENGINE_FLAGS)
-    flags = ("--target-kind", "engine", "--capacity", 16, "--headroom", 0)
-    sides = fleet.sides(SIDES, target, *flags)
+    flags = ("--target-kind", "engine", "--capacity", 4, "--headroom", 0)
+    sides = fleet.sides(ENGINE_SIDES, target, *flags)
     fleet.list_sides(sides)
     fleet.entry("entry")
     fleet.wait_connected("entry", len(sides))
