--- a/src/wigeonfront/entry/configuration.py
+++ b/src/wigeonfront/entry/configuration.py
@@ -1,10 +1,9 @@
 """The catalogue as this entry has it in force.
 
-Rows arrive from the key-value service (`wigeonfront.entry.catalogue_watch`), from
-operators' edits at this entry and from other entries. Each carries the revision of
-its write, and a lower one is never applied, so that the order of arrival doesn't
-matter. A row that can't be put in force is kept beside the last good one, which
-stays in force.
+Rows arrive from the key-value service (`wigeonfront.entry.watch`), from operators'
+edits at this entry and from other entries, in any order; `RevisionedStore` keeps the
+newest good one of each in force. A digest of the revisions tells whether two entries
+have the same rows.
 """
 
 import logging
@@ -18,41 +17,35 @@
 from wigeonfront import catalogue
 from wigeonfront.catalogue import BadRow, CatalogueEntry
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.revisions import Applied, Rejected, RevisionedStore
 from wigeonfront.logs import event
 from wigeonfront.messages import Message, PolicyRow, ServicePolicy
-from wigeonfront.platform import Changes, Listing
+from wigeonfront.platform import Change, Changes, Listing
 
 logger = logging.getLogger(__name__)
 
-MAX_DELETED = 1000
-"""Deleted rows that are remembered, so that a peer can't bring them back."""
-
 _DIGEST_BYTES = 8
-_NOTHING = msgspec.Raw(b"null")
+_DELETED = msgspec.Raw(b"null")
 
 
 class CatalogueRow(Message, frozen=True, kw_only=True):
     """A row as entries tell it to each other.
 
+    Of a row that can't be put in force, the last good one is told as well.
+
     Attributes
     ----------
     name : str
         Of the catalogue entry.
     revision : int
-        Of the row's last write.
+        Of this write.
     value : Raw
         What was written; JSON null for a deletion.
-    good : Raw
-        The row in force, where `value` can't be, or JSON null.
-    good_revision : int
-        Revision of `good`.
     """
 
     name: str
     revision: int
-    value: msgspec.Raw = _NOTHING
-    good: msgspec.Raw = _NOTHING
-    good_revision: int = 0
+    value: msgspec.Raw = _DELETED
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,8 +70,8 @@
     """
 
     name: str
-    revision: int = 0
-    value: bytes | None = None
+    revision: int
+    value: bytes | None
     reason: str = ""
     entry: CatalogueEntry | None = None
     in_force: int = 0
@@ -89,37 +82,21 @@
         """Whether the last write was a deletion."""
         return self.value is None
 
-    def written(self, value: bytes | None, revision: int) -> "KnownRow":
-        """Return this row after a later write."""
-        row = None if value is None else catalogue.check(value)
-        if isinstance(row, BadRow):
-            return replace(self, revision=revision, value=value, reason=row.reason)
-        in_force = revision if row is not None else 0
-        return KnownRow(self.name, revision, value, "", row, in_force, value)
-
-    def with_good(self, value: bytes, revision: int) -> "KnownRow":
-        """Return this row with an earlier good one in force below a bad one."""
-        row = catalogue.check(value)
-        if not self.reason or revision <= self.in_force or isinstance(row, BadRow):
-            return self
-        return replace(self, entry=row, in_force=revision, good=value)
-
-    def fingerprint(self) -> int:
-        """Return a hash of the revisions; 0 for a deleted row."""
-        if self.deleted:
-            return 0
-        text = f"{self.name}\0{self.revision}\0{self.in_force}".encode()
-        return int.from_bytes(blake2b(text, digest_size=_DIGEST_BYTES).digest())
-
-    def message(self) -> CatalogueRow:
-        """Return the row as a message."""
-        return CatalogueRow(
-            name=self.name,
-            revision=self.revision,
-            value=_raw(self.value),
-            good=_raw(self.good if self.reason else None),
-            good_revision=self.in_force if self.reason else 0,
-        )
+    def messages(self) -> list[CatalogueRow]:
+        """Return the row as messages, the last good one first."""
+        last = _message(self.name, self.value, self.revision)
+        if not self.reason or self.good is None:
+            return [last]
+        return [_message(self.name, self.good, self.in_force), last]
+
+
+@dataclass(frozen=True, slots=True)
+class _Snapshot:
+    """All rows at one moment."""
+
+    rows: dict[str, KnownRow]
+    digest: str
+    newest: int
 
 
 class Catalogue:
@@ -140,11 +117,8 @@
         # A change counts once `on_change` has returned: writers go one by one.
         self._writing = threading.Lock()
         self._lock = threading.Lock()
-        self._rows: dict[str, KnownRow] = {}
-        self._digest = 0
-        self._revision = 0
-        self._newest = 0
-        self._forgotten = 0
+        self._store = RevisionedStore(_decoded)
+        self._snapshot = _Snapshot({}, "", 0)
         self._loaded = False
         self._heard_at = clock.monotonic()
         self._policies: dict[str, ServicePolicy] = {}
@@ -153,17 +127,17 @@
     @property
     def revision(self) -> int:
         """Revision up to which all writes are known."""
-        return self._revision
+        return self._store.revision
 
     @property
     def newest(self) -> int:
         """Highest revision of a row."""
-        return self._newest
+        return self._snapshot.newest
 
     @property
     def digest(self) -> str:
         """Hash of all rows' revisions; equal where the same rows are in force."""
-        return f"{self._digest:016x}"
+        return self._snapshot.digest
 
     @property
     def loaded(self) -> bool:
@@ -178,34 +152,30 @@
     @property
     def bad_rows(self) -> dict[str, str]:
         """Rows not in force, and why."""
-        with self._lock:
-            return {name: row.reason for name, row in self._rows.items() if row.reason}
+        rows = self._snapshot.rows.values()
+        return {row.name: row.reason for row in rows if row.reason}
 
     def get(self, name: str) -> CatalogueEntry | None:
         """Return the entry `name` as in force."""
-        row = self.known(name)
-        return row.entry if row else None
+        return self._store.get(name)
 
     def known(self, name: str) -> KnownRow | None:
         """Return all that is known of the row `name`."""
-        with self._lock:
-            return self._rows.get(name)
+        return self._snapshot.rows.get(name)
 
     def has(self, name: str, revision: int) -> bool:
         """Return whether the write of `name` at `revision` or a later one is known."""
         row = self.known(name)
-        return row is not None and row.revision >= revision
+        # Of a deletion nothing is left after a listing.
+        return (self.revision if row is None else row.revision) >= revision
 
     def rows(self) -> dict[str, CatalogueEntry]:
         """Return all entries in force."""
-        with self._lock:
-            rows = self._rows.items()
-            return {name: row.entry for name, row in rows if row.entry is not None}
+        return self._store.items()
 
     def all_known(self) -> list[KnownRow]:
         """Return all rows that are not deleted, by name."""
-        with self._lock:
-            present = [row for row in self._rows.values() if not row.deleted]
+        present = [row for row in self._snapshot.rows.values() if not row.deleted]
         return sorted(present, key=lambda row: row.name)
 
     def policy(self, service: str) -> ServicePolicy:
@@ -222,41 +192,46 @@
 
     def take_listing(self, listing: Listing) -> None:
         """Take all rows of the service; rows that it doesn't list are deleted."""
-        writes = [(_name(row.key), row.value, row.revision) for row in listing.rows]
-        present = {name for name, _, _ in writes}
+        rows = tuple(replace(row, key=_name(row.key)) for row in listing.rows)
         with self._writing:
-            absent = [row.name for row in self.all_known() if row.name not in present]
-            writes += [(name, None, listing.revision) for name in absent]
-            self._write_all(writes)
-            self._reach(listing.revision)
+            self._note_heard(listing.revision)
+            self._note(self._store.apply_listing(Listing(rows, listing.revision)))
             self._loaded = True
 
-    def take_changes(self, changes: Changes) -> None:
-        """Take what a watch saw."""
-        writes = [(_name(one.key), one.value, one.revision) for one in changes.changes]
+    def take_changes(self, changes: Changes, after: int) -> None:
+        """Take what a watch saw after a revision."""
+        rows = tuple(replace(one, key=_name(one.key)) for one in changes.changes)
         with self._writing:
-            self._write_all(writes)
-            self._reach(changes.revision)
+            self._note_heard(changes.revision)
+            known = Changes(rows, changes.revision, changes.compacted)
+            self._note(self._store.apply_changes(known, after))
 
     def write(self, name: str, value: bytes | None, revision: int) -> None:
         """Take one row as it was written at `revision`."""
         with self._writing:
-            self._write_all([(name, value, revision)])
+            self._note([self._store.apply(Change(name, value, revision))])
 
     # --- between entries -----------------------------------------------------
 
     def merge(self, rows: Iterable[CatalogueRow]) -> bool:
         """Take rows from another entry; return whether any was news."""
         with self._writing:
-            changed = [row.name for row in rows if self._merge_one(row)]
-            self._note(changed)
-        return bool(changed)
+            replies = [self._store.apply(_change(row)) for row in rows]
+            return self._note(replies)
+
+    def messages(self, name: str, revision: int) -> list[CatalogueRow]:
+        """Return the row `name` if its write at `revision` is known, else nothing."""
+        row = self.known(name)
+        if row is not None and row.revision >= revision:
+            return row.messages()
+        # Of a deletion nothing is left after a listing.
+        gone = row is None and self.revision >= revision
+        return [_message(name, None, revision)] if gone else []
 
     def since(self, revision: int) -> list[CatalogueRow]:
         """Return the rows written after `revision`, deleted ones too."""
-        with self._lock:
-            known = [row for row in self._rows.values() if row.revision > revision]
-        return [row.message() for row in sorted(known, key=lambda row: row.revision)]
+        changes = self._store.changes_after(revision).changes
+        return [_message(one.key, one.value, one.revision) for one in changes]
 
     def vouched(self, revision: int, age: float) -> None:
         """Note that a member with the same rows knows all writes to `revision`.
@@ -267,68 +242,47 @@
             Seconds since that member's rows were confirmed.
         """
         with self._writing:
-            self._revision = max(self._revision, revision)
+            self._store.apply_changes(Changes((), revision), self._store.revision)
             self._heard_at = max(self._heard_at, self._clock.monotonic() - age)
             self._loaded = True
 
     # --- helpers, called by one writer at a time -----------------------------
 
-    def _write_all(self, writes: list[tuple[str, bytes | None, int]]) -> None:
-        changed = []
-        for name, value, revision in writes:
-            known = self.known(name) or KnownRow(name)
-            if revision > known.revision:
-                self._replace(known.written(value, revision))
-                changed.append(name)
-        self._note(changed)
-
-    def _merge_one(self, row: CatalogueRow) -> bool:
-        known = self.known(row.name)
-        if known is None and row.revision <= self._forgotten:
-            return False
-        before = known or KnownRow(row.name)
-        after = before
-        if row.revision > before.revision:
-            after = before.written(_bytes(row.value), row.revision)
-        good = _bytes(row.good)
-        if good is not None:
-            after = after.with_good(good, row.good_revision)
-        if after == before:
+    def _note(self, replies: Iterable[object]) -> bool:
+        """Put what has changed in force; return whether anything has."""
+        changed = [one for one in replies if isinstance(one, Applied | Rejected)]
+        if not changed:
             return False
-        self._replace(after)
-        return True
-
-    def _replace(self, row: KnownRow) -> None:
+        newest = max(one.revision for one in changed)
         with self._lock:
-            before = self._rows.get(row.name)
-            self._digest ^= before.fingerprint() if before else 0
-            self._digest ^= row.fingerprint()
-            self._rows[row.name] = row
-            self._newest = max(self._newest, row.revision)
+            self._snapshot = self._new_snapshot(max(newest, self._snapshot.newest))
             self._current.clear()
-        _log(row)
-
-    def _note(self, changed: list[str]) -> None:
-        if changed:
-            self._forget_deleted()
-            self._on_change()
+        for reply in changed:
+            _log(reply)
+        self._on_change()
+        return True
 
-    def _forget_deleted(self) -> None:
-        with self._lock:
-            deleted = [row for row in self._rows.values() if row.deleted]
-            if len(deleted) <= MAX_DELETED:
-                return
-            deleted.sort(key=lambda row: row.revision)
-            for row in deleted[: -MAX_DELETED // 2]:
-                self._forgotten = max(self._forgotten, row.revision)
-                del self._rows[row.name]
-
-    def _reach(self, revision: int) -> None:
-        if revision < self._revision:
+    def _new_snapshot(self, newest: int) -> _Snapshot:
+        entries = self._store.items()
+        rejected = self._store.rejected
+        rows: dict[str, KnownRow] = {}
+        digest = 0
+        # By revision, so that a bad row comes after the good one in force.
+        for change in self._store.changes_after(0).changes:
+            bad = rejected.get(change.key)
+            if bad is not None and bad.revision == change.revision:
+                rows[change.key] = _bad_row(change, bad, rows.get(change.key))
+            else:
+                rows[change.key] = _good_row(change, entries.get(change.key))
+            if change.value is not None:
+                digest ^= _fingerprint(change)
+        return _Snapshot(rows, f"{digest:016x}", newest)
+
+    def _note_heard(self, revision: int) -> None:
+        if revision < self.revision:
             # A replica that lags, or a service restored from an old copy.
-            event(logger, "key_value_behind", revision=revision, known=self._revision)
+            event(logger, "key_value_behind", revision=revision, known=self.revision)
             return
-        self._revision = revision
         self._heard_at = self._clock.monotonic()
 
     def _renewed_policy(
@@ -339,12 +293,12 @@
             row.name: PolicyRow(
                 revision=row.in_force, weight=row.entry.weight, wave=row.entry.wave
             )
-            for row in self._rows.values()
+            for row in self._snapshot.rows.values()
             if row.entry is not None and _draws_rollouts(row.entry, service)
         }
         if policy is not None and policy.rows == rows:
             return policy
-        return ServicePolicy(revision=self._newest, rows=rows)
+        return ServicePolicy(revision=self._snapshot.newest, rows=rows)
 
 
 def _draws_rollouts(entry: CatalogueEntry, service: str) -> bool:
@@ -355,21 +309,48 @@
     return key.removeprefix(catalogue.PREFIX)
 
 
-def _raw(value: bytes | None) -> msgspec.Raw:
-    return _NOTHING if value is None else msgspec.Raw(value)
+def _decoded(value: bytes) -> CatalogueEntry:
+    """Return the entry in a row; `ValueError` says why there is none."""
+    row = catalogue.check(value)
+    if isinstance(row, BadRow):
+        raise ValueError(row.reason)
+    return row
+
+
+def _message(name: str, value: bytes | None, revision: int) -> CatalogueRow:
+    raw = _DELETED if value is None else msgspec.Raw(value)
+    return CatalogueRow(name=name, revision=revision, value=raw)
+
+
+def _change(row: CatalogueRow) -> Change:
+    value = bytes(row.value)
+    return Change(row.name, None if value == bytes(_DELETED) else value, row.revision)
+
+
+def _good_row(change: Change, entry: CatalogueEntry | None) -> KnownRow:
+    in_force = 0 if change.value is None else change.revision
+    return KnownRow(
+        change.key, change.revision, change.value, "", entry, in_force, change.value
+    )
+
+
+def _bad_row(change: Change, bad: Rejected, good: KnownRow | None) -> KnownRow:
+    known = good or KnownRow(change.key, change.revision, change.value)
+    return replace(
+        known, revision=change.revision, value=change.value, reason=bad.reason
+    )
 
 
-def _bytes(value: msgspec.Raw) -> bytes | None:
-    return None if bytes(value) == b"null" else bytes(value)
+def _fingerprint(change: Change) -> int:
+    text = f"{change.key}\0{change.revision}".encode()
+    return int.from_bytes(blake2b(text, digest_size=_DIGEST_BYTES).digest())
 
 
-def _log(row: KnownRow) -> None:
+def _log(reply: Applied | Rejected) -> None:
     event(
         logger,
-        "catalogue_bad_row" if row.reason else "catalogue_applied",
-        catalogue_entry=row.name,
-        revision=row.revision,
-        in_force=row.in_force,
-        deleted=row.deleted,
-        reason=row.reason,
+        "catalogue_applied" if isinstance(reply, Applied) else "catalogue_bad_row",
+        catalogue_entry=reply.key,
+        revision=reply.revision,
+        reason=getattr(reply, "reason", ""),
     )
--- a/src/wigeonfront/entry/edits.py
+++ b/src/wigeonfront/entry/edits.py
@@ -18,7 +18,7 @@
 from wigeonfront.coordination.settled import new_writer, settled_put, writer_of
 from wigeonfront.differences import FieldChange, changes
 from wigeonfront.entry.configuration import Catalogue
-from wigeonfront.entry.confirmation import Confirmation, InForce
+from wigeonfront.entry.confirmation import Confirmation, Everywhere
 from wigeonfront.entry.history import History
 from wigeonfront.entry.membership import Standing
 from wigeonfront.logs import event
@@ -202,7 +202,7 @@
 
     def _confirmed(self, name: str, revision: int, wait: float) -> EditOutcome:
         answer = self._confirmation.wait(name, revision, wait)
-        if isinstance(answer, InForce):
+        if isinstance(answer, Everywhere):
             return Accepted(revision, answer.seconds, answer.fenced)
         return Stored(revision, answer.waiting)
 
--- a/src/wigeonfront/entry/member_calls.py
+++ b/src/wigeonfront/entry/member_calls.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from typing import Literal, Protocol, TypeVar
+from typing import Annotated, Literal, Protocol, TypeVar
 
 import msgspec
 
@@ -107,13 +107,14 @@
     Attributes
     ----------
     sender : str
-    row : CatalogueRow
+    rows : list of CatalogueRow
+        The row, after its last good version where it can't be put in force.
     absent : list of str
         Former members: has any of them polled lately?
     """
 
     sender: str
-    row: CatalogueRow
+    rows: Annotated[list[CatalogueRow], msgspec.Meta(min_length=1)]
     absent: list[str] = msgspec.field(default_factory=list)
 
 
