--- a/src/wigeonfront/entry/configuration.py
+++ b/src/wigeonfront/entry/configuration.py
@@ -198,13 +198,14 @@
             self._note(self._store.apply_listing(Listing(rows, listing.revision)))
             self._loaded = True
 
-    def take_changes(self, changes: Changes, after: int) -> None:
-        """Take what a watch saw after a revision."""
+    def take_changes(self, changes: Changes) -> None:
+        """Take what a watch saw."""
         rows = tuple(replace(one, key=_name(one.key)) for one in changes.changes)
         with self._writing:
             self._note_heard(changes.revision)
             known = Changes(rows, changes.revision, changes.compacted)
-            self._note(self._store.apply_changes(known, after))
+            # All writes up to the watch's start were known when it was sent.
+            self._note(self._store.apply_changes(known, self.revision))
 
     def write(self, name: str, value: bytes | None, revision: int) -> None:
         """Take one row as it was written at `revision`."""
--- a/src/wigeonfront/entry/members.py
+++ b/src/wigeonfront/entry/members.py
@@ -125,8 +125,8 @@
             self._revision = listing.revision
             self._loaded = True
 
-    def take_changes(self, changes: Changes, after: int) -> None:
-        """Take what a watch saw after a revision."""
+    def take_changes(self, changes: Changes) -> None:
+        """Take what a watch saw."""
         with self._lock:
             for change in changes.changes:
                 # A listing made meanwhile may have gone beyond this change.
--- a/src/wigeonfront/entry/watch.py
+++ b/src/wigeonfront/entry/watch.py
@@ -57,8 +57,8 @@
     def take_listing(self, listing: Listing) -> None:
         """Take all rows; those not listed are deleted."""
 
-    def take_changes(self, changes: Changes, after: int) -> None:
-        """Take what a watch saw after a revision."""
+    def take_changes(self, changes: Changes) -> None:
+        """Take what a watch saw."""
 
 
 class PrefixWatch:
@@ -143,7 +143,7 @@
             if changes.compacted:
                 self._next_listing = self._clock.monotonic()
             else:
-                self._rows.take_changes(changes, after)
+                self._rows.take_changes(changes)
         return changes
 
     def _idle_pause(self, began: float) -> float:
--- a/tests/test_catalogue.py
+++ b/tests/test_catalogue.py
@@ -142,7 +142,7 @@
 def test_a_listing_from_a_lagging_replica_takes_nothing_back(clock):
     rows = Catalogue(clock)
     write(rows, ("a", GOOD | {"weight": 5}, 9), ("b", GOOD, 8))
-    rows.take_changes(Changes((), 9), 0)
+    rows.take_changes(Changes((), 9))
     clock.advance(3)
     rows.take_listing(Listing((Row(key("a"), row(), 4),), 5))
     assert rows.get("a").weight == 5
@@ -286,6 +286,6 @@
 
 def test_changes_of_other_prefixes_are_not_rows(clock):
     rows = Catalogue(clock)
-    rows.take_changes(Changes((Change(key("a"), row(), 2),), 7), 0)
+    rows.take_changes(Changes((Change(key("a"), row(), 2),), 7))
     assert rows.revision == 7
     assert rows.newest == 2
