--- a/src/wigeonfront/commands/lot.py
+++ b/src/wigeonfront/commands/lot.py
@@ -7,7 +7,8 @@
 import threading
 import time
 from collections import Counter
-from contextlib import contextmanager
+from collections.abc import Iterator
+from contextlib import closing, contextmanager
 from typing import Any
 
 import msgspec
@@ -29,15 +30,18 @@
         return exit_codes.USAGE
     lot = _lot(body)
     addresses = [str(address) for address in settings.entry]
-    trainer = client.TrainerClient(addresses, body.trainer, progress=_progress)
+    waiting = _Waiting(body.timeout)
+    trainer = client.TrainerClient(
+        addresses, body.trainer, progress=_progress, samples_told=waiting.tell
+    )
     _progress(f"Lot {body.key}: {len(lot.samples)} samples to {lot.service}")
-    with _reporting(body.timeout):
-        end = trainer.submit_lot(lot, body.timeout)
-    if not isinstance(end, client.LotAnswered):
-        return _report(end, arguments.json)
-    _write(end, arguments)
-    acknowledged = trainer.acknowledge(lot, settings.timeout_seconds)
-    trainer.close()
+    with closing(trainer):
+        with waiting.reporting():
+            end = trainer.submit_lot(lot, body.timeout)
+        if not isinstance(end, client.LotAnswered):
+            return _report(end, arguments.json)
+        _write(end, arguments)
+        acknowledged = trainer.acknowledge(lot, settings.timeout_seconds)
     if not isinstance(acknowledged, client.Acknowledged):
         print_error(f"answered, but not acknowledged: {_words(acknowledged)}")
         return exit_codes.FAILED
@@ -83,24 +87,41 @@
     print(words, file=sys.stderr, flush=True)
 
 
-@contextmanager
-def _reporting(timeout: float) -> Any:
-    """Say every few seconds how long the answer has been waited for."""
-    done = threading.Event()
-    thread = threading.Thread(target=_report_time, args=(done, timeout), daemon=True)
-    thread.start()
-    try:
-        yield
-    finally:
-        done.set()
-        thread.join()
+class _Waiting:
+    """Says every few seconds how far the Lot is and how long that has taken."""
+
+    def __init__(self, timeout: float) -> None:
+        self._timeout = timeout
+        self._done = threading.Event()
+        self._told: client.LotProgress | None = None
+
+    def tell(self, told: client.LotProgress) -> None:
+        """Note what an entry has said of the Lot."""
+        self._told = told
+
+    @contextmanager
+    def reporting(self) -> Iterator[None]:
+        """Report while the block runs."""
+        thread = threading.Thread(target=self._report, daemon=True)
+        thread.start()
+        try:
+            yield
+        finally:
+            self._done.set()
+            thread.join()
 
+    def words(self, waited: float) -> str:
+        """Return the report after so many seconds."""
+        words = f"waiting, {waited:.0f} of {self._timeout:g} seconds"
+        if self._told is None:
+            return words
+        total = self._told.finished + self._told.missing
+        return f"{words}, {self._told.finished} of {total} samples finished"
 
-def _report_time(done: threading.Event, timeout: float) -> None:
-    start = time.monotonic()
-    while not done.wait(PROGRESS_SECONDS):
-        waited = time.monotonic() - start
-        _progress(f"waiting, {waited:.0f} of {timeout:g} seconds")
+    def _report(self) -> None:
+        start = time.monotonic()
+        while not self._done.wait(PROGRESS_SECONDS):
+            _progress(self.words(time.monotonic() - start))
 
 
 # --- answers -----------------------------------------------------------------
@@ -160,6 +181,8 @@
     if as_json:
         print_json({"status": _status(end), **fields})
     print_error(f"the Lot was not answered: {_words(end)}")
+    if isinstance(end, client.LotUnreached):
+        return exit_codes.UNREACHABLE
     return exit_codes.FAILED
 
 
@@ -168,6 +191,7 @@
         client.LotAlreadyDelivered: "already_delivered",
         client.LotSuperseded: "superseded",
         client.LotExpired: "expired",
+        client.LotUnreached: "unreached",
         client.LotRefused: "refused",
         client.CallRejected: "rejected",
         client.AcknowledgementUnknown: "unknown",
--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -20,6 +20,7 @@
 from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.messages import (
+    RECORDS_LOST,
     Attempt,
     DeliveryRequest,
     LotBody,
@@ -106,6 +107,7 @@
         terms: LotTerms,
         holder: str,
         caller_gone: Callable[[], bool],
+        told: Callable[[int], None] = lambda missing: None,
     ) -> LotReply | None:
         """Run a Lot to its answer.
 
@@ -117,13 +119,15 @@
             Identifier of this very POST.
         caller_gone : callable
             Tells whether the trainer has closed its connection.
+        told : callable, optional
+            Told how many samples are missing, each time that one is finished.
 
         Returns
         -------
         LotReply or None
             ``None`` when the trainer has gone.
         """
-        return _LotRun(self, body, terms, holder, caller_gone).run()
+        return _LotRun(self, body, terms, holder, caller_gone, told).run()
 
 
 class _LotRun:
@@ -136,12 +140,14 @@
         terms: LotTerms,
         holder: str,
         caller_gone: Callable[[], bool],
+        told: Callable[[int], None],
     ) -> None:
         self._lots = lots
         self._body = body
         self._terms = terms
         self._holder = holder
         self._caller_gone = caller_gone
+        self._told = told
         self._clock = lots.clock
         self._random = random.Random()
         self._deadline = self._clock.monotonic() + body.timeout
@@ -159,7 +165,7 @@
         if standing in FINAL_STATUSES:
             return self._reply(standing)
         if standing == "unavailable":
-            return self._reply("partial", reason="delivery_records_lost")
+            return self._reply("partial", reason=RECORDS_LOST)
         event(
             logger,
             "lot_begun",
@@ -279,6 +285,7 @@
     ) -> None:
         sample.outcome = outcome
         self._missing -= 1
+        self._told(self._missing)
         self._cancel_others(sample)
         if isinstance(outcome, Completed):
             self._measure(sample, len(outcome.payload["tokens"]), side)
@@ -388,7 +395,7 @@
             if status in FINAL_STATUSES:
                 return self._reply(status)
             if status == "unavailable":
-                return self._reply("partial", reason="delivery_records_lost")
+                return self._reply("partial", reason=RECORDS_LOST)
             if self._remaining() <= 0:
                 return self._reply("partial", reason="delivery_owner_unreachable")
             if self._caller_gone():
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -18,6 +18,7 @@
 from wigeonfront.entry.dispatch import Work
 from wigeonfront.entry.lots import Lots, LotTerms
 from wigeonfront.entry.peers import Identity
+from wigeonfront.entry.progress import CallProgress, ProgressTable
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
 from wigeonfront.http import Application, Call, Reply
@@ -82,6 +83,7 @@
         self._lock = threading.Lock()
         self._callers = 0
         self._leaving = False
+        self._progress = ProgressTable(parts.identity.name, parts.clock)
         metrics = parts.metrics
         self._answers = metrics.counter(
             "wigeonfront_answers_total",
@@ -115,6 +117,8 @@
         application.route("POST", "/v1/services/*/requests", self.request)
         application.route("POST", "/v1/lots", self.lot)
         application.route("POST", "/v1/lots/acknowledge", self.acknowledge)
+        application.route("GET", "/v1/lots/*/*", self.lot_progress)
+        application.route("GET", "/v1/requests/*", self.request_progress)
         application.route("POST", "/v1/services/*/keys", self.mint_key)
         application.route("POST", TABLES_PATH, self.slot_tables)
         application.route("GET", "/health", self.health)
@@ -130,14 +134,14 @@
         key = call.header("Idempotency-Key")
         if len(key) > MAX_KEY_LENGTH:
             return _bad(422, "bad_key", f"at most {MAX_KEY_LENGTH} characters")
+        request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
         row = self._terms(body.catalogue_entry, service)
         if isinstance(row, NotRun):
-            return _outcome_reply("", row)
+            return _outcome_reply(request, row)
         if isinstance(row, Reply):
             return row
-        request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
         started = self._parts.clock.monotonic()
-        with self._caller() as refusal:
+        with self._progress.call(request), self._caller() as refusal:
             outcome = refusal
             if refusal is None:
                 work = self._work(service, body, row, key, request, started)
@@ -160,9 +164,11 @@
             return _bad(403, "not_a_rollout_entry", body.catalogue_entry)
         started = self._parts.clock.monotonic()
         holder = f"lot-{uuid.uuid4().hex[:16]}"
-        with self._caller() as refusal:
+        key = (body.trainer, body.lot, body.submission)
+        progress = self._progress.call(key, len(body.samples))
+        with progress as standing, self._caller() as refusal:
             if refusal is None:
-                reply = self._admit_lot(body, row, holder, call)
+                reply = self._admit_lot(body, row, holder, call, standing)
             else:
                 reply = _lot_not_run(body, refusal)
         if reply is None:
@@ -192,11 +198,25 @@
             _retry_header(RETRY_SECONDS),
         )
 
+    def lot_progress(self, call: Call) -> Reply:
+        """Answer how a submission of a Lot stands at this entry."""
+        trainer, lot = (_segment(each) for each in call.arguments)
+        submission = call.query("submission", "1")
+        if not submission.isdecimal():
+            return _bad(422, "bad_submission", submission[:MAX_KEY_LENGTH])
+        return Reply(200, self._progress.reply((trainer, lot, int(submission))))
+
+    def request_progress(self, call: Call) -> Reply:
+        """Answer how a request stands at this entry, by its ``X-Request-Id``."""
+        return Reply(200, self._progress.reply(_segment(call.arguments[0])))
+
     def mint_key(self, call: Call) -> Reply:
         """Answer with a new idempotency key, which carries its slot's epoch."""
         service = call.arguments[0]
         body = call.decode(KeyBody)
         row = self._terms(body.catalogue_entry, service)
+        if isinstance(row, NotRun):
+            return _outcome_reply("", row)
         if isinstance(row, Reply):
             return row
         known = self._parts.slots.known(service)
@@ -309,7 +329,12 @@
             admission.finished(ticket, outcome)
 
     def _admit_lot(
-        self, body: LotBody, row: CatalogueEntry, holder: str, call: Call
+        self,
+        body: LotBody,
+        row: CatalogueEntry,
+        holder: str,
+        call: Call,
+        standing: CallProgress,
     ) -> LotReply | None:
         admission = self._parts.admission
         ticket = admission.admit(
@@ -323,17 +348,24 @@
         if not isinstance(ticket, Ticket):
             return _lot_not_run(body, ticket)
         try:
-            return self._run_lot(body, row, holder, call)
+            return self._run_lot(body, row, holder, call, standing)
         finally:
             admission.finished(ticket, None)
 
     def _run_lot(
-        self, body: LotBody, row: CatalogueEntry, holder: str, call: Call
+        self,
+        body: LotBody,
+        row: CatalogueEntry,
+        holder: str,
+        call: Call,
+        standing: CallProgress,
     ) -> LotReply | None:
         self._parts.announcements.announce(body.service, body.version)
         min_version = max(0, body.version - _bound(row, body.bound))
         terms = LotTerms(body.catalogue_entry, min_version)
-        return self._parts.lots.run(body, terms, holder, call.caller_gone)
+        return self._parts.lots.run(
+            body, terms, holder, call.caller_gone, standing.tell
+        )
 
     def _not_ready(self) -> str:
         if self._leaving:
@@ -368,6 +400,11 @@
     return asked if row.bound is None else min(asked, row.bound)
 
 
+def _segment(text: str) -> str:
+    """Return a name from a path, of which the server has left ``%2F`` encoded."""
+    return text.encode("latin-1").decode("utf-8", "replace").replace("%2F", "/")
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -28,6 +28,8 @@
 WorkClass = Literal["interactive", "booking", "rollout"]
 
 MAX_LOT_SAMPLES = 4096
+# Why a Lot is ``partial``: the next submission can be answered at once.
+RECORDS_LOST = "delivery_records_lost"
 
 
 class Message(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -211,6 +213,29 @@
     retry_after: float = 0.0
 
 
+class ProgressReply(Message, frozen=True, kw_only=True):
+    """How a call stands at one entry.
+
+    Attributes
+    ----------
+    status : str
+        ``in_progress``; ``answered`` when its answer has been handed to its
+        connection; ``unknown`` when this entry has no such call, or no longer.
+    entry : str
+        The entry that says so.
+    finished, missing : int
+        Samples of a Lot in progress.
+    seconds : float
+        Since the call began or, once ``answered``, since its answer.
+    """
+
+    status: Literal["in_progress", "answered", "unknown"]
+    entry: str
+    finished: int = 0
+    missing: int = 0
+    seconds: float = 0.0
+
+
 class LotAcknowledgement(CallerMessage, frozen=True, kw_only=True):
     """The trainer has the whole Lot; nothing of it is delivered again."""
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,8 +6,9 @@
 
 import pytest
 
-from wigeonfront import cli, client
-from wigeonfront.commands import api, edits
+from wigeonfront import cli
+from wigeonfront.client import LotProgress, entries
+from wigeonfront.commands import api, edits, lot
 from wigeonfront.differences import FieldChange, changes
 from wigeonfront.http import Answer, Lost, NotSent
 
@@ -34,7 +35,7 @@
 
 
 class ScriptedEntry:
-    """Stands in for `Pool`: answers by method and path, in order."""
+    """Stands in for `Pool` and `Connection`: answers by method and path, in order."""
 
     def __init__(self):
         self.script = {}
@@ -49,6 +50,16 @@
         answers = self.script.get((method, path), [NotSent("refused")])
         return answers.pop(0) if len(answers) > 1 else answers[0]
 
+    def send(self, method, path, body, headers):
+        self.answer = self.call(method, path, body)
+        return None if isinstance(self.answer, Answer) else self.answer
+
+    def wait(self, seconds):
+        return True
+
+    def receive(self):
+        return self.answer
+
     def close(self):
         pass
 
@@ -57,7 +68,7 @@
 def entry(monkeypatch):
     scripted = ScriptedEntry()
     monkeypatch.setattr(api, "Pool", scripted)
-    monkeypatch.setattr(client, "Pool", scripted)
+    monkeypatch.setattr(entries, "Connection", scripted)
     return scripted
 
 
@@ -468,12 +479,14 @@
         (lot_answer("already_delivered"), 1, False),
         (lot_answer("not_run", retry_after=1000.0), 1, False),
         (answer(422, {"error": "bad_field"}), 1, False),
+        (Lost("cut"), 1, False),
+        (NotSent("refused"), 5, False),
     ],
 )
 def test_lot_submit(entry, write, tmp_path, capsys, reply, code, acknowledged):
     entry.script = {POST: [reply], ACKNOWLEDGE: [answer(200, {})]}
     output = tmp_path / "answer.json"
-    file = write(LOT, "lot.json")
+    file = write(LOT | {"timeout": 0.01}, "lot.json")
     assert cli.main(["lot", "submit", file, "--output", str(output)]) == code
     assert capsys.readouterr().err
     assert output.exists() == acknowledged
@@ -490,6 +503,13 @@
     assert last.split() == ["a", "completed", "7[0:4]", "judge-llm-1", "-"]
 
 
+def test_lot_submit_tells_how_many_samples_are_finished():
+    waiting = lot._Waiting(300)
+    assert waiting.words(5) == "waiting, 5 of 300 seconds"
+    waiting.tell(LotProgress(submission=1, finished=12, missing=20))
+    assert waiting.words(5).endswith(", 12 of 32 samples finished")
+
+
 @pytest.mark.parametrize("text", ["{", "[]", json.dumps(LOT | {"version": -1})])
 def test_lot_submit_checks_the_file(entry, write, text):
     assert cli.main(["lot", "submit", write(text)]) == 2
