--- a/benchmarks/silent_connections.py
+++ b/benchmarks/silent_connections.py
@@ -46,8 +46,6 @@
 SAMPLES, TOKENS = 8, 100
 TARGET_SECONDS = 1.0
 
-Run = Callable[[Bench, str], object]
-
 
 def run_lots(bench: Bench, name: str, silence: Callable[[], None], when: str) -> object:
     """Submit and acknowledge a Lot; with a small one before to open connections."""
@@ -103,21 +101,29 @@
         timer.start()
     outcome = run(bench, name, silence, when)
     ended = time.monotonic()
-    timer.join() if when == IN_FLIGHT else None
+    if when == IN_FLIGHT:
+        timer.join()
     seconds = f"{ended - started[0]:.2f}"
     if isinstance(outcome, LotAnswered | Completed):
         return seconds
     return f"{type(outcome).__name__} {seconds}"
 
 
+KINDS = {"Lot": run_lots, "booking": run_booking}
+
+
 def main() -> None:
     """Run all cases and print a table."""
     flags = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     flags.add_argument("--runs", type=int, default=5)
-    runs = flags.parse_args().runs
+    flags.add_argument("--kinds", default="Lot,booking")
+    arguments = flags.parse_args()
+    runs, kinds = arguments.runs, arguments.kinds.split(",")
     folder = Path(tempfile.mkdtemp(prefix="silent-"))
     with Bench(small(), folder) as bench:
-        for kind, run in (("Lot", run_lots), ("booking", run_booking)):
+        for kind, run in KINDS.items():
+            if kind not in kinds:
+                continue
             for when in (IN_FLIGHT, KEPT):
                 for way in WAYS:
                     names = [f"{kind}-{when}-{way}-{one}" for one in range(runs)]
--- a/src/wigeonfront/client/request.py
+++ b/src/wigeonfront/client/request.py
@@ -34,6 +34,8 @@
 # With an error body: the entry refused the call before it took it.
 NOT_TAKEN_STATUSES = frozenset({429, 503})
 MINT_TRY_SECONDS = 2.0
+# A question takes about as much CPU as a request: ask less often than of a Lot.
+CHECK_SECONDS = 2.0
 SHORTEST_TIMEOUT = 0.001
 
 
@@ -107,7 +109,7 @@
         watch: WatchSettings | None = None,
     ) -> None:
         self._entries = Entries(addresses, clock or SystemClock(), generator)
-        self._watch = watch or WatchSettings()
+        self._watch = watch or WatchSettings(check_seconds=CHECK_SECONDS)
 
     def close(self) -> None:
         """Close all connections."""
--- a/src/wigeonfront/client/watch.py
+++ b/src/wigeonfront/client/watch.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from wigeonfront.client.connection import Connection
-from wigeonfront.client.entries import Entry
+from wigeonfront.client.entries import Deadline, Entry
 from wigeonfront.client.refusal import decode
 from wigeonfront.clock import Clock
 from wigeonfront.http import Answer, Lost
@@ -126,25 +126,28 @@
         seconds : float
             Longest wait.
         """
-        end = self._clock.monotonic() + seconds
-        while (left := end - self._clock.monotonic()) > 0:
-            if call.wait(min(self._settings.check_seconds, left)):
+        deadline = Deadline(self._clock, seconds)
+        reason = ""
+        while not reason:
+            if call.wait(min(self._settings.check_seconds, deadline.remaining)):
                 return call.receive()
-            left = end - self._clock.monotonic()
-            if left <= 0:
-                break
-            if self._has_ended(left):
-                left = end - self._clock.monotonic()
-                if call.wait(min(self._settings.grace_seconds, left)):
-                    return call.receive()
-                return _give_up(call, CONNECTION_SILENT)
-            if self._seen.silent >= self._settings.silent_questions:
-                return _give_up(call, ENTRY_SILENT)
-        return _give_up(call, TIMED_OUT)
-
-    def _has_ended(self, left: float) -> bool:
+            reason = self._reason_to_give_up(deadline)
+        grace = min(self._settings.grace_seconds, deadline.remaining)
+        if reason == CONNECTION_SILENT and call.wait(grace):
+            return call.receive()
+        return _give_up(call, reason)
+
+    def _reason_to_give_up(self, deadline: Deadline) -> str:
+        """Ask how the call stands; return an empty string to wait on."""
+        if deadline.remaining <= 0:
+            return TIMED_OUT
+        if self._has_ended(min(self._settings.ask_seconds, deadline.remaining)):
+            return CONNECTION_SILENT
+        is_silent = self._seen.silent >= self._settings.silent_questions
+        return ENTRY_SILENT if is_silent else ""
+
+    def _has_ended(self, timeout: float) -> bool:
         """Ask once; return whether the entry has ended the call or never had it."""
-        timeout = min(self._settings.ask_seconds, left)
         answer = self._entry.call("GET", self._path, None, timeout)
         if not isinstance(answer, Answer):
             self._seen.silent += 1
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -87,7 +87,7 @@
 
     def wait(self, seconds):
         if self.step is silence:
-            self.shared.clock.advance(seconds)
+            self.shared.clock.advance(max(0.0, seconds))
         return self.step is not silence
 
     def receive(self):
@@ -266,6 +266,7 @@
 ANSWERED_CALL = progress("answered")
 IN_PROGRESS = progress("in_progress", finished=1, missing=1)
 OLDER_ENTRY = answer(404, error="no_such_path")
+REFUSED = [NotSent("refused")] * 2
 CHECK = watch.CHECK_SECONDS
 GRACE = watch.ANSWER_GRACE_SECONDS
 ASK = watch.ASK_SECONDS
@@ -277,7 +278,7 @@
     ([IN_PROGRESS, IN_PROGRESS, ANSWERED_CALL], 3 * CHECK + GRACE),
     ([silence] * 3, 3 * (CHECK + ASK)),
     ([NotSent("refused")] * 3, 3 * CHECK),
-    ([NotSent("refused"), Lost("cut"), IN_PROGRESS, ANSWERED_CALL], 4 * CHECK + GRACE),
+    ([*REFUSED, IN_PROGRESS, *REFUSED, ANSWERED_CALL], 6 * CHECK + GRACE),
     ([OLDER_ENTRY], 10.0),
     # Behind a balancer another entry may be met.
     ([IN_PROGRESS, progress("unknown", "entry-2"), UNKNOWN_CALL], 3 * CHECK + GRACE),
@@ -294,7 +295,9 @@
 )
 @pytest.mark.parametrize(("questions", "seconds"), WATCH_TABLE)
 def test_silent_call_is_given_up(play, kind, call, answered, questions, seconds):
-    options = {"trainer": "t1"} if kind is TrainerClient else {}
+    options = {"watch": WatchSettings()}
+    if kind is TrainerClient:
+        options["trainer"] = "t1"
     made, shared = play(kind, silence, answered, questions=questions, **options)
     assert isinstance(call(made), LotAnswered | Completed)
     (first, entry, *_), (second, other, *_) = shared.calls
