--- a/src/wigeonfront/client/request.py
+++ b/src/wigeonfront/client/request.py
@@ -142,13 +142,13 @@
             answer = self._send(request, submission, deadline, patience, watch)
             end = _request_end(answer)
             doubt = doubt or _doubt(end)
+            if not isinstance(end, NotRun) or end.warning:
+                # Until a submission may have run, the next is as good as the first.
+                submission += 1
             if not _may_repeat(request, end, doubt):
                 return _with_doubt(end, doubt)
             if not self._entries.wait(tries, _retry_after(answer, end), deadline):
                 return _with_doubt(end, doubt)
-            if doubt:
-                # Until then the next one is still the first that can have run.
-                submission += 1
             if answer == Lost(CONNECTION_SILENT):
                 watch = watch.slower
 
@@ -279,7 +279,7 @@
 
 def _may_repeat(request: Request, end: Outcome | CallRejected, doubt: str) -> bool:
     if isinstance(end, NotRun):
-        return not end.warning and (request.repeatable or not doubt)
+        return request.repeatable or not doubt
     return isinstance(end, Unknown) and request.repeatable
 
 
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -5,13 +5,14 @@
 import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil
 from typing import Any
 
 from wigeonfront.catalogue import CatalogueEntry
 from wigeonfront.clock import Clock
 from wigeonfront.coordination import slots
+from wigeonfront.coordination.keyed_work import EARLIER_MAY_HAVE_RUN
 from wigeonfront.entry.admission import EntryAdmission, Ticket
 from wigeonfront.entry.control import Control
 from wigeonfront.entry.directory import Announcements, Directory
@@ -20,7 +21,12 @@
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.progress import CallProgress, ProgressTable
 from wigeonfront.entry.requests import Requests
-from wigeonfront.entry.slots import TABLES_PATH, SlotTables, TablesQuestion
+from wigeonfront.entry.slots import (
+    TABLES_PATH,
+    SlotMover,
+    SlotTables,
+    TablesQuestion,
+)
 from wigeonfront.http import Application, Call, Reply
 from wigeonfront.logs import event
 from wigeonfront.messages import (
@@ -66,6 +72,7 @@
     requests: Requests
     lots: Lots
     slots: SlotTables
+    mover: SlotMover
     metrics: Registry
     supervisor: Supervisor
 
@@ -137,7 +144,7 @@
         request = call.header("X-Request-Id")[:MAX_KEY_LENGTH] or uuid.uuid4().hex[:16]
         row = self._terms(body.catalogue_entry, service)
         if isinstance(row, NotRun):
-            return _outcome_reply(request, row)
+            return _outcome_reply(request, _for_key(row, key, body))
         if isinstance(row, Reply):
             return row
         started = self._parts.clock.monotonic()
@@ -147,7 +154,7 @@
                 work = self._work(service, body, row, key, request, started)
                 outcome = self._run_request(work, body, row, call)
         self._note(service, "request", type(outcome).__name__, started)
-        return _outcome_reply(request, outcome)
+        return _outcome_reply(request, _for_key(outcome, key, body))
 
     def lot(self, call: Call) -> Reply:
         """Answer a Lot whole."""
@@ -228,7 +235,7 @@
 
     def slot_tables(self, call: Call) -> Reply:
         """Answer another entry which slot table is in force here."""
-        return Reply(200, self._parts.slots.answer(call.decode(TablesQuestion)))
+        return Reply(200, self._parts.mover.answer(call.decode(TablesQuestion)))
 
     # --- operators -----------------------------------------------------------
 
@@ -405,6 +412,17 @@
     return text.encode("latin-1").decode("utf-8", "replace").replace("%2F", "/")
 
 
+def _for_key(outcome: Outcome, key: str, body: RequestBody) -> Outcome:
+    """Return `outcome` so that it doesn't speak for earlier submissions of a key."""
+    if not key or body.idempotent or body.submission == 1:
+        return outcome
+    if isinstance(outcome, NotRun) and not outcome.warning:
+        return replace(outcome, warning=EARLIER_MAY_HAVE_RUN)
+    if isinstance(outcome, Expired):
+        return replace(outcome, started=True)
+    return outcome
+
+
 def _bad(status: int, error: str, detail: str) -> Reply:
     return Reply(status, ErrorReply(error=error, detail=detail))
 
