--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -59,7 +59,7 @@
 RETRY_SECONDS = 1.0
 SPARE_CONNECTIONS = 8
 SESSION_ENDED_STATUS = 410
-# Sessions that one peer may open before its numbers run into another's.
+# Sessions that an entry may open before its numbers run into another's.
 SESSION_BITS = 20
 # Given before the side has looked at the attempts.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 422, 503})
@@ -84,12 +84,18 @@
     ----------
     sessions : iterator of int
         Numbers of sessions. They rise over all peers, because a side whose peer is
-        removed and added again remembers the number of its last session.
+        removed and added again remembers the number of its last session, and differ
+        from other entries' and incarnations', so that a wrong stream is told by them.
     """
 
     name: str
     incarnation: str
-    sessions: Iterator[int] = field(default_factory=lambda: count(1), compare=False)
+    sessions: Iterator[int] = field(init=False, compare=False, repr=False)
+
+    def __post_init__(self) -> None:
+        digest = blake2b(f"{self.name}/{self.incarnation}".encode(), digest_size=5)
+        first = int.from_bytes(digest.digest()) << SESSION_BITS
+        object.__setattr__(self, "sessions", count(first + 1))
 
 
 @dataclass(slots=True)
@@ -168,7 +174,7 @@
         self._policy = policy
         self._told: ServicePolicy | None = None
         self._lock = threading.Lock()
-        self._session = _first_session(identity, vm)
+        self._session = 0
         self._cursor = 0
         self._acknowledged = 0
         self._acknowledged_at = clock.monotonic()
@@ -532,14 +538,3 @@
 
     def _log(self, name: str, **fields: Any) -> None:
         event(logger, name, side=self._vm.name, **fields)
-
-
-def _first_session(identity: Identity, vm: Vm) -> int:
-    """Return where a peer counts its sessions from.
-
-    No two peers have a session of the same number, so that a frame which comes on
-    a wrong stream is told by it.
-    """
-    name = f"{identity.name}/{identity.incarnation}/{vm.name}"
-    digest = blake2b(name.encode(), digest_size=5).digest()
-    return int.from_bytes(digest) << SESSION_BITS
