--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -20,6 +20,7 @@
 from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.messages import (
+    RECORDS_LOST,
     Attempt,
     DeliveryRequest,
     LotBody,
@@ -29,7 +30,7 @@
     to_wire,
 )
 from wigeonfront.outcomes import Completed, Failed, Interrupted, NotRun, Outcome
-from wigeonfront.policy.placement import Placed
+from wigeonfront.policy.placement import Placed, SideView
 from wigeonfront.policy.retries import RetryBudget, backoff
 from wigeonfront.policy.stragglers import (
     HedgeSettings,
@@ -106,6 +107,7 @@
         terms: LotTerms,
         holder: str,
         caller_gone: Callable[[], bool],
+        told: Callable[[int], None] = lambda missing: None,
     ) -> LotReply | None:
         """Run a Lot to its answer.
 
@@ -117,13 +119,15 @@
             Identifier of this very POST.
         caller_gone : callable
             Tells whether the trainer has closed its connection.
+        told : callable, optional
+            Told how many samples are missing, each time that one is finished.
 
         Returns
         -------
         LotReply or None
             ``None`` when the trainer has gone.
         """
-        return _LotRun(self, body, terms, holder, caller_gone).run()
+        return _LotRun(self, body, terms, holder, caller_gone, told).run()
 
 
 class _LotRun:
@@ -136,12 +140,14 @@
         terms: LotTerms,
         holder: str,
         caller_gone: Callable[[], bool],
+        told: Callable[[int], None],
     ) -> None:
         self._lots = lots
         self._body = body
         self._terms = terms
         self._holder = holder
         self._caller_gone = caller_gone
+        self._told = told
         self._clock = lots.clock
         self._random = random.Random()
         self._deadline = self._clock.monotonic() + body.timeout
@@ -159,7 +165,7 @@
         if standing in FINAL_STATUSES:
             return self._reply(standing)
         if standing == "unavailable":
-            return self._reply("partial", reason="delivery_records_lost")
+            return self._reply("partial", reason=RECORDS_LOST)
         event(
             logger,
             "lot_begun",
@@ -171,7 +177,7 @@
         )
         while self._missing and self._remaining() > 0:
             self._place_waiting()
-            self._take(self._sink.get(min(TICK_SECONDS, self._remaining())))
+            self._take_ended(min(TICK_SECONDS, self._remaining()))
             if self._caller_gone():
                 self._abandon("caller_gone", keep=True)
                 return None
@@ -205,8 +211,11 @@
 
     def _place_waiting(self) -> None:
         """Send what there is room for, one dispatch for each side."""
+        if not self._waiting:
+            return
         now = self._clock.monotonic()
-        room = self._room()
+        views = self._lots.directory.views(self._body.service)
+        room = self._room(views)
         batches: dict[str, list[Attempt]] = {}
         put_back = []
         while self._waiting and any(free > 0 for free in room.values()):
@@ -215,7 +224,7 @@
                 put_back.append(sample)
                 continue
             full = frozenset(side for side, free in room.items() if free <= 0)
-            side = self._place(sample, full)
+            side = self._place(sample, full, views)
             if side is None:
                 put_back.append(sample)
                 break
@@ -225,15 +234,20 @@
         for side, attempts in batches.items():
             self._lots.dispatcher.send(side, attempts, self._sink)
 
-    def _room(self) -> dict[str, int]:
+    def _room(self, views: list[SideView]) -> dict[str, int]:
         return {
             view.name: AHEAD_FACTOR * view.capacity - self._at_side.get(view.name, 0)
-            for view in self._lots.directory.views(self._body.service)
+            for view in views
             if view.connected and view.serving and not view.leaving
         }
 
-    def _place(self, sample: _Sample, excluded: frozenset[str]) -> str | None:
-        decision = self._lots.dispatcher.place(sample.work, excluded)
+    def _place(
+        self,
+        sample: _Sample,
+        excluded: frozenset[str],
+        views: list[SideView] | None = None,
+    ) -> str | None:
+        decision = self._lots.dispatcher.place(sample.work, excluded, views)
         return decision.side if isinstance(decision, Placed) else None
 
     def _start(self, sample: _Sample, side: str) -> Attempt:
@@ -245,9 +259,14 @@
         self._at_side[side] = self._at_side.get(side, 0) + 1
         return attempt
 
-    def _take(self, ended: Ended | None) -> None:
-        if ended is None:
-            return
+    def _take_ended(self, timeout: float) -> None:
+        """Wait for one end and take all that have come, to place them together."""
+        ended = self._sink.get(timeout)
+        while ended is not None:
+            self._take(ended)
+            ended = self._sink.get(0.0)
+
+    def _take(self, ended: Ended) -> None:
         sample = self._by_attempt.pop(ended.attempt, None)
         if sample is None:
             return
@@ -279,6 +298,7 @@
     ) -> None:
         sample.outcome = outcome
         self._missing -= 1
+        self._told(self._missing)
         self._cancel_others(sample)
         if isinstance(outcome, Completed):
             self._measure(sample, len(outcome.payload["tokens"]), side)
@@ -388,7 +408,7 @@
             if status in FINAL_STATUSES:
                 return self._reply(status)
             if status == "unavailable":
-                return self._reply("partial", reason="delivery_records_lost")
+                return self._reply("partial", reason=RECORDS_LOST)
             if self._remaining() <= 0:
                 return self._reply("partial", reason="delivery_owner_unreachable")
             if self._caller_gone():
