--- a/benchmarks/fault_matrix.py
+++ b/benchmarks/fault_matrix.py
@@ -59,10 +59,10 @@
 
 FAULTS: dict[str, Callable[[Bench], None]] = {
     "none": lambda bench: None,
-    "kill-entry": lambda bench: bench.kill(ENTRY),
+    "kill-entry": lambda bench: bench.kill(bench.entry),
     "kill-side": lambda bench: bench.kill(*bench.victims),
     "kill-target": lambda bench: bench.kill(*bench.targets),
-    "freeze-entry": lambda bench: bench.freeze(ENTRY),
+    "freeze-entry": lambda bench: bench.freeze(bench.entry),
     "freeze-side": lambda bench: bench.freeze(*bench.victims),
     "freeze-target": lambda bench: bench.freeze(*bench.targets),
     "cut": lambda bench: bench.cut(bench.relays(*bench.victims)),
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -75,6 +75,7 @@
     "not run": [asked(1), told(2, "NotRun")],
     "unknown and ran": [asked(1), ran(2), told(3, "Unknown")],
     "unknown and ran later": [asked(1), told(3, "Unknown"), ran(4)],
+    "repeat not sent": [*DONE, asked(4, "2"), told(5, "NotSent", "2")],
     "repeat warned": [*DONE, asked(4, "2"), told(5, "NotRun", "2", warning="may")],
     "idempotent twice": [
         asked(1, idempotent=True),
@@ -131,6 +132,7 @@
     "received twice": ("delivered_once", [*LOT, sample(6, WHOLE)]),
     "lot with a gap": ("whole_lots", LOT[:4]),
     "ran after not run": ("not_run", [asked(1), told(2, "NotRun"), ran(3)]),
+    "ran though not sent": ("not_run", [asked(1), told(2, "NotSent"), ran(3)]),
     "ran before not run": ("not_run", [asked(1), ran(1.5), told(2, "NotRun")]),
     "ran though not started": (
         "not_run",
