--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -14,6 +14,7 @@
 from benchmarks.capacity.control import catalogue, peers
 from benchmarks.capacity.data import baseline, requests, samples
 from benchmarks.capacity.figures import Figure, table
+from benchmarks.capacity.members import members
 from benchmarks.capacity.slots import slots
 from benchmarks.capacity.state import attempts, ledger, memory
 from benchmarks.capacity.trial import Experiment, Trial
@@ -27,6 +28,7 @@
     "ledger": ledger,
     "catalogue": catalogue,
     "slots": slots,
+    "members": members,
     "baseline": baseline,
     "budget": budget,
 }
