--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -20,8 +20,11 @@
 ROWS = (1, 500, 1000, 2000)
 CHANGES_PER_SECOND = 5.0
 VMS = (0, 1000, 4000, 10_000)
-COUNT_SECONDS = 62.0
-"""Long enough for two waiting watches of 30 s to end."""
+START_SECONDS = 10.0
+COUNT_SECONDS = 180.0
+"""Long enough for two listings of a prefix that is watched."""
+
+HOUR = 3600.0
 
 KIB = 1024
 
@@ -215,33 +218,39 @@
 
 def _calls(fleet: Fleet) -> list[Figure]:
     """Count the calls of an idle entry and an idle side to the platform."""
-    figures = []
-    for role in ("entry", "side"):
-        if role == "entry":
-            fleet.entry("entry")
-        before = {name: _all_calls(fleet, name) for name in _PLATFORM}
-        time.sleep(COUNT_SECONDS)
-        after = {name: _all_calls(fleet, name) for name in _PLATFORM}
-        if role == "entry":
-            fleet.stop("entry")
-        for name in _PLATFORM:
-            rate = (after[name] - before[name]) * 3600 / COUNT_SECONDS
-            note = f"idle, counted over {COUNT_SECONDS:g} s"
-            figures.append(Figure(role, f"{name} calls", "calls/h", (rate,), note))
-    entry, side = figures[:2], figures[2:]
-    # The side ran beside the entry.
+    fleet.entry("entry")
+    fleet.wait_connected("entry", 1)
+    time.sleep(START_SECONDS)
+    both = _calls_per_hour(fleet)
+    fleet.stop("entry")
+    side = _calls_per_hour(fleet)
+    note = f"idle, counted over {COUNT_SECONDS:g} s"
     return [
-        *(_less(one, other) for one, other in zip(entry, side, strict=True)),
-        *side,
+        Figure(role, name, "calls/h", (rate,), note)
+        for role, rates in (("entry", _less(both, side)), ("side", side))
+        for name, rate in rates.items()
     ]
 
 
-def _less(one: Figure, other: Figure) -> Figure:
-    return Figure(one.role, one.name, one.unit, (one.median - other.median,), one.note)
+def _calls_per_hour(fleet: Fleet) -> dict[str, float]:
+    before = _counts(fleet)
+    time.sleep(COUNT_SECONDS)
+    after = _counts(fleet)
+    return {name: (after[name] - before[name]) * HOUR / COUNT_SECONDS for name in after}
+
+
+def _counts(fleet: Fleet) -> dict[str, int]:
+    calls = fleet.call(KEY_VALUE, "GET", "/stats")["calls"]
+    reads = sum(count for call, count in calls.items() if call.startswith("GET"))
+    return {
+        "key-value reads": reads,
+        "key-value writes and leases": sum(calls.values()) - reads,
+        "VM list reads": sum(fleet.call(VM_LIST, "GET", "/stats")["calls"].values()),
+    }
 
 
-def _all_calls(fleet: Fleet, name: str) -> int:
-    return sum(fleet.call(name, "GET", "/stats")["calls"].values())
+def _less(both: dict[str, float], one: dict[str, float]) -> dict[str, float]:
+    return {name: rate - one[name] for name, rate in both.items()}
 
 
 def _vms(trial: Trial, fleet: Fleet, sides: list[str]) -> list[Figure]:
