--- a/src/wigeonfront/entry/control.py
+++ b/src/wigeonfront/entry/control.py
@@ -9,7 +9,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -80,6 +80,8 @@
         Returns this entry's sides that lack the present policy.
     generator : random.Random
         Source of jitter.
+    also_listed : sequence of PrefixWatch
+        What else is listed anew before a new lease counts.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         listed: Callable[[], Iterable[str] | None] = lambda: None,
         sides_behind: Callable[[], list[str]] = list,
         generator: random.Random | None = None,
+        also_listed: Sequence[PrefixWatch] = (),
     ) -> None:
         jitter = generator or random.Random()
         self._clock = clock
@@ -160,6 +163,7 @@
             self.catalogue,
             self.polling,
             jitter,
+            also_listed,
         )
         self.confirmation = Confirmation(
             identity,
--- a/src/wigeonfront/entry/joining.py
+++ b/src/wigeonfront/entry/joining.py
@@ -8,6 +8,7 @@
 import logging
 import random
 import threading
+from collections.abc import Sequence
 
 from wigeonfront.coordination.lease import Held, LeaseHolder
 from wigeonfront.entry.configuration import Catalogue
@@ -17,6 +18,7 @@
 from wigeonfront.entry.renewals import RelayedKeyValue
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.logs import event
+from wigeonfront.platform import Unavailable
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +44,8 @@
     polling : Polling
     generator : random.Random
         Source of jitter.
+    also_listed : sequence of PrefixWatch
+        What else is listed anew before a new lease counts.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         catalogue: Catalogue,
         polling: Polling,
         generator: random.Random,
+        also_listed: Sequence[PrefixWatch] = (),
     ) -> None:
         self._holder = holder
         self._relay = relay
@@ -65,6 +70,7 @@
         self._catalogue = catalogue
         self._polling = polling
         self._random = generator
+        self._also_listed = also_listed
         self._needed = 0
 
     def run(self, stop: threading.Event) -> None:
@@ -120,6 +126,9 @@
         if self._catalogue.revision < needed or self._view.revision < self._needed:
             event(logger, "catching_up", revision=self._catalogue.revision, to=needed)
             return False
+        for watch in self._also_listed:
+            if isinstance(watch.list_now(), Unavailable):
+                return False
         event(logger, "caught_up", revision=self._catalogue.revision)
         self._needed = 0
         self._membership.caught_up()
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -28,12 +28,11 @@
 from wigeonfront.entry.explain import DecisionLog
 from wigeonfront.entry.lots import Lots
 from wigeonfront.entry.member_calls import HttpMemberCalls
-from wigeonfront.entry.members import Member
 from wigeonfront.entry.operators import OperatorParts, Operators
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
-from wigeonfront.entry.slots import SlotMover, SlotTables
+from wigeonfront.entry.slots import SlotMover, SlotTables, Voters
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
@@ -73,6 +72,10 @@
         )
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
+        self._slots = SlotTables(self._may_use_slots)
+        self._slots_watch = PrefixWatch(
+            slots.PREFIX, self._slots, self._key_value, self._clock
+        )
         calls = HttpMemberCalls()
         self._control = Control(
             self._identity,
@@ -88,6 +91,7 @@
             self._follow_catalogue,
             self._listed_entries,
             lambda: self._directory.behind(),
+            also_listed=[self._slots_watch],
         )
         self._catalogue = self._control.catalogue
         announcements = Announcements()
@@ -101,18 +105,15 @@
             policy=self._catalogue.policy,
         )
         self._subsets: dict[str, tuple[object, list[str]]] = {}
-        self._slots = SlotTables()
-        self._slots_watch = PrefixWatch(
-            slots.PREFIX, self._slots, self._key_value, self._clock
-        )
         self._mover = SlotMover(
             self._slots,
             self._key_value,
             lambda: self._directory.vms,
             self._directory.silent_seconds,
-            self._members,
+            self._voters,
             calls,
             self._clock,
+            self._control.contacts.polled_lately,
         )
         dispatcher = Dispatcher(
             self._directory, self._identity, self._clock, settings.failure_domain
@@ -228,10 +229,18 @@
             known = self._subsets[service] = (asked, chosen)
         return [by_name[name] for name in known[1]]
 
-    def _members(self) -> list[Member] | None:
-        """Return the other members that must have a moved slot table."""
+    def _may_use_slots(self) -> bool:
+        """Tell whether a move of slots waits for this entry."""
+        return self._control.membership.standing.name != "fenced"
+
+    def _voters(self, revision: int) -> Voters | None:
+        """Return the other entries, for a move of slots at `revision`."""
         view = self._control.view
-        return view.present() if view.loaded else None
+        if view.revision < revision:
+            self._control.members_watch.list_now()
+        if not view.loaded or view.revision < revision:
+            return None
+        return Voters(view.present(), view.former())
 
     def _listed_entries(self) -> list[str] | None:
         listed = self._directory.vms
