--- a/benchmarks/fault_bench.py
+++ b/benchmarks/fault_bench.py
@@ -12,6 +12,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from dataclasses import dataclass, replace
+from itertools import count
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -131,6 +132,7 @@
             target = parse_address(self.cluster.address(entry))
             self._callers[entry] = Relay((HOST, 0), target)
         self.settle()
+        self.warm_up()
         return self
 
     def __exit__(
@@ -165,13 +167,18 @@
 
     def owner(self, service: str, key: str) -> str:
         """Return the side that owns a key and may begin, or an empty string."""
+        table = self._table(service)
+        if table is None:
+            return ""
+        slot = table.slots[table.slot_of(key)]
+        return "" if slot.moving else slot.owner
+
+    def _table(self, service: str) -> slots.SlotTable | None:
         path = f"/kv?key={slots.PREFIX}{service}"
         row = self.cluster.request(KEY_VALUE, "GET", path)
         if row.status != 200:
-            return ""
-        table = slots.decode(msgspec.json.encode(row.body["value"]))
-        slot = table.slots[table.slot_of(key)]
-        return "" if slot.moving or not slot.incarnation else slot.owner
+            return None
+        return slots.decode(msgspec.json.encode(row.body["value"]))
 
     def list_vms(self, hidden: str = "") -> None:
         """Show all VMs in every VM list but one."""
@@ -310,6 +317,26 @@
             return False
         return True
 
+    def warm_up(self) -> None:
+        """Send work until every slot is claimed and both entries know the tables."""
+        for number in count():
+            for entry in self.cluster.entries:
+                name = f"warm-up-{entry}-{number}"
+                self.book_through(entry, name)
+                self.announce(entry, name)
+            if all(self._claimed(service) for service in (ENGINE, PLAIN)):
+                return
+
+    def book_through(self, entry: str, name: str) -> Outcome | str:
+        """Send a booking that its name makes unique through one entry."""
+        request = Request(PLAIN, BOOKINGS, {"work": name}, idempotent=False, key=name)
+        callers, address = self.history(CALLER), self.address(entry)
+        return record_post(callers, address, request, POST_SECONDS, 1, entry)
+
+    def _claimed(self, service: str) -> bool:
+        table = self._table(service)
+        return table is not None and all(slot.incarnation for slot in table.slots)
+
     def _idle(self) -> bool:
         return not any(
             sum(self.load(service.name).values())
@@ -347,11 +374,11 @@
         found = {each["digest"] for each in self.recorded(event)}
         return len(found & digests)
 
-    def load(self, service: str) -> dict[str, int]:
-        """Return what runs and waits at all sides of a service."""
+    def load(self, sides: str) -> dict[str, int]:
+        """Return what runs and waits at the sides whose names begin so."""
         load = {"running": 0, "queued": 0}
         for side in self.sides:
-            if side.startswith(service):
+            if side.startswith(sides):
                 status = self.cluster.request(side, "GET", "/status").body
                 for kind in load:
                     load[kind] += sum(status[kind].values())
@@ -387,9 +414,9 @@
         self.cluster.request(WEIGHT_STORE, "POST", f"/models/{ENGINE}", body)
         return self.version
 
-    def announce(self, entry: str) -> None:
+    def announce(self, entry: str, name: str) -> None:
         """Tell an entry of the newest version, by a Lot of one sample."""
-        lot = make_lot(f"announcing-{self.version}", self.version, 1, 1)
+        lot = make_lot(name, self.version, 1, 1)
         trainer = self.history(TRAINER)
         record_lot_post(
             trainer, self.address(entry), TRAINER, lot, ANNOUNCE_SECONDS, entry
@@ -525,7 +552,7 @@
         return outcome
 
 
-def page(bench: Bench, name: str, seconds: float = POST_SECONDS) -> Outcome:
+def page(bench: Bench, name: str, seconds: float = LOT_SECONDS) -> Outcome:
     """Ask for a status page through the client, which may try both entries."""
     client = RequestClient(bench.addresses, generator=random.Random(FIRST_ENTRY_SEED))
     request = Request(PLAIN, PAGES, {"page": name})
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -15,8 +15,9 @@
 import threading
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import closing
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
+from itertools import count
 from typing import Any, Protocol
 
 import msgspec
@@ -58,7 +59,7 @@
 RETRY_SECONDS = 1.0
 SPARE_CONNECTIONS = 8
 SESSION_ENDED_STATUS = 410
-# Sessions that one peer may open before its numbers run into another's.
+# Sessions that an entry may open before its numbers run into another's.
 SESSION_BITS = 20
 # Given before the side has looked at the attempts.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 422, 503})
@@ -77,10 +78,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who an entry is: its name and the incarnation of this process."""
+    """Who an entry is: its name and the incarnation of this process.
+
+    Attributes
+    ----------
+    sessions : iterator of int
+        Numbers of sessions. They rise over all peers, because a side whose peer is
+        removed and added again remembers the number of its last session, and differ
+        from other entries' and incarnations', so that a wrong stream is told by them.
+    """
 
     name: str
     incarnation: str
+    sessions: Iterator[int] = field(init=False, compare=False, repr=False)
+
+    def __post_init__(self) -> None:
+        digest = blake2b(f"{self.name}/{self.incarnation}".encode(), digest_size=5)
+        first = int.from_bytes(digest.digest()) << SESSION_BITS
+        object.__setattr__(self, "sessions", count(first + 1))
 
 
 @dataclass(slots=True)
@@ -159,7 +174,7 @@
         self._policy = policy
         self._told: ServicePolicy | None = None
         self._lock = threading.Lock()
-        self._session = _first_session(identity, vm)
+        self._session = 0
         self._cursor = 0
         self._acknowledged = 0
         self._acknowledged_at = clock.monotonic()
@@ -339,7 +354,7 @@
 
     def _open_message(self) -> OpenSession:
         with self._lock:
-            self._session += 1
+            self._session = next(self._identity.sessions)
             return OpenSession(
                 entry=self._identity.name,
                 entry_incarnation=self._identity.incarnation,
@@ -523,14 +538,3 @@
 
     def _log(self, name: str, **fields: Any) -> None:
         event(logger, name, side=self._vm.name, **fields)
-
-
-def _first_session(identity: Identity, vm: Vm) -> int:
-    """Return where a peer counts its sessions from.
-
-    No two peers have a session of the same number, so that a frame which comes on
-    a wrong stream is told by it.
-    """
-    name = f"{identity.name}/{identity.incarnation}/{vm.name}"
-    digest = blake2b(name.encode(), digest_size=5).digest()
-    return int.from_bytes(digest) << SESSION_BITS
