--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -57,9 +57,6 @@
         Most attempts of one request.
     retry_ratio, hedge_ratio : float
         Retries and hedges as shares of first attempts.
-    fenced : callable
-        Tells whether slots may have moved without this entry: its lease has
-        lapsed and it is not in touch with most entries.
     """
 
     def __init__(
@@ -71,7 +68,6 @@
         max_attempts: int,
         retry_ratio: float,
         hedge_ratio: float,
-        fenced: Callable[[], bool] = lambda: False,
     ) -> None:
         self._directory = directory
         self._dispatcher = dispatcher
@@ -80,7 +76,6 @@
         self._max_attempts = max_attempts
         self._budget = RetryBudget(retry_ratio)
         self._hedges = RetryBudget(hedge_ratio)
-        self._fenced = fenced
         self._random = random.Random()
 
     def run(self, work: Work, caller_gone: Callable[[], bool]) -> Outcome:
@@ -155,9 +150,6 @@
         return decision.outcome
 
     def _choose_owner(self, work: Work) -> str | NotRun:
-        if self._fenced():
-            # Slots may have moved without this entry.
-            return NotRun("fenced", RETRY_SECONDS)
         owner = self._slots.owner(work.service, work.key)
         if owner is None:
             return NotRun("no_slot_owner", RETRY_SECONDS)
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -126,7 +126,6 @@
             settings.max_attempts,
             settings.retry_budget,
             settings.hedge_budget,
-            lambda: self._control.membership.standing.name == "fenced",
         )
         lots = Lots(
             self._directory, dispatcher, self._slots, self._clock, settings.hedge_budget
@@ -231,7 +230,10 @@
         return [by_name[name] for name in known[1]]
 
     def _may_use_slots(self) -> bool:
-        """Tell whether a move of slots waits for this entry."""
+        """Tell whether a move of slots waits for this entry.
+
+        Not if its lease has lapsed and it isn't in touch with most entries.
+        """
         return self._control.membership.standing.name != "fenced"
 
     def _voters(self, revision: int) -> Voters | None:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -24,7 +24,6 @@
 SIDES = st.sampled_from(SIDE_NAMES)
 ENTRIES = st.sampled_from(("e1", "e2"))
 ENDS = st.sampled_from((None, None, Unknown("cut"), NotRun("target_down")))
-NEVER_SENT = "unsent_at" in Attempt.__struct_fields__
 
 
 def vm(name):
@@ -466,8 +465,7 @@
         name, side, key, epoch, unsent_at = self.messages.pop(at % len(self.messages))
         if side not in self.world.alive:
             return None
-        fields = {"unsent_at": unsent_at} if NEVER_SENT else {}
-        admission = self.world.send(side, key["name"], epoch, name, **fields)
+        admission = self.world.send(side, key["name"], epoch, name, unsent_at=unsent_at)
         if not isinstance(admission, Refused):
             return side
         side.keeper.refresh()
@@ -478,7 +476,7 @@
     def answer(self, key, outcome):
         """The caller is told that this submission has not run."""
         key["answered"] = True
-        key["proof"] = getattr(outcome, "slot_epoch", 0)
+        key["proof"] = outcome.slot_epoch
 
     # --- sides ---
 
