Slot tables and the owner of slots

Random walks over the state machine's rules (2,000 of 50 steps) failed first: a key still running at a side wrongly held to be gone outlived the window of lost records and ran again.

--- a/src/wigeonfront/coordination/keyed_work.py
+++ b/src/wigeonfront/coordination/keyed_work.py
@@ -13,6 +13,8 @@
 from wigeonfront.messages import Attempt, OutcomeFrame, from_wire, to_wire
 from wigeonfront.outcomes import Completed, Expired, NotRun, Outcome
 
+KEY_RETENTION = 900.0
+LONGEST_RUN = 300.0
 NOT_OWNER_RETRY_AFTER = 0.5
 EARLIER_MAY_HAVE_RUN = "an earlier submission of this key may have run"
 
@@ -124,6 +126,10 @@
         Slot of a key. Without it no ownership is checked.
     minted_epoch : callable, optional
         Slot epoch that a key minted by the system carries, or ``None``.
+    longest_run : float
+        Non-idempotent keys with a longer timeout, in seconds, are refused by an
+        owner of slots, as a run at a lost owner must be over before its key is
+        taken for a new one.
     """
 
     def __init__(
@@ -131,8 +137,10 @@
         retention: float,
         slot_of: Callable[[str], int] | None = None,
         minted_epoch: Callable[[str], int | None] | None = None,
+        longest_run: float = LONGEST_RUN,
     ) -> None:
         self._retention = retention
+        self._longest_run = longest_run
         self._minted_epoch = minted_epoch or (lambda key: None)
         self._works: dict[str, Work] = {}
         self._owned = SlotOwnership(slot_of)
@@ -216,6 +224,8 @@
             return None
         if not self._owned.is_owner(attempt.key, attempt.epoch):
             return NotRun("not_owner", NOT_OWNER_RETRY_AFTER, EARLIER_MAY_HAVE_RUN)
+        if attempt.remaining > self._longest_run:
+            return NotRun("timeout_too_long", 0.0)
         lost = self._owned.lost(attempt.key, now)
         if lost is None or self._is_known_or_newer(attempt.key, lost):
             return None
--- a/src/wigeonfront/coordination/ledger.py
+++ b/src/wigeonfront/coordination/ledger.py
@@ -52,6 +52,7 @@
 
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.keyed_work import (
+    KEY_RETENTION,
     AttemptRecord,
     KeyedWork,
     SlotKeys,
@@ -71,7 +72,6 @@
 from wigeonfront.messages import Attempt, Dispatch, Fate, OpenSession
 from wigeonfront.outcomes import Expired, Failed, NotRun, Outcome, Unknown
 
-KEY_RETENTION = 900.0
 ENTRY_RETENTION = 600.0
 MAX_RECORDS = 20_000
 FULL_RETRY_AFTER = 5.0
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -371,6 +371,17 @@
         assert admission == Refused(expected)
 
 
+def test_a_key_may_not_run_longer_than_a_lost_owner_is_waited_for(clock):
+    keys = KeyedWork(RETENTION, slot_of, longest_run=60.0)
+    ledger = AttemptLedger("s", clock, keys=keys)
+    ledger.own(OWNED, 1)
+    peer = Peer(ledger)
+    peer.open()
+    long = peer.admit("a", key="o", epoch=1, idempotent=False, remaining=61.0)
+    assert long == Refused(NotRun("timeout_too_long", 0.0))
+    assert isinstance(peer.admit("b", key="o", epoch=1, idempotent=False), Admitted)
+
+
 def test_hand_over_of_keys(clock):
     keys = [KeyedWork(RETENTION, slot_of, minted_epoch) for _ in range(2)]
     old, new = (AttemptLedger("s", clock, keys=one) for one in keys)
