--- a/src/wigeonfront/coordination/slots.py
+++ b/src/wigeonfront/coordination/slots.py
@@ -1,369 +1,233 @@
-"""Slot tables: which side owns which keys of a service, at which epoch.
+"""Slot tables: which side owns an idempotency key or a Lot.
 
-A table is one document in the key-value service, changed only by compare-and-swap.
-While that service is down the table is frozen, and nothing stops working. Every
-change of a slot's owner, and every restart of an owner, raises the slot's epoch;
-calls that name another epoch than the owner's are refused.
+A service has one table, a single document of the key-value service changed by
+compare-and-swap only. A key hashes to a slot; the slot names its owner side and an
+epoch that rises whenever the ownership changes. A caller of an owner names the
+epoch, and an owner refuses another one, so two owners are never used at once.
+
+The functions below are pure: each takes a table and returns the changed one, or
+``None`` where nothing is to be changed. Running them again on a fresh reading is
+harmless, so a write whose answer was lost is settled by reading.
 
 Changes
 -------
-- `SlotTables.claim`: a side that has started raises the epochs of its slots.
-- `SlotTables.hand_over`: an owner that has sealed its slots, and whose records the
-  next owner has, names that next owner.
-- `SlotTables.begin_move`, then `SlotTables.complete_moves`: the slots of a side that
-  is gone. The first change stops entries from sending; the second is made only
-  once the first is in force, as the side may not be gone at all.
+- A side that starts claims its slots under its new incarnation: `claim`. What an
+  earlier incarnation knew is lost.
+- A side that stops hands its slots over with their records: `hand_over`.
+- Slots of a VM that is gone move in two steps: `move` names the next owner, and
+  once every live entry has the moved table (or has fenced itself) `confirm` lets
+  that owner begin. Before that, an entry might still send work to the old owner.
 
 Examples
 --------
->>> from wigeonfront.platform.memory import MemoryKeyValue
->>> tables = SlotTables(MemoryKeyValue(), "order-desk")
->>> edited = tables.create(["side-1", "side-2"], slots=8)
->>> edited.revision
-1
->>> edited = tables.claim("side-1", "incarnation-1")
->>> table = edited.table
->>> {slot.owner for slot in table.slots} == {"side-1", "side-2"}
-True
->>> key = mint_key(table, "builder/")
->>> parse_minted_epoch(key)
-1
->>> table.slot_of(key) == table.slot_of(key.rpartition("-")[0])
-True
+>>> table = create("desk", ["side-1", "side-2"], 4)
+>>> table = claim(table, "side-1", "i1")
+>>> table = move(table, {"side-1"}, ["side-2"])
+>>> owned(table, "side-2", "i2")
+()
+>>> table = claim(confirm(table), "side-2", "i2")
+>>> len(owned(table, "side-2", "i2"))
+4
 """
 
 import re
-import secrets
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
-from functools import partial
 from hashlib import blake2b
 
 import msgspec
 
 from wigeonfront.coordination.rendezvous import owner as rendezvous_owner
-from wigeonfront.coordination.revisions import InForce
-from wigeonfront.coordination.settled import settled_put
-from wigeonfront.platform import (
-    Absent,
-    Conflict,
-    KeyValue,
-    Row,
-    Stored,
-    Unavailable,
-    Uncertain,
-)
-
-SLOTS_PREFIX = "slots/"
-DEFAULT_SLOTS = 256
-EDIT_TRIES = 5
-TOKEN_BYTES = 8
-MINTED = re.compile(r"minted-[0-9a-f]{16}-(\d+)")
-
-
-class Slot(msgspec.Struct, frozen=True, array_like=True):
-    """One slot of a table; an array on the wire, as there are many.
+from wigeonfront.messages import Count, Message, Name
+
+PREFIX = "slots/"
+FEWEST_SLOTS = 64
+MOST_SLOTS = 4096
+SLOTS_PER_SIDE = 4
+
+_MINTED = re.compile(r"(?P<stem>.*wf1-[0-9a-f]{32})~(?P<epoch>\d{1,18})")
+
+
+class Slot(Message, frozen=True, kw_only=True):
+    """One slot.
 
     Attributes
     ----------
     owner : str
-        The side that keeps the records of the slot's keys.
+        The side that owns it.
     epoch : int
-        Rises with each new owner and each restart of the owner.
-    moving_to : str
-        The next owner while a move is not complete, or empty. Nobody takes work
-        of a moving slot.
-    handover : str
-        Identifier of the records that came with this epoch, or empty.
+        Rises with each change of owner or incarnation.
+    incarnation : str
+        Incarnation of the owner that claimed it; empty before.
+    moving : bool
+        The owner may not begin yet.
+    lost_before : int
+        Keys minted at an epoch below this one may have lost their records.
     """
 
-    owner: str
-    epoch: int = 1
-    moving_to: str = ""
-    handover: str = ""
+    owner: Name
+    epoch: Count = 1
+    incarnation: str = ""
+    moving: bool = False
+    lost_before: Count = 0
 
 
-class SlotTable(msgspec.Struct, frozen=True):
-    """The slots of one service.
+class SlotTable(Message, frozen=True, kw_only=True):
+    """The slots of one service."""
 
-    Attributes
-    ----------
-    service : str
-    slots : list of Slot
-        Their number never changes.
-    incarnations : dict
-        Incarnation of each owner that has claimed its slots.
-    """
-
-    service: str
+    service: Name
     slots: list[Slot]
-    incarnations: dict[str, str] = {}
 
     def slot_of(self, key: str) -> int:
-        """Return the slot of a key."""
+        """Return the slot of `key`."""
         return slot_of(key, len(self.slots))
 
-    def serving(self, key: str) -> Slot | None:
-        """Return the slot of a key, or ``None`` while nobody may serve it."""
-        slot = self.slots[self.slot_of(key)]
-        if slot.moving_to or slot.owner not in self.incarnations:
-            return None
-        return slot
 
-    def owned_by(self, side: str, incarnation: str) -> dict[int, Slot]:
-        """Return the slots that this incarnation of a side is to serve."""
-        if self.incarnations.get(side) != incarnation:
-            return {}
-        return {
-            number: slot
-            for number, slot in enumerate(self.slots)
-            if slot.owner == side and not slot.moving_to
-        }
+@dataclass(frozen=True, slots=True)
+class OwnedSlot:
+    """A slot that a side may serve."""
 
+    slot: int
+    epoch: int
+    lost_before: int
 
-@dataclass(frozen=True, slots=True)
-class Edited:
-    """The table as it is now. Also when it was so already and nothing written."""
 
-    table: SlotTable
-    revision: int
+def slot_of(key: str, count: int) -> int:
+    """Return the slot of `key` among `count`; a minted key's epoch isn't hashed."""
+    minted = _MINTED.fullmatch(key)
+    stem = minted["stem"] if minted else key
+    return int.from_bytes(blake2b(stem.encode(), digest_size=8).digest()) % count
 
 
-@dataclass(frozen=True, slots=True)
-class EditRefused:
-    """The change is not allowed on the table as it is."""
+def mint(prefix: str, unique: str, table: SlotTable) -> str:
+    """Return a key that carries the epoch of its slot.
 
-    reason: str
+    Parameters
+    ----------
+    prefix : str
+        Put before the key by whoever uses it, and part of the hash.
+    unique : str
+        32 hexadecimal digits, never used before.
+    """
+    stem = f"wf1-{unique}"
+    slot = table.slot_of(f"{prefix}{stem}~0")
+    return f"{stem}~{table.slots[slot].epoch}"
 
 
-Edit = Callable[[SlotTable], SlotTable | EditRefused]
+def minted_epoch(key: str) -> int | None:
+    """Return the epoch that a minted key carries, or ``None``."""
+    minted = _MINTED.fullmatch(key)
+    return int(minted["epoch"]) if minted else None
 
 
-def slot_of(key: str, slots: int) -> int:
-    """Return the slot of `key` among `slots`; a minted key's epoch doesn't count."""
-    if parse_minted_epoch(key) is not None:
-        key = key.rpartition("-")[0]
-    digest = blake2b(key.encode(), digest_size=8).digest()
-    return int.from_bytes(digest) % slots
+def count_for(sides: int) -> int:
+    """Return how many slots a service of `sides` sides gets, a power of two."""
+    wanted = max(FEWEST_SLOTS, SLOTS_PER_SIDE * sides)
+    return min(MOST_SLOTS, 1 << (wanted - 1).bit_length())
 
 
-def mint_key(table: SlotTable, prefix: str = "", token: str = "") -> str:
-    """Return a new key that carries the epoch of its slot.
+def create(service: str, sides: Collection[str], count: int) -> SlotTable:
+    """Return a first table, with the slots spread over `sides`."""
+    names = sorted(sides)
+    slots = [Slot(owner=names[index % len(names)]) for index in range(count)]
+    return SlotTable(service=service, slots=slots)
+
+
+def owned(table: SlotTable, side: str, incarnation: str) -> tuple[OwnedSlot, ...]:
+    """Return the slots that this incarnation of `side` may serve."""
+    return tuple(
+        OwnedSlot(index, slot.epoch, slot.lost_before)
+        for index, slot in enumerate(table.slots)
+        if slot.owner == side and slot.incarnation == incarnation and not slot.moving
+    )
 
-    Parameters
-    ----------
-    table : SlotTable
-    prefix : str
-        Qualifies the key, such as by the caller; ends in ``/`` or is empty.
-    token : str
-        16 hexadecimal digits that no other key has; random by default.
-    """
-    stem = f"{prefix}minted-{token or secrets.token_hex(TOKEN_BYTES)}"
-    epoch = table.slots[table.slot_of(f"{stem}-0")].epoch
-    return f"{stem}-{epoch}"
 
+def claim(table: SlotTable, side: str, incarnation: str) -> SlotTable | None:
+    """Take the slots of `side` under a new incarnation."""
 
-def parse_minted_epoch(key: str) -> int | None:
-    """Return the epoch that a minted key carries, or ``None`` for other keys."""
-    found = MINTED.fullmatch(key.rpartition("/")[2])
-    return int(found[1]) if found else None
+    def claimed(index: int, slot: Slot) -> Slot:
+        if slot.owner != side or slot.moving or slot.incarnation == incarnation:
+            return slot
+        epoch = slot.epoch + 1
+        lost = epoch if slot.incarnation else slot.lost_before
+        return Slot(owner=side, epoch=epoch, incarnation=incarnation, lost_before=lost)
 
+    return _changed(table, claimed)
 
-class SlotTables:
-    """Reads and changes the slot table of one service.
 
-    Every method returns `Edited` when the table is as asked, or why it is not.
+def hand_over(
+    table: SlotTable, side: str, incarnation: str, given: dict[int, tuple[str, str]]
+) -> SlotTable | None:
+    """Give sealed slots to their next owners, who hold the records already.
 
     Parameters
     ----------
-    key_value : KeyValue
-    service : str
+    given : dict of int to (str, str)
+        For each slot, the next owner and its incarnation.
     """
 
-    def __init__(self, key_value: KeyValue, service: str) -> None:
-        self._key_value = key_value
-        self._service = service
-        self._key = SLOTS_PREFIX + service
-
-    def read(self) -> Edited | Absent | Unavailable:
-        """Return the table."""
-        row = self._key_value.get(self._key)
-        return decode_table(row) if isinstance(row, Row) else row
-
-    def create(
-        self, sides: Iterable[str], slots: int = DEFAULT_SLOTS
-    ) -> Edited | Conflict | Unavailable | Uncertain:
-        """Create the table, dealt out by rendezvous, unless there is one."""
-        names = sorted(sides)
-        found = self.read()
-        if not isinstance(found, Absent):
-            return found
-        dealt = [Slot(self._choose(number, names)) for number in range(slots)]
-        table = SlotTable(self._service, dealt)
-        return self._put(table, 0, found.revision)
-
-    def claim(
-        self, side: str, incarnation: str
-    ) -> Edited | EditRefused | Conflict | Absent | Unavailable | Uncertain:
-        """Enter the incarnation of an owner; raise the epochs if it had another."""
-        return self._edit(partial(claimed, side=side, incarnation=incarnation))
-
-    def hand_over(
-        self, side: str, incarnation: str, next_owner: str, handovers: Mapping[int, str]
-    ) -> Edited | EditRefused | Conflict | Absent | Unavailable | Uncertain:
-        """Name the next owner of sealed slots.
-
-        Parameters
-        ----------
-        side, incarnation : str
-            The present owner.
-        next_owner : str
-        handovers : mapping
-            For each slot the identifier of the records that `next_owner` has.
-        """
-        edit = partial(
-            handed_over,
-            side=side,
-            incarnation=incarnation,
-            next_owner=next_owner,
-            handovers=handovers,
+    def handed(index: int, slot: Slot) -> Slot:
+        mine = slot.owner == side and slot.incarnation == incarnation
+        if not mine or index not in given:
+            return slot
+        name, heir = given[index]
+        return msgspec.structs.replace(
+            slot, owner=name, incarnation=heir, epoch=slot.epoch + 1
         )
-        return self._edit(edit)
-
-    def begin_move(
-        self, gone: str, sides: Iterable[str]
-    ) -> Edited | EditRefused | Conflict | Absent | Unavailable | Uncertain:
-        """Stop the use of a gone side's slots and name their next owners."""
-        names = sorted({*sides} - {gone})
-        if not names:
-            return EditRefused("no side is left")
-        choose = partial(self._choose, names=names)
-        return self._edit(partial(moving, gone=gone, choose=choose))
-
-    def complete_moves(
-        self, in_force: InForce
-    ) -> Edited | EditRefused | Conflict | Absent | Unavailable | Uncertain:
-        """Let the next owners of all moving slots start.
-
-        Refused until every entry acknowledges the table in which they move, or
-        has fenced itself.
-        """
-        found = self.read()
-        if not isinstance(found, Edited):
-            return found
-        if not in_force.is_in_force(found.revision):
-            return EditRefused("the move is not in force")
-        table = moved(found.table)
-        if table == found.table:
-            return found
-        return self._put(table, found.revision)
-
-    def _choose(self, number: int, names: list[str]) -> str:
-        return rendezvous_owner(f"{self._service}/{number}", names) or ""
-
-    def _edit(
-        self, edit: Edit
-    ) -> Edited | EditRefused | Conflict | Absent | Unavailable | Uncertain:
-        """Read, change and write; again from the start after a conflict."""
-        reply: Conflict | Edited | Unavailable | Uncertain = Conflict(0)
-        for _ in range(EDIT_TRIES):
-            found = self.read()
-            if not isinstance(found, Edited):
-                return found
-            table = edit(found.table)
-            if isinstance(table, EditRefused):
-                return table
-            if table == found.table:
-                return found
-            reply = self._put(table, found.revision)
-            if not isinstance(reply, Conflict):
-                return reply
-        return reply
-
-    def _put(
-        self, table: SlotTable, expected: int, since: int = 0
-    ) -> Edited | Conflict | Unavailable | Uncertain:
-        document = msgspec.to_builtins(table)
-        reply = settled_put(self._key_value, self._key, document, expected, since=since)
-        return Edited(table, reply.revision) if isinstance(reply, Stored) else reply
-
-
-def decode_table(row: Row) -> Edited | Unavailable:
-    """Return the table of a row, from the service or from a peer."""
+
+    return _changed(table, handed)
+
+
+def move(
+    table: SlotTable, gone: Collection[str], live: Collection[str]
+) -> SlotTable | None:
+    """Name next owners for slots of sides that are gone; they don't begin yet."""
+
+    def moved(index: int, slot: Slot) -> Slot:
+        if slot.owner not in gone or not live:
+            return slot
+        name = next_owner(table.service, index, live)
+        epoch = slot.epoch + 1
+        lost = epoch if slot.incarnation else slot.lost_before
+        return Slot(owner=name, epoch=epoch, moving=True, lost_before=lost)
+
+    return _changed(table, moved)
+
+
+def next_owner(service: str, slot: int, live: Collection[str]) -> str:
+    """Return the side among `live`, not empty, that takes over a slot."""
+    return rendezvous_owner(f"{service}/{slot}", live)
+
+
+def confirm(table: SlotTable) -> SlotTable | None:
+    """Let the next owners begin: the moved table is in force at every entry."""
+    return _changed(
+        table, lambda index, slot: msgspec.structs.replace(slot, moving=False)
+    )
+
+
+def owners(table: SlotTable) -> set[str]:
+    """Return the sides that own a slot."""
+    return {slot.owner for slot in table.slots}
+
+
+def decode(value: bytes) -> SlotTable | None:
+    """Return the table that a row of the key-value service holds."""
     try:
-        table = msgspec.json.decode(row.value, type=SlotTable)
-    except msgspec.DecodeError as error:
-        return Unavailable(f"malformed table: {error}")
-    return Edited(table, row.revision)
+        table = msgspec.json.decode(value, type=SlotTable)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return table if table.slots else None
 
 
-def claimed(table: SlotTable, side: str, incarnation: str) -> SlotTable:
-    """Return the table with the incarnation of an owner entered.
+def encode(table: SlotTable) -> bytes:
+    """Return `table` as a row's value."""
+    return msgspec.json.encode(table)
 
-    The epochs of slots that an earlier incarnation had rise. A side without slots
-    is not entered, which keeps the table small.
-    """
-    earlier = table.incarnations.get(side)
-    if earlier == incarnation or side not in _owners(table.slots):
-        return table
-    slots = table.slots
-    if earlier is not None:
-        slots = [
-            Slot(side, slot.epoch + 1, slot.moving_to) if slot.owner == side else slot
-            for slot in slots
-        ]
-    return _table(table, slots, {side: incarnation})
-
-
-def handed_over(
-    table: SlotTable,
-    side: str,
-    incarnation: str,
-    next_owner: str,
-    handovers: Mapping[int, str],
-) -> SlotTable | EditRefused:
-    """Return the table with slots in the hands of their next owner."""
-    slots = list(table.slots)
-    owned = table.owned_by(side, incarnation)
-    for number, handover in handovers.items():
-        slot = slots[number]
-        if slot.owner == next_owner and slot.handover == handover:
-            continue
-        if number not in owned:
-            return EditRefused("not the owner")
-        slots[number] = Slot(next_owner, slot.epoch + 1, "", handover)
-    return _table(table, slots)
-
-
-def moving(table: SlotTable, gone: str, choose: Callable[[int], str]) -> SlotTable:
-    """Return the table with the slots of a gone side on their way to others."""
-    slots = [
-        Slot(slot.owner, slot.epoch, choose(number), slot.handover)
-        if (slot.moving_to or slot.owner) == gone
-        else slot
-        for number, slot in enumerate(table.slots)
-    ]
-    return _table(table, slots)
-
-
-def moved(table: SlotTable) -> SlotTable:
-    """Return the table with its moves complete."""
-    slots = [
-        Slot(slot.moving_to, slot.epoch + 1) if slot.moving_to else slot
-        for slot in table.slots
-    ]
-    return _table(table, slots)
-
-
-def _owners(slots: list[Slot]) -> set[str]:
-    return {slot.owner for slot in slots}
-
-
-def _table(
-    table: SlotTable, slots: list[Slot], entered: dict[str, str] | None = None
-) -> SlotTable:
-    """Return `table` with other slots; only owners' incarnations are kept."""
-    owners = _owners(slots)
-    incarnations = table.incarnations | (entered or {})
-    kept = {side: name for side, name in incarnations.items() if side in owners}
-    return SlotTable(table.service, slots, kept)
+
+def _changed(table: SlotTable, change) -> SlotTable | None:
+    slots: Iterable[Slot] = table.slots
+    changed = [change(index, slot) for index, slot in enumerate(slots)]
+    if changed == table.slots:
+        return None
+    return SlotTable(service=table.service, slots=changed)
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -15,6 +15,7 @@
     Completed,
     Expired,
     Failed,
+    Interrupted,
     NotRun,
     Outcome,
     Unknown,
@@ -53,6 +54,14 @@
         ``False``: runs at most once, whatever fails.
     timeout : float
         Seconds within which the caller wants its answer.
+    submission : int
+        1 when this is the first time that the caller sends its idempotency key,
+        higher when it repeats it, 0 when it doesn't say.
+    slot_epoch : int
+        From a refusal of a first submission as ``key_records_lost``: sent again
+        as the first with this number, the key runs although older records are
+        lost. Without it a first submission doesn't, because it may have been
+        under way since before the loss, and a repeat may have overtaken it.
     prefix : str
         Requests of the same prefix share cached prompt tokens.
     max_tokens : int
@@ -65,12 +74,26 @@
     catalogue_entry: Name
     idempotent: bool = True
     timeout: Seconds = 30.0
+    submission: Count = 0
+    slot_epoch: Count = 0
     prefix: str = ""
     max_tokens: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 64
     version: Count | None = None
     bound: Count = 0
 
 
+class KeyBody(CallerMessage, frozen=True, kw_only=True):
+    """A caller asks for an idempotency key."""
+
+    catalogue_entry: Name
+
+
+class KeyReply(Message, frozen=True, kw_only=True):
+    """A key never given before; it runs at once even after its owner was lost."""
+
+    key: str
+
+
 class LotSample(CallerMessage, frozen=True, kw_only=True):
     """One sample of a Lot.
 
@@ -147,13 +170,14 @@
 class OutcomeFrame(Message, frozen=True, kw_only=True):
     """An outcome on the wire; `kind` names its class."""
 
-    kind: Literal["completed", "not_run", "unknown", "failed", "expired"]
+    kind: Literal["completed", "not_run", "unknown", "failed", "expired", "interrupted"]
     payload: Any = None
     versions: list[SpanFrame] = []
     target: str = ""
     reason: str = ""
     retry_after: float = 0.0
     warning: str = ""
+    slot_epoch: int = 0
     status: int = 0
     started: bool = False
 
@@ -220,14 +244,15 @@
         Unique for ever: entry, incarnation and a counter.
     request : str
         Identifier of the caller's request, for logs.
-    kind : {"generate", "call"}
-        For a model engine or a plain service.
     idempotent : bool
         ``False``: the side may run it at most once.
     key : str
         Idempotency key, or the Lot's key and the sample, or empty.
     epoch : int
         Epoch of the key's slot, as the entry knows it; 0 without ownership.
+    unsent_at : int
+        The caller had heard of this epoch of the slot when it had never sent the
+        key before; 0 where it doesn't say so.
     work_class : str
         Decides admission and engine priority.
     trainer : str
@@ -244,11 +269,11 @@
 
     attempt: str
     request: str
-    kind: Literal["generate", "call"] = "generate"
     payload: Any = None
     idempotent: bool = True
     key: str = ""
     epoch: int = 0
+    unsent_at: int = 0
     work_class: WorkClass = "interactive"
     trainer: str = ""
     remaining: float = 30.0
@@ -259,6 +284,39 @@
     prior_versions: list[SpanFrame] = []
 
 
+class PolicyRow(Message, frozen=True, kw_only=True):
+    """What a side follows of one catalogue entry.
+
+    Attributes
+    ----------
+    revision : int
+        Of the catalogue row.
+    weight : float
+        Weight of its trainers in the fair share.
+    wave : float
+        Share of the service's engines that may load weights at once.
+    """
+
+    revision: int
+    weight: float = 1.0
+    wave: float = 0.34
+
+
+class ServicePolicy(Message, frozen=True, kw_only=True):
+    """What a side follows of the catalogue.
+
+    Attributes
+    ----------
+    revision : int
+        Highest revision of a row that the sender knows.
+    rows : dict of str to PolicyRow
+        The catalogue entries that draw rollouts from the service.
+    """
+
+    revision: int
+    rows: dict[str, PolicyRow] = {}
+
+
 class OpenSession(Message, frozen=True, kw_only=True):
     """An entry opens a session; sessions with a lower number end.
 
@@ -285,6 +343,7 @@
     outstanding: list[str] = []
     side_incarnation: str = ""
     versions: dict[str, int] = {}
+    policy: ServicePolicy | None = None
 
 
 class Fate(Message, frozen=True, kw_only=True):
@@ -361,7 +420,7 @@
     attempts: list[Attempt] = []
     cancel: list[str] = []
     versions: dict[str, int] = {}
-    revision: int = 0
+    policy: ServicePolicy | None = None
 
 
 class Refusal(Message, frozen=True, kw_only=True):
@@ -415,6 +474,19 @@
 # --- conversion --------------------------------------------------------------
 
 
+def to_span_frames(spans: tuple[VersionSpan, ...]) -> list[SpanFrame]:
+    """Return `spans` as messages."""
+    return [
+        SpanFrame(version=span.version, start=span.start, end=span.end)
+        for span in spans
+    ]
+
+
+def from_span_frames(frames: list[SpanFrame]) -> tuple[VersionSpan, ...]:
+    """Return the spans that `frames` carry."""
+    return tuple(VersionSpan(frame.version, frame.start, frame.end) for frame in frames)
+
+
 @singledispatch
 def to_wire(outcome: Outcome) -> OutcomeFrame:
     """Return `outcome` as a message.
@@ -429,18 +501,24 @@
 
 @to_wire.register
 def _(outcome: Completed) -> OutcomeFrame:
-    spans = [
-        SpanFrame(version=span.version, start=span.start, end=span.end)
-        for span in outcome.versions
-    ]
     return OutcomeFrame(
         kind="completed",
         payload=outcome.payload,
-        versions=spans,
+        versions=to_span_frames(outcome.versions),
         target=outcome.target,
     )
 
 
+@to_wire.register
+def _(outcome: Interrupted) -> OutcomeFrame:
+    return OutcomeFrame(
+        kind="interrupted",
+        payload=list(outcome.tokens),
+        versions=to_span_frames(outcome.versions),
+        reason=outcome.reason,
+    )
+
+
 @to_wire.register
 def _(outcome: NotRun) -> OutcomeFrame:
     return OutcomeFrame(
@@ -448,6 +526,7 @@
         reason=outcome.reason,
         retry_after=outcome.retry_after,
         warning=outcome.warning,
+        slot_epoch=outcome.slot_epoch,
     )
 
 
@@ -471,12 +550,13 @@
 def from_wire(frame: OutcomeFrame) -> Outcome:
     """Return the outcome that `frame` carries."""
     if frame.kind == "completed":
-        spans = tuple(
-            VersionSpan(span.version, span.start, span.end) for span in frame.versions
-        )
+        spans = from_span_frames(frame.versions)
         return Completed(frame.payload, spans, frame.target)
+    if frame.kind == "interrupted":
+        spans = from_span_frames(frame.versions)
+        return Interrupted(frame.reason, tuple(frame.payload or ()), spans)
     if frame.kind == "not_run":
-        return NotRun(frame.reason, frame.retry_after, frame.warning)
+        return NotRun(frame.reason, frame.retry_after, frame.warning, frame.slot_epoch)
     if frame.kind == "unknown":
         return Unknown(frame.reason)
     if frame.kind == "failed":
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -350,9 +350,10 @@
         ("o", 4, 0.0, None),
         ("o", 3, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
         ("x", 4, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
+        ("o5", 4, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
         ("o", 0, 0.0, NotRun("not_owner", 0.5, EARLIER_MAY_HAVE_RUN)),
-        ("l", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN)),
-        ("l5", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN)),
+        ("l", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN, 6)),
+        ("l5", 6, 10.0, NotRun("key_records_lost", 20.0, EARLIER_MAY_HAVE_RUN, 6)),
         ("l6", 6, 10.0, None),
         ("l", 6, 30.0, None),
     ],
@@ -383,13 +384,23 @@
     assert isinstance(peer.admit("b", key="o", epoch=1, idempotent=False), Admitted)
 
 
+@pytest.mark.parametrize(("unsent_at", "admitted"), [(0, False), (5, False), (6, True)])
+def test_key_never_sent_before_a_loss_runs(clock, unsent_at, admitted):
+    ledger = AttemptLedger("s", clock, keys=KeyedWork(RETENTION, slot_of))
+    ledger.own(LOST, 6, LostRecords(before=6, remaining=30.0))
+    peer = Peer(ledger)
+    peer.open()
+    fields = {"key": "l", "epoch": 6, "idempotent": False, "unsent_at": unsent_at}
+    assert isinstance(peer.admit("a", **fields), Admitted) == admitted
+
+
 def test_hand_over_of_keys(clock):
     keys = [KeyedWork(RETENTION, slot_of, minted_epoch) for _ in range(2)]
     old, new = (AttemptLedger("s", clock, keys=one) for one in keys)
     old.own(OWNED, 1, LostRecords(before=1, remaining=RETENTION))
     peer = Peer(old)
     peer.open()
-    for name in ("o1", "o2"):
+    for name in ("o1", "ob1"):
         peer.admit(name, key=name, epoch=1, idempotent=False)
         old.start(name)
     peer.admit("o3", key="o3")
@@ -398,7 +409,7 @@
     refused = peer.admit("o4", key="o1", epoch=1, idempotent=False)
     assert refused.outcome.reason == "not_owner"
     assert old.export(OWNED) == StillRunning(1)
-    old.finish("o2", completed())
+    old.finish("ob1", completed())
     clock.advance(RETENTION / 2)
     handed = msgspec.json.encode(old.export(OWNED))
     new.adopt(OWNED, 2, msgspec.json.decode(handed, type=SlotKeys))
@@ -406,10 +417,10 @@
     peer.open()
     lost = peer.admit("c", key="o", epoch=2, idempotent=False)
     assert lost.outcome.reason == "key_records_lost"
-    for name in ("o1", "o2"):
+    for name in ("o1", "ob1"):
         again = peer.admit(name, key=name, epoch=2, idempotent=False)
         assert again == Replayed()
-    assert peer.outcomes() == {"o1": Unknown("cut"), "o2": completed()}
+    assert peer.outcomes() == {"o1": Unknown("cut"), "ob1": completed()}
     clock.advance(RETENTION / 2)
     new.expire()
     assert isinstance(peer.admit("b", key="o1", epoch=2, idempotent=False), Admitted)
