--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -31,6 +31,9 @@
 LONGEST_PAUSE = 5.0
 SUSPECT_SECONDS = 0.5
 CHECK_SECONDS = 60.0
+# Slots of a side that entries don't hear move after 10 s; a side that was paused
+# for less than that, by a margin, still owns what it owned.
+PAUSE_SECONDS = 4.0
 HAND_OVER_SECONDS = 3.0
 ADOPT_PATH = "/peer/adopt"
 
@@ -102,6 +105,7 @@
         self._wake = threading.Event()
         self._leaving = False
         self._giving = False
+        self._awake_at = clock.monotonic()
 
     @property
     def owned(self) -> int:
@@ -121,6 +125,23 @@
         """Read the table again soon: a call knows another one."""
         self._wake.set()
 
+    def note_awake(self) -> None:
+        """Own nothing until the table is read again, if this process was paused.
+
+        To be called often, and before any decision that rests on ownership.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            paused = now - self._awake_at
+            self._awake_at = now
+            if paused <= PAUSE_SECONDS or self._leaving or self._giving:
+                return
+            doubted, self._owned = self._owned, {}
+            for slot in doubted:
+                self._seal(slot)
+        event(logger, "paused", seconds=paused, slots_doubted=len(doubted))
+        self.suspect()
+
     def run(self, stop: threading.Event) -> None:
         """Claim, then follow, until `stop` (a supervisor's task)."""
         pause = FIRST_PAUSE
@@ -136,6 +157,7 @@
 
     def refresh(self) -> bool:
         """Read the table and claim this side's slots; return whether all is done."""
+        began = self._clock.monotonic()
         row = self._key_value.get(slots.PREFIX + self._service)
         if isinstance(row, Absent | Unavailable):
             return False
@@ -144,14 +166,12 @@
             return False
         claimed = slots.claim(table, self._name, self._incarnation)
         if claimed is None:
-            self._follow(table, row.revision)
-            return True
+            return self._follow(table, row.revision, began)
         written = self._key_value.put(row.key, slots.encode(claimed), row.revision)
         if not isinstance(written, Stored):
             # A conflict or a lost answer is settled by the next reading.
             return False
-        self._follow(claimed, written.revision)
-        return True
+        return self._follow(claimed, written.revision, began)
 
     def adopt(self, records: HandOver) -> HandOverReply:
         """Keep the records of slots until the table says that they are this side's."""
@@ -203,11 +223,17 @@
 
     # --- following -----------------------------------------------------------
 
-    def _follow(self, table: SlotTable, revision: int) -> None:
+    def _follow(self, table: SlotTable, revision: int, began: float) -> bool:
+        """Take up what the table says; ``False`` if its reading may be old.
+
+        A process paused while it read holds a table from before the pause.
+        """
         mine = slots.owned(table, self._name, self._incarnation)
         with self._lock:
+            if self._clock.monotonic() - began > PAUSE_SECONDS:
+                return False
             if revision < self._revision or self._leaving or self._giving:
-                return
+                return True
             self._table = table
             self._revision = revision
             before = self._owned
@@ -219,6 +245,7 @@
         for index in before.keys() - after.keys():
             self._seal(index)
         event(logger, "slots_owned", revision=revision, slots=len(after))
+        return True
 
     def _own(self, slot: OwnedSlot) -> None:
         """Take up a slot, with its records if they were handed over for it."""
