Single requests: a caller that goes leaves no false NotRun behind

Time passes on a manual clock while a thread waits for an end.

Two faults that these found: - an attempt cancelled because its caller had gone did not count as one that may have run; the request was logged, and told to `explain`, as NotRun; - tokens of an attempt that was cut while its hedge ran were lost when the hedge ended without an answer.

--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -102,8 +102,6 @@
                 reason=getattr(outcome, "reason", ""),
                 delay=verdict.delay,
             )
-            if isinstance(outcome, Interrupted):
-                work.keep_prior(outcome)
             self._clock.sleep(verdict.delay)
             if caller_gone():
                 return self._final(work, NotRun("caller_gone"), "caller_gone")
@@ -174,7 +172,7 @@
         while True:
             remaining = work.deadline + EXPIRY_GRACE_SECONDS - self._clock.monotonic()
             if remaining <= 0:
-                self._cancel(race)
+                self._cancel(work, race)
                 return Expired(started=True)
             ended = race.sink.get(min(CALLER_CHECK_SECONDS, remaining))
             if ended is not None:
@@ -182,7 +180,7 @@
                 if outcome is not None:
                     return outcome
             elif caller_gone():
-                self._cancel(race)
+                self._cancel(work, race)
                 return Unknown("caller_gone")
             else:
                 self._hedge(work, race)
@@ -193,10 +191,12 @@
         outcome = as_told(ended.outcome)
         self._directory.record(work.service, ended.side, outcome)
         work.may_have_run |= not _certainly_not_run(outcome)
+        if isinstance(outcome, Interrupted):
+            work.keep_prior(outcome)
         if isinstance(outcome, Completed):
             seconds = self._clock.monotonic() - race.begun
             self._directory.measure(ended.side, seconds, _size(outcome))
-            self._cancel(race)
+            self._cancel(work, race)
             return outcome
         return None if race.running else outcome
 
@@ -232,8 +232,10 @@
         )
         self._start(work, placed.side, race)
 
-    def _cancel(self, race: "_Race") -> None:
+    def _cancel(self, work: Work, race: "_Race") -> None:
+        """Stop the attempts that run; how far they came isn't waited for."""
         for attempt, side in race.running.items():
+            work.may_have_run = True
             self._dispatcher.cancel(side, [attempt])
 
     def _final(self, work: Work, outcome: Outcome, reason: str) -> Outcome:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,19 +2,24 @@
 
 import io
 from collections import deque
+from unittest import mock
 
 from urllib3.exceptions import ProtocolError, ReadTimeoutError
 
 from wigeonfront.coordination.delivery import DeliveryRights
 from wigeonfront.coordination.keyed_work import KeyedWork
 from wigeonfront.coordination.ledger import AttemptLedger
-from wigeonfront.coordination.slots import minted_epoch
+from wigeonfront.coordination.slots import Slot, SlotTable, minted_epoch
+from wigeonfront.entry.sink import Ended, QueueSink
+from wigeonfront.entry.slots import SlotTables
 from wigeonfront.http import Answer, Lost, NotSent, encode
+from wigeonfront.messages import DeliveryReply
 from wigeonfront.metrics import Registry
 from wigeonfront.outcomes import Completed
 from wigeonfront.platform import Uncertain
 from wigeonfront.platform.memory import MemoryKeyValue, MemoryVmList
 from wigeonfront.policy.admission import AdmissionQueue, ClassLimit
+from wigeonfront.policy.placement import SideView
 from wigeonfront.side.execution import Execution
 from wigeonfront.side.learning import Learning
 from wigeonfront.side.server import SideParts, SideServer
@@ -59,6 +64,14 @@
     return Completed(run.attempt.payload, tuple(run.versions), "t")
 
 
+def table_of(owner, epoch=1, lost_before=0):
+    """Return tables in which one side owns every key."""
+    tables = SlotTables()
+    slot = Slot(owner=owner, epoch=epoch, incarnation="i", lost_before=lost_before)
+    tables.take("desk", SlotTable(service="desk", slots=[slot]), 1)
+    return tables
+
+
 class VirtualLedger(AttemptLedger):
     """Streams that wait let the clock run instead."""
 
@@ -313,3 +326,94 @@
         self.outage = self.outage or fate == "down"
         self.late.append(lambda: MemoryKeyValue.put(self, key, value, expected, lease))
         return Uncertain("no answer")
+
+
+class ScriptedSide:
+    """A side as an entry sees it: ends each attempt by the next step of a script.
+
+    A step is an outcome, a callable that makes one of the attempt, or ``None`` for
+    an attempt that never ends. `seconds` pass before the end.
+    """
+
+    def __init__(self, world, name, seconds=0.1):
+        self.world, self.name, self.seconds = world, name, seconds
+        self.script = deque()
+        self.attempts, self.cancelled = [], []
+        self.rights = DeliveryRights(world.clock)
+        self.delivery = deque()
+
+    def dispatch(self, attempts, sink):
+        for attempt in attempts:
+            self.attempts.append(attempt)
+            step = self.script.popleft() if self.script else self.world.default
+            outcome = step(attempt) if callable(step) else step
+            if outcome is not None:
+                at = self.world.clock.monotonic() + self.seconds
+                end = (attempt.attempt, outcome, self.name)
+                self.world.coming.append((at, sink, end))
+
+    def cancel(self, attempts):
+        self.cancelled += attempts
+
+    def deliver(self, request):
+        found = self.delivery.popleft() if self.delivery else "handled"
+        if found == "handled":
+            return self.rights.handle(request)
+        return found and DeliveryReply(status=found)
+
+
+class ScriptedSides:
+    """The directory of an entry, with time that passes as its threads wait."""
+
+    def __init__(self, clock, names=("s1", "s2"), capacity=4, default=None):
+        self.clock, self.default = clock, default
+        self.sides = {name: ScriptedSide(self, name) for name in names}
+        self.views_by_name = {
+            name: SideView(name, capacity=capacity, version=9) for name in names
+        }
+        self.coming, self.recorded = [], []
+        self.gone = False
+        self.expected = 0.0
+
+    @property
+    def attempts(self):
+        return [one for side in self.sides.values() for one in side.attempts]
+
+    @property
+    def cancelled(self):
+        return [one for side in self.sides.values() for one in side.cancelled]
+
+    def passing(self):
+        """Return a context in which time passes while a thread waits for an end."""
+        return mock.patch.object(QueueSink, "get", lambda *call: self.wait(*call))
+
+    def wait(self, sink, timeout):
+        until = self.clock.monotonic() + timeout
+        due = [at for at, into, _ in self.coming if into is sink]
+        now = min([until, *due])
+        self.clock.advance(max(0.0, now - self.clock.monotonic()))
+        for one in sorted(self.coming, key=lambda one: one[0]):
+            if one[0] <= self.clock.monotonic() and one[1] is sink:
+                self.coming.remove(one)
+                return Ended(*one[2])
+        return None
+
+    def caller_gone(self):
+        return self.gone
+
+    def reach(self, name):
+        return self.sides.get(name)
+
+    peer = reach
+
+    def views(self, service):
+        return list(self.views_by_name.values())
+
+    def record(self, service, side, outcome):
+        self.recorded.append((side, outcome))
+
+    def measure(self, side, seconds, tokens):
+        pass
+
+    def expected_seconds(self, service, max_tokens):
+        return self.expected
