Lots: hedges are earned by samples; an answer without a version is a failure

Tables and a property (150 drawn scripts): a Lot is answered whole or not at all, each sample once, from its own payload, with contiguous spans none of which is under the bound; nothing stays counted at a side; losers of hedges, late rights, owners that change, trainers that go.

Two faults that these found: - the hedge budget of Lots was never earned, only spent: after ten hedges in the life of an entry no straggler was hedged again, and its Lot waited; - an answer without tokens names no version, was never accepted and never counted as a failure, so that the sample ran again and again until the Lot's deadline. It now counts as the engine's failure, told as one after five. Failed before: test_hedges_are_earned_by_samples, test_what_a_sample_goes_through[empty].

--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -48,6 +48,7 @@
 MAX_SAMPLE_FAILURES = 5
 DELIVERY_PAUSE = 0.1
 RETRY_SECONDS = 1.0
+NO_VERSION = "no_version_named"
 FINAL_STATUSES = ("superseded", "already_delivered")
 
 
@@ -161,6 +162,8 @@
         self._begun = False
 
     def run(self) -> LotReply | None:
+        for _ in self._samples:
+            self._lots.hedges.earn()
         standing = self._begin()
         if standing in FINAL_STATUSES:
             return self._reply(standing)
@@ -275,7 +278,7 @@
         self._lots.directory.record(self._body.service, ended.side, ended.outcome)
         if sample.outcome is not None:
             return
-        outcome = as_told(ended.outcome)
+        outcome = _as_told(ended.outcome)
         if isinstance(outcome, Failed):
             sample.failures += 1
         if self._is_final(sample, outcome):
@@ -288,7 +291,7 @@
         if isinstance(outcome, Failed):
             poisoned = sample.failures >= MAX_SAMPLE_FAILURES
             return outcome.status < 500 or poisoned
-        if not isinstance(outcome, Completed) or not outcome.versions:
+        if not isinstance(outcome, Completed):
             return False
         oldest = self._terms.min_version
         return all(span.version >= oldest for span in outcome.versions)
@@ -487,3 +490,14 @@
 
     def _remaining(self) -> float:
         return self._deadline - self._clock.monotonic()
+
+
+def _as_told(outcome: Outcome) -> Outcome:
+    """Return an attempt's outcome as it counts for a sample.
+
+    A sample must name the weights that produced it; an engine that names none, as
+    for an answer without tokens, has failed it.
+    """
+    if isinstance(outcome, Completed) and not outcome.versions:
+        return Failed(NO_VERSION)
+    return as_told(outcome)
