A side has one peer, whoever reaches it at the same time

Cause: `reach` made the peer of a side outside the subset in the caller's own thread without looking again under the lock. Two callers at once made two peers, and both tasks ran on: each session ended the other's, for good. A removal that came between a new peer and its task stopped the new peer's task, as tasks go by the side's name; that peer then refused everything until the side left the list. Failed before: test_peer_is_made_and_ended_once_whoever_comes_in_between.

--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -264,21 +264,23 @@
             lambda: self._policy(vm.service),
         )
         with self._lock:
+            if vm.name in self._peers:
+                return
             self._peers[vm.name] = peer
             self._by_service.setdefault(vm.service, []).append(peer)
+            # A task has its side's name, so no other may come in between.
+            self._supervisor.start(vm.name, peer.run)
         event(logger, "peer_added", side=vm.name, address=vm.address)
-        self._supervisor.start(vm.name, peer.run)
 
     def _remove(self, peer: Peer) -> None:
         name = peer.vm.name
         with self._lock:
-            if self._peers.get(name) is peer:
-                del self._peers[name]
-            peers = self._by_service.get(peer.vm.service, [])
-            if peer in peers:
-                peers.remove(peer)
+            if self._peers.get(name) is not peer:
+                return
+            del self._peers[name]
+            self._by_service[peer.vm.service].remove(peer)
+            self._supervisor.stop_task(name)
         event(logger, "peer_removed", side=name)
-        self._supervisor.stop_task(name)
         peer.gone()
 
     def _silent(self, peer: Peer) -> bool:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -65,3 +65,24 @@
     clock.advance(11.0)
     directory.update([])
     assert directory.peer("near") is None
+
+
+def test_peer_is_made_and_ended_once_whoever_comes_in_between(directory, clock):
+    """Two threads may reach a side at once, or one while its peer is removed."""
+    started = []
+
+    class Watched(Tasks):
+        def start(self, name, run):
+            assert directory._lock.locked()
+            started.append(name)
+
+        def stop_task(self, name):
+            assert directory._lock.locked()
+
+    directory._supervisor = Watched()
+    directory.update([vm("near")])
+    directory._add(vm("near"))
+    assert started == ["near"]
+    assert len(directory.peers("desk")) == 1
+    directory._remove(directory.peer("near"))
+    assert directory.peers("desk") == []
