--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -169,6 +169,9 @@
             return row
         if row.work_class != "rollout":
             return _bad(403, "not_a_rollout_entry", body.catalogue_entry)
+        most = row.limits.concurrency
+        if most is not None and len(body.samples) > most:
+            return _bad(422, "lot_over_concurrency_limit", f"at most {most} samples")
         started = self._parts.clock.monotonic()
         holder = f"lot-{uuid.uuid4().hex[:16]}"
         key = (body.trainer, body.lot, body.submission)
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -15,6 +15,7 @@
 """
 
 import logging
+import threading
 import uuid
 
 from wigeonfront import logs
@@ -32,6 +33,7 @@
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
+from wigeonfront.entry.shares import equal_grant
 from wigeonfront.entry.slots import SlotMover, SlotTables, Voters
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
@@ -50,6 +52,7 @@
 # Callers that come on a kept-alive connection meanwhile still get an answer.
 LEAVING_SECONDS = 1.0
 EXIT_FAILED = 1
+SHARES_SECONDS = 1.0
 
 
 class Entry:
@@ -72,6 +75,8 @@
         )
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
+        self._grants: dict[str, Grant] = {}
+        self._grants_lock = threading.Lock()
         self._slots = SlotTables(self._may_use_slots)
         self._slots_watch = PrefixWatch(
             slots.PREFIX, self._slots, self._key_value, self._clock
@@ -163,6 +168,7 @@
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
         start("slot-tables", self._slots_watch.run)
         start("slot-mover", self._mover.run)
+        start("shares", self._follow_members)
         for name, task in self._control.tasks().items():
             start(name, task)
         logging.getLogger().addHandler(self._decisions)
@@ -212,10 +218,27 @@
         )
 
     def _follow_catalogue(self) -> None:
-        """Put the limits of the catalogue in force."""
-        for name, row in self._catalogue.rows().items():
-            limits = row.limits
-            self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
+        """Put this entry's part of the catalogue's limits in force."""
+        with self._grants_lock:
+            self._divide_limits()
+
+    def _divide_limits(self) -> None:
+        view = self._control.view
+        others = [member.name for member in (*view.present(), *view.former())]
+        rows = self._catalogue.rows()
+        for name, row in rows.items():
+            grant = equal_grant(row.limits, self._identity.name, others)
+            if self._grants.get(name) != grant:
+                self._limits.set_grant(name, grant)
+                self._grants[name] = grant
+        for name in [name for name in self._grants if name not in rows]:
+            del self._grants[name]
+            self._limits.forget(name)
+
+    def _follow_members(self, stop: threading.Event) -> None:
+        """Divide the limits anew when entries come or go (a task)."""
+        while not stop.wait(SHARES_SECONDS):
+            self._follow_catalogue()
 
     def _select(self, service: str, sides: list[Vm]) -> list[Vm]:
         """Return this entry's subset of a service's sides."""
