Nothing is started once the tree stops

Supervisors: a table of failures within and beyond the window, broken invariants, stop of a whole tree and of one task, tasks that don't end. Cause: `start` did not look whether the tree had stopped, so that a directory which found new sides meanwhile started peers that nobody would stop; and `stop` could meet a thread not yet started, whose join raises. Failed before: test_nothing_is_started_once_the_tree_stops (both).

--- a/src/wigeonfront/supervisor.py
+++ b/src/wigeonfront/supervisor.py
@@ -74,19 +74,23 @@
         child = Supervisor(f"{self._name}.{name}", self._clock, parent=self)
         with self._lock:
             self._children.append(child)
+            if self._stop.is_set():
+                child._stop.set()
         return child
 
     def start(self, name: str, run: Run) -> None:
-        """Start a task; its thread carries the task's name."""
+        """Start a task, unless the tree stops; its thread carries the task's name."""
         stop = threading.Event()
         full_name = f"{self._name}.{name}"
         thread = threading.Thread(
             target=self._keep, args=(name, run, stop), name=full_name, daemon=True
         )
         with self._lock:
+            if self._stop.is_set():
+                return
             self._threads[name] = thread
             self._stops[name] = stop
-        thread.start()
+            thread.start()
 
     def stop_task(self, name: str) -> None:
         """Tell one task to stop; its thread ends by itself."""
