A connection is closed after an answer that says so

Cause: the library sends the application's `Connection: close` but keeps the connection, so that a planned stop left kept-alive connections to the caller. Failed before: test_a_connection_is_kept_until_the_server_closes.

--- a/src/wigeonfront/http.py
+++ b/src/wigeonfront/http.py
@@ -178,13 +178,24 @@
 
 
 class _Gateway(wsgi.Gateway_10):
-    """Hands the caller's socket to the application, to notice that it closed."""
+    """Hands the caller's socket to the application, to notice that it closed.
+
+    It also closes a connection after an answer that says so; the library itself
+    would leave that to the caller.
+    """
 
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[_SOCKET_KEY] = self.req.conn.socket
         return environ
 
+    def start_response(
+        self, status: str, headers: list[tuple[str, str]], exc_info: Any = None
+    ) -> Callable:
+        if ("Connection", "close") in headers:
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
+
 
 class Application:
     """A WSGI application that routes on method and path.
