--- a/src/wigeonfront/entry/lots.py
+++ b/src/wigeonfront/entry/lots.py
@@ -20,6 +20,7 @@
 from wigeonfront.entry.slots import SlotTables
 from wigeonfront.logs import event
 from wigeonfront.messages import (
+    RECORDS_LOST,
     Attempt,
     DeliveryRequest,
     LotBody,
@@ -47,6 +48,7 @@
 MAX_SAMPLE_FAILURES = 5
 DELIVERY_PAUSE = 0.1
 RETRY_SECONDS = 1.0
+NO_VERSION = "no_version_named"
 FINAL_STATUSES = ("superseded", "already_delivered")
 
 
@@ -106,6 +108,7 @@
         terms: LotTerms,
         holder: str,
         caller_gone: Callable[[], bool],
+        told: Callable[[int], None] = lambda missing: None,
     ) -> LotReply | None:
         """Run a Lot to its answer.
 
@@ -117,13 +120,15 @@
             Identifier of this very POST.
         caller_gone : callable
             Tells whether the trainer has closed its connection.
+        told : callable, optional
+            Told how many samples are missing, each time that one is finished.
 
         Returns
         -------
         LotReply or None
             ``None`` when the trainer has gone.
         """
-        return _LotRun(self, body, terms, holder, caller_gone).run()
+        return _LotRun(self, body, terms, holder, caller_gone, told).run()
 
 
 class _LotRun:
@@ -136,12 +141,14 @@
         terms: LotTerms,
         holder: str,
         caller_gone: Callable[[], bool],
+        told: Callable[[int], None],
     ) -> None:
         self._lots = lots
         self._body = body
         self._terms = terms
         self._holder = holder
         self._caller_gone = caller_gone
+        self._told = told
         self._clock = lots.clock
         self._random = random.Random()
         self._deadline = self._clock.monotonic() + body.timeout
@@ -155,11 +162,13 @@
         self._begun = False
 
     def run(self) -> LotReply | None:
+        for _ in self._samples:
+            self._lots.hedges.earn()
         standing = self._begin()
         if standing in FINAL_STATUSES:
             return self._reply(standing)
         if standing == "unavailable":
-            return self._reply("partial", reason="delivery_records_lost")
+            return self._reply("partial", reason=RECORDS_LOST)
         event(
             logger,
             "lot_begun",
@@ -269,7 +278,7 @@
         self._lots.directory.record(self._body.service, ended.side, ended.outcome)
         if sample.outcome is not None:
             return
-        outcome = as_told(ended.outcome)
+        outcome = _as_told(ended.outcome)
         if isinstance(outcome, Failed):
             sample.failures += 1
         if self._is_final(sample, outcome):
@@ -282,7 +291,7 @@
         if isinstance(outcome, Failed):
             poisoned = sample.failures >= MAX_SAMPLE_FAILURES
             return outcome.status < 500 or poisoned
-        if not isinstance(outcome, Completed) or not outcome.versions:
+        if not isinstance(outcome, Completed):
             return False
         oldest = self._terms.min_version
         return all(span.version >= oldest for span in outcome.versions)
@@ -292,6 +301,7 @@
     ) -> None:
         sample.outcome = outcome
         self._missing -= 1
+        self._told(self._missing)
         self._cancel_others(sample)
         if isinstance(outcome, Completed):
             self._measure(sample, len(outcome.payload["tokens"]), side)
@@ -401,7 +411,7 @@
             if status in FINAL_STATUSES:
                 return self._reply(status)
             if status == "unavailable":
-                return self._reply("partial", reason="delivery_records_lost")
+                return self._reply("partial", reason=RECORDS_LOST)
             if self._remaining() <= 0:
                 return self._reply("partial", reason="delivery_owner_unreachable")
             if self._caller_gone():
@@ -480,3 +490,14 @@
 
     def _remaining(self) -> float:
         return self._deadline - self._clock.monotonic()
+
+
+def _as_told(outcome: Outcome) -> Outcome:
+    """Return an attempt's outcome as it counts for a sample.
+
+    A sample must name the weights that produced it; an engine that names none, as
+    for an answer without tokens, has failed it.
+    """
+    if isinstance(outcome, Completed) and not outcome.versions:
+        return Failed(NO_VERSION)
+    return as_told(outcome)
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -13,8 +13,11 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import closing
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from itertools import count
 from typing import Any, Protocol
 
 import msgspec
@@ -30,7 +33,6 @@
     DeliveryRequest,
     Dispatch,
     DispatchReply,
-    Fate,
     Opened,
     OpenSession,
     Result,
@@ -52,9 +54,13 @@
 FIRST_PAUSE = 0.05
 ACKNOWLEDGE_SECONDS = 5.0
 UNKNOWN_GRACE_SECONDS = 5.0
+# Such an attempt is better made elsewhere at once.
+IDEMPOTENT_GRACE_SECONDS = 0.5
 RETRY_SECONDS = 1.0
 SPARE_CONNECTIONS = 8
 SESSION_ENDED_STATUS = 410
+# Sessions that an entry may open before its numbers run into another's.
+SESSION_BITS = 20
 # Given before the side has looked at the attempts.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 422, 503})
 
@@ -72,10 +78,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who an entry is: its name and the incarnation of this process."""
+    """Who an entry is: its name and the incarnation of this process.
+
+    Attributes
+    ----------
+    sessions : iterator of int
+        Numbers of sessions. They rise over all peers, because a side whose peer is
+        removed and added again remembers the number of its last session, and differ
+        from other entries' and incarnations', so that a wrong stream is told by them.
+    """
 
     name: str
     incarnation: str
+    sessions: Iterator[int] = field(init=False, compare=False, repr=False)
+
+    def __post_init__(self) -> None:
+        digest = blake2b(f"{self.name}/{self.incarnation}".encode(), digest_size=5)
+        first = int.from_bytes(digest.digest()) << SESSION_BITS
+        object.__setattr__(self, "sessions", count(first + 1))
 
 
 @dataclass(slots=True)
@@ -130,6 +150,8 @@
         Told of each heartbeat.
     policy : callable
         Returns what the side follows of the catalogue.
+    pools : callable
+        Makes the pools of connections; called like `Pool`.
     """
 
     def __init__(
@@ -141,6 +163,7 @@
         announced: Callable[[], dict[str, int]] = dict,
         on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
         policy: Callable[[], ServicePolicy | None] = lambda: None,
+        pools: Callable[..., Pool] = Pool,
     ) -> None:
         self._vm = vm
         self._identity = identity
@@ -163,8 +186,8 @@
         self._outstanding: dict[str, _Outstanding] = {}
         self._sent_tokens = 0
         self._response: Any = None
-        self._stream_pool = Pool(vm.address, CONNECT_SECONDS, size=1)
-        self._pool = Pool(
+        self._stream_pool = pools(vm.address, CONNECT_SECONDS, size=1)
+        self._pool = pools(
             vm.address, CONNECT_SECONDS, DISPATCH_SECONDS, SPARE_CONNECTIONS
         )
         self.dropped_frames = 0
@@ -197,11 +220,9 @@
         pause = FIRST_PAUSE
         while not stop.is_set():
             opened = self._read_session(stop)
-            self._disconnect()
             if stop.is_set():
                 break
             pause = FIRST_PAUSE if opened else min(LONGEST_PAUSE, pause * 2)
-            self._give_up_outstanding()
             stop.wait(random.uniform(pause / 2, pause))
         self._resolve_all(Unknown("side_gone"))
         self._pool.close()
@@ -277,33 +298,48 @@
     # --- the session's task --------------------------------------------------
 
     def _read_session(self, stop: threading.Event) -> bool:
+        """Read one session to its end; return whether it was opened."""
+        opened = False
+        with closing(self.frames()) as frames:
+            for _ in frames:
+                opened = True
+                if stop.is_set():
+                    break
+        return opened
+
+    def frames(self) -> Iterator[StreamFrame]:
+        """Open a session and act on its frames, one at each step, to its end."""
         message = self._open_message()
+        response = None
+        try:
+            response = self._open(message)
+            for line in lines(response) if response is not None else ():
+                frame = _frame_decoder.decode(line)
+                self._take(frame, message)
+                yield frame
+        except (HTTPError, OSError, msgspec.DecodeError) as error:
+            self._log("session_ended", reason=type(error).__name__)
+        finally:
+            self._disconnect()
+            if response is not None:
+                response.close()
+            self._give_up_outstanding()
+
+    def _open(self, message: OpenSession) -> Any:
+        """Return the session's response, or ``None`` where there is none."""
         silence = SILENT_BEATS * self._beat_seconds
         response = self._stream_pool.open_stream(
             "/peer/open", message, silence, head_seconds=OPEN_SECONDS
         )
         if isinstance(response, NotSent | Lost):
-            return False
+            return None
         if response.status != 200:
             self._note_refused(response.status)
             response.close()
-            return False
+            return None
         with self._lock:
             self._response = response
-        opened = False
-        try:
-            for line in lines(response):
-                self._take(_frame_decoder.decode(line), message)
-                opened = True
-                if stop.is_set():
-                    break
-        except (HTTPError, OSError, msgspec.DecodeError) as error:
-            self._log("session_ended", reason=type(error).__name__)
-        finally:
-            with self._lock:
-                self._response = None
-            response.close()
-        return opened
+        return response
 
     def _note_refused(self, status: int) -> None:
         """Forget the side's incarnation when it has forgotten this entry."""
@@ -318,7 +354,7 @@
 
     def _open_message(self) -> OpenSession:
         with self._lock:
-            self._session += 1
+            self._session = next(self._identity.sessions)
             return OpenSession(
                 entry=self._identity.name,
                 entry_incarnation=self._identity.incarnation,
@@ -331,12 +367,13 @@
             )
 
     def _take(self, frame: StreamFrame, message: OpenSession) -> None:
-        if frame.session != message.session:
+        """Act on one frame; raises `HTTPError` where the stream can't be trusted."""
+        if isinstance(frame, Opened) == self._connected:
             self.dropped_frames += 1
-            return
+            raise HTTPError("not begun by its first frame")
         if isinstance(frame, Opened):
             self._take_opened(frame, message)
-        elif frame.incarnation != self._incarnation:
+        elif (frame.session, frame.incarnation) != (self._session, self._incarnation):
             self.dropped_frames += 1
         elif isinstance(frame, Beat):
             self._take_beat(frame)
@@ -344,9 +381,11 @@
             self._take_result(frame)
 
     def _take_opened(self, frame: Opened, message: OpenSession) -> None:
-        if frame.side != self._vm.name:
+        told = [fate.attempt for fate in frame.fates]
+        expected = (self._vm.name, message.session, message.outstanding)
+        if (frame.side, frame.session, told) != expected:
             self.dropped_frames += 1
-            raise HTTPError(f"answered by {frame.side}")
+            raise HTTPError(f"opened by {frame.side} as another session")
         with self._lock:
             restarted = frame.incarnation != self._incarnation
             if restarted:
@@ -357,18 +396,18 @@
             self._disconnected_since = None
             self._told = message.policy
         self._log("session_opened", session=frame.session, restarted=restarted)
-        self._settle_fates(frame, message)
+        self._settle_fates(frame)
 
-    def _settle_fates(self, frame: Opened, message: OpenSession) -> None:
-        fates = {fate.attempt: fate for fate in frame.fates}
-        for name in message.outstanding:
+    def _settle_fates(self, frame: Opened) -> None:
+        for fate in frame.fates:
+            name = fate.attempt
             with self._lock:
                 waiting = self._outstanding.get(name)
             if waiting is None:
                 continue
             if waiting.side_incarnation != frame.incarnation:
                 self._resolve(name, Unknown("side_restarted"))
-            elif _never_seen(fates.get(name)):
+            elif fate.state == "never_seen":
                 self._resolve(name, NotRun("not_delivered", 0.0))
 
     def _take_beat(self, frame: Beat) -> None:
@@ -389,12 +428,14 @@
                 self._note_told(header, answer)
 
     def _take_result(self, frame: Result) -> None:
+        outcome = from_wire(frame.outcome)
         with self._lock:
-            if frame.sequence <= self._cursor:
-                self.dropped_frames += 1
-                return
-            self._cursor = frame.sequence
-        if not self._resolve(frame.attempt, from_wire(frame.outcome)):
+            expected = self._cursor + 1
+            if frame.sequence > expected:
+                raise HTTPError(f"result {expected} is missing")
+            if frame.sequence == expected:
+                self._cursor = expected
+        if frame.sequence < expected or not self._resolve(frame.attempt, outcome):
             self.dropped_frames += 1
 
     def _disconnect(self) -> None:
@@ -402,17 +443,21 @@
             if self._connected or self._disconnected_since is None:
                 self._disconnected_since = self._clock.monotonic()
             self._connected = False
+            self._response = None
         self._pool.reset()
 
     def _give_up_outstanding(self) -> None:
         """Resolve what need not, or can't, wait for the side to come back."""
         now = self._clock.monotonic()
         with self._lock:
-            since = self._disconnected_since or now
+            since = self._disconnected_since
             waiting = list(self._outstanding.values())
-        grace_over = now - since >= UNKNOWN_GRACE_SECONDS
+        away = 0.0 if since is None else now - since
+        grace_over = away >= UNKNOWN_GRACE_SECONDS
         for one in waiting:
-            if grace_over or (one.attempt.idempotent and now - since > 0.5):
+            if grace_over or (
+                one.attempt.idempotent and away > IDEMPOTENT_GRACE_SECONDS
+            ):
                 self._resolve(one.attempt.attempt, Unknown("peer_lost"))
 
     # --- helpers -------------------------------------------------------------
@@ -493,7 +538,3 @@
 
     def _log(self, name: str, **fields: Any) -> None:
         event(logger, name, side=self._vm.name, **fields)
-
-
-def _never_seen(fate: Fate | None) -> bool:
-    return fate is None or fate.state == "never_seen"
--- a/src/wigeonfront/entry/requests.py
+++ b/src/wigeonfront/entry/requests.py
@@ -57,9 +57,6 @@
         Most attempts of one request.
     retry_ratio, hedge_ratio : float
         Retries and hedges as shares of first attempts.
-    fenced : callable
-        Tells whether slots may have moved without this entry: its lease has
-        lapsed and it is not in touch with most entries.
     """
 
     def __init__(
@@ -71,7 +68,6 @@
         max_attempts: int,
         retry_ratio: float,
         hedge_ratio: float,
-        fenced: Callable[[], bool] = lambda: False,
     ) -> None:
         self._directory = directory
         self._dispatcher = dispatcher
@@ -80,7 +76,6 @@
         self._max_attempts = max_attempts
         self._budget = RetryBudget(retry_ratio)
         self._hedges = RetryBudget(hedge_ratio)
-        self._fenced = fenced
         self._random = random.Random()
 
     def run(self, work: Work, caller_gone: Callable[[], bool]) -> Outcome:
@@ -107,8 +102,6 @@
                 reason=getattr(outcome, "reason", ""),
                 delay=verdict.delay,
             )
-            if isinstance(outcome, Interrupted):
-                work.keep_prior(outcome)
             self._clock.sleep(verdict.delay)
             if caller_gone():
                 return self._final(work, NotRun("caller_gone"), "caller_gone")
@@ -155,9 +148,6 @@
         return decision.outcome
 
     def _choose_owner(self, work: Work) -> str | NotRun:
-        if self._fenced():
-            # Slots may have moved without this entry.
-            return NotRun("fenced", RETRY_SECONDS)
         owner = self._slots.owner(work.service, work.key)
         if owner is None:
             return NotRun("no_slot_owner", RETRY_SECONDS)
@@ -182,7 +172,7 @@
         while True:
             remaining = work.deadline + EXPIRY_GRACE_SECONDS - self._clock.monotonic()
             if remaining <= 0:
-                self._cancel(race)
+                self._cancel(work, race)
                 return Expired(started=True)
             ended = race.sink.get(min(CALLER_CHECK_SECONDS, remaining))
             if ended is not None:
@@ -190,7 +180,7 @@
                 if outcome is not None:
                     return outcome
             elif caller_gone():
-                self._cancel(race)
+                self._cancel(work, race)
                 return Unknown("caller_gone")
             else:
                 self._hedge(work, race)
@@ -201,10 +191,12 @@
         outcome = as_told(ended.outcome)
         self._directory.record(work.service, ended.side, outcome)
         work.may_have_run |= not _certainly_not_run(outcome)
+        if isinstance(outcome, Interrupted):
+            work.keep_prior(outcome)
         if isinstance(outcome, Completed):
             seconds = self._clock.monotonic() - race.begun
             self._directory.measure(ended.side, seconds, _size(outcome))
-            self._cancel(race)
+            self._cancel(work, race)
             return outcome
         return None if race.running else outcome
 
@@ -240,8 +232,10 @@
         )
         self._start(work, placed.side, race)
 
-    def _cancel(self, race: "_Race") -> None:
+    def _cancel(self, work: Work, race: "_Race") -> None:
+        """Stop the attempts that run; how far they came isn't waited for."""
         for attempt, side in race.running.items():
+            work.may_have_run = True
             self._dispatcher.cancel(side, [attempt])
 
     def _final(self, work: Work, outcome: Outcome, reason: str) -> Outcome:
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -15,6 +15,7 @@
 """
 
 import logging
+import threading
 import uuid
 
 from wigeonfront import logs
@@ -28,12 +29,12 @@
 from wigeonfront.entry.explain import DecisionLog
 from wigeonfront.entry.lots import Lots
 from wigeonfront.entry.member_calls import HttpMemberCalls
-from wigeonfront.entry.members import Member
 from wigeonfront.entry.operators import OperatorParts, Operators
 from wigeonfront.entry.peers import Identity
 from wigeonfront.entry.requests import Requests
 from wigeonfront.entry.server import EntryParts, EntryServer
-from wigeonfront.entry.slots import SlotMover, SlotTables
+from wigeonfront.entry.shares import equal_grant
+from wigeonfront.entry.slots import SlotMover, SlotTables, Voters
 from wigeonfront.entry.watch import PrefixWatch
 from wigeonfront.http import Application, Server
 from wigeonfront.metrics import Registry
@@ -51,6 +52,7 @@
 # Callers that come on a kept-alive connection meanwhile still get an answer.
 LEAVING_SECONDS = 1.0
 EXIT_FAILED = 1
+SHARES_SECONDS = 1.0
 
 
 class Entry:
@@ -73,6 +75,12 @@
         )
         self._vm_list = HttpVmList(settings.vm_list)
         self._limits = LimitEnforcer(self._clock)
+        self._grants: dict[str, Grant] = {}
+        self._grants_lock = threading.Lock()
+        self._slots = SlotTables(self._may_use_slots)
+        self._slots_watch = PrefixWatch(
+            slots.PREFIX, self._slots, self._key_value, self._clock
+        )
         calls = HttpMemberCalls()
         self._control = Control(
             self._identity,
@@ -88,6 +96,7 @@
             self._follow_catalogue,
             self._listed_entries,
             lambda: self._directory.behind(),
+            also_listed=[self._slots_watch],
         )
         self._catalogue = self._control.catalogue
         announcements = Announcements()
@@ -101,18 +110,15 @@
             policy=self._catalogue.policy,
         )
         self._subsets: dict[str, tuple[object, list[str]]] = {}
-        self._slots = SlotTables()
-        self._slots_watch = PrefixWatch(
-            slots.PREFIX, self._slots, self._key_value, self._clock
-        )
         self._mover = SlotMover(
             self._slots,
             self._key_value,
             lambda: self._directory.vms,
             self._directory.silent_seconds,
-            self._members,
+            self._voters,
             calls,
             self._clock,
+            self._control.contacts.polled_lately,
         )
         dispatcher = Dispatcher(
             self._directory, self._identity, self._clock, settings.failure_domain
@@ -125,7 +131,6 @@
             settings.max_attempts,
             settings.retry_budget,
             settings.hedge_budget,
-            lambda: self._control.membership.standing.name == "fenced",
         )
         lots = Lots(
             self._directory, dispatcher, self._slots, self._clock, settings.hedge_budget
@@ -163,6 +168,7 @@
         start("vm_list", lambda end: self._directory.watch(self._vm_list, end))
         start("slot-tables", self._slots_watch.run)
         start("slot-mover", self._mover.run)
+        start("shares", self._follow_members)
         for name, task in self._control.tasks().items():
             start(name, task)
         logging.getLogger().addHandler(self._decisions)
@@ -212,10 +218,27 @@
         )
 
     def _follow_catalogue(self) -> None:
-        """Put the limits of the catalogue in force."""
-        for name, row in self._catalogue.rows().items():
-            limits = row.limits
-            self._limits.set_grant(name, Grant(limits.rate, limits.concurrency))
+        """Put this entry's part of the catalogue's limits in force."""
+        with self._grants_lock:
+            self._divide_limits()
+
+    def _divide_limits(self) -> None:
+        view = self._control.view
+        others = [member.name for member in (*view.present(), *view.former())]
+        rows = self._catalogue.rows()
+        for name, row in rows.items():
+            grant = equal_grant(row.limits, self._identity.name, others)
+            if self._grants.get(name) != grant:
+                self._limits.set_grant(name, grant)
+                self._grants[name] = grant
+        for name in [name for name in self._grants if name not in rows]:
+            del self._grants[name]
+            self._limits.forget(name)
+
+    def _follow_members(self, stop: threading.Event) -> None:
+        """Divide the limits anew when entries come or go (a task)."""
+        while not stop.wait(SHARES_SECONDS):
+            self._follow_catalogue()
 
     def _select(self, service: str, sides: list[Vm]) -> list[Vm]:
         """Return this entry's subset of a service's sides."""
@@ -229,10 +252,21 @@
             known = self._subsets[service] = (asked, chosen)
         return [by_name[name] for name in known[1]]
 
-    def _members(self) -> list[Member] | None:
-        """Return the other members that must have a moved slot table."""
+    def _may_use_slots(self) -> bool:
+        """Tell whether a move of slots waits for this entry.
+
+        Not if its lease has lapsed and it isn't in touch with most entries.
+        """
+        return self._control.membership.standing.name != "fenced"
+
+    def _voters(self, revision: int) -> Voters | None:
+        """Return the other entries, for a move of slots at `revision`."""
         view = self._control.view
-        return view.present() if view.loaded else None
+        if view.revision < revision:
+            self._control.members_watch.list_now()
+        if not view.loaded or view.revision < revision:
+            return None
+        return Voters(view.present(), view.former())
 
     def _listed_entries(self) -> list[str] | None:
         listed = self._directory.vms
