After a failed swap, urgent work is taken again only once the engine serves

Swaps under failure: orders refused, unanswered, dropped, slow, half done, crashed in, without a fencing number, with urgent work that ends or doesn't, engines that ignore fencing, a side that sleeps through another's swap and wakes; a state machine in which faults mix, with urgent work taken just where the engine serves at every step.

Cause: the end of a swap let urgent work in whatever the engine's state read back; an engine without weights, or silent, then kept it to its deadline. Failed before: test_what_is_served_after_an_order[half, crash], the state machine.

--- a/src/wigeonfront/side/weights.py
+++ b/src/wigeonfront/side/weights.py
@@ -111,11 +111,11 @@
     def run(self, stop: threading.Event) -> None:
         """Watch the engine and swap when due (a supervisor's task)."""
         while not stop.is_set():
-            pause = self._step()
+            pause = self.step()
             self._wake.wait(pause)
             self._wake.clear()
 
-    def _step(self) -> float:
+    def step(self) -> float:
         """Read the engine's state and act on it; return seconds until the next."""
         now = self._clock.monotonic()
         self._refresh_members(now)
@@ -175,8 +175,8 @@
         started = self._clock.monotonic()
         result = self._engine.load(swap.version, fencing, ORDER_SECONDS)
         state = self._await_loaded()
+        # Urgent work is taken again once the state says that the engine serves.
         self._note_state(state)
-        self._execution.release()
         proved = state is not None and state.version >= swap.version
         seconds = self._clock.monotonic() - started
         if proved:
