A session outside the subset ends once it is no longer used

Cause: the directory removed a side only when it was silent, so a slot owner once reached kept its session for ever; at the target size an entry would collect one with every side. tests/test_directory.py fails without the change.

--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -216,7 +216,9 @@
             if peer is None:
                 self._add(vm)
         for name, peer in known.items():
-            if name not in wanted and self._silent(peer):
+            if name not in wanted and (
+                self._silent(peer) or (name in vms and peer.idle)
+            ):
                 self._remove(peer)
 
     def watch(self, vm_list: VmList, stop: threading.Event) -> None:
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -197,6 +197,12 @@
         """The VM of the side."""
         return self._vm
 
+    @property
+    def idle(self) -> bool:
+        """Whether no attempt is outstanding at the side."""
+        with self._lock:
+            return not self._outstanding
+
     @property
     def state(self) -> PeerState:
         """What is known of the side now."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -43,6 +43,9 @@
     directory.update(listed)
     assert directory.peer("far") is None
     assert directory.reach("far") is directory.peer("far") is not None
+    # With a session open it goes as well, once nothing is outstanding there.
+    directory.peer("far")._connected = True
+    directory.peer("far")._disconnected_since = None
     clock.advance(VISIT_SECONDS / 2)
     directory.update(listed)
     assert directory.peer("far") is not None
