--- /dev/null
+++ b/src/wigeonfront/http/client.py
@@ -0,0 +1,184 @@
+"""Calls over urllib3, whose ends are values; nothing is repeated here."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NameResolutionError,
+    NewConnectionError,
+)
+
+from wigeonfront.http.encoding import JSON_TYPE, encode, parse_address
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The call certainly did not reach the other end."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The call was sent at least in part and no whole answer came."""
+
+    reason: str
+
+
+class Pool:
+    """Connections to one address, without any automatic retry.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``, or a URL.
+    connect_seconds, read_seconds : float
+        Longest silence while connecting and while reading.
+    size : int
+        Idle connections kept.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_seconds: float = 1.0,
+        read_seconds: float = 5.0,
+        size: int = 4,
+    ) -> None:
+        text = address.removeprefix("http://").rstrip("/")
+        self._host, self._port = parse_address(text)
+        self._connect_seconds = connect_seconds
+        self._read_seconds = read_seconds
+        self._size = size
+        self._pool = self._make_pool()
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the other end."""
+        return f"{self._host}:{self._port}"
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.HTTPConnectionPool(
+            self._host, self._port, maxsize=self._size, block=False, retries=False
+        )
+
+    def reset(self) -> None:
+        """Forget every connection; the next call opens a new one."""
+        old, self._pool = self._pool, self._make_pool()
+        old.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        timeout: float | None = None,
+    ) -> Answer | NotSent | Lost:
+        """Make one call and return its end as a value."""
+        read = self._read_seconds if timeout is None else timeout
+        try:
+            response = self._request(method, path, body, headers, read, preload=True)
+        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
+            return NotSent(type(error).__name__)
+        except (HTTPError, OSError) as error:
+            return Lost(type(error).__name__)
+        retry_after = _seconds(response.headers.get("Retry-After", ""))
+        return Answer(response.status, response.data, retry_after)
+
+    def open_stream(
+        self,
+        path: str,
+        body: Any,
+        read_seconds: float,
+        fresh: bool = True,
+        head_seconds: float | None = None,
+    ) -> urllib3.BaseHTTPResponse | NotSent | Lost:
+        """POST `body` and return the response with its body unread.
+
+        Parameters
+        ----------
+        read_seconds : float
+            Longest silence between two chunks.
+        fresh : bool
+            Open a new connection instead of an idle one.
+        head_seconds : float, optional
+            Longest wait for the response's head; `read_seconds` by default.
+        """
+        if fresh:
+            self.reset()
+        head = read_seconds if head_seconds is None else head_seconds
+        try:
+            response = self._request("POST", path, body, None, head, preload=False)
+            if response.connection is not None and response.connection.sock:
+                response.connection.sock.settimeout(read_seconds)
+            return response
+        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
+            return NotSent(type(error).__name__)
+        except (HTTPError, OSError) as error:
+            return Lost(type(error).__name__)
+
+    def _request(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        headers: dict[str, str] | None,
+        read_seconds: float,
+        preload: bool,
+    ) -> urllib3.BaseHTTPResponse:
+        timeout = urllib3.Timeout(connect=self._connect_seconds, read=read_seconds)
+        data = None
+        all_headers = dict(headers or {})
+        if body is not None:
+            data = body if isinstance(body, bytes) else encode(body)
+            all_headers.setdefault("Content-Type", JSON_TYPE)
+        return self._pool.urlopen(
+            method,
+            path,
+            body=data,
+            headers=all_headers,
+            timeout=timeout,
+            retries=False,
+            redirect=False,
+            preload_content=preload,
+        )
+
+
+def _seconds(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return 0.0
+
+
+def lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the lines of an NDJSON response as they arrive.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        When the stream is cut or silent for longer than its read timeout.
+    """
+    rest = b""
+    for chunk in response.stream(65_536):
+        rest += chunk
+        *whole, rest = rest.split(b"\n")
+        yield from whole
--- a/src/wigeonfront/http.py
+++ b/src/wigeonfront/http/server.py
@@ -1,4 +1,4 @@
-"""HTTP by library: a small routing layer over cheroot and a pool over urllib3.
+"""A small routing layer over cheroot.
 
 A handler takes a `Call` and returns a `Reply` or a `Stream`. Bodies are decoded
 into messages; a body that does not decode is answered with a precise 4xx before
@@ -15,22 +15,15 @@
 from urllib.parse import parse_qs
 
 import msgspec
-import urllib3
 from cheroot import wsgi
 from cheroot.workers.threadpool import ThreadPool
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NameResolutionError,
-    NewConnectionError,
-)
 
+from wigeonfront.http.encoding import JSON_TYPE, encode, parse_address
 from wigeonfront.logs import event
 from wigeonfront.messages import ErrorReply
 
 logger = logging.getLogger(__name__)
 
-JSON_TYPE = "application/json"
 DEFAULT_MAX_BODY = 8 * 1024 * 1024
 SOCKET_SECONDS = 30.0
 STOP_SECONDS = 5.0
@@ -40,8 +33,8 @@
 POOL_CHECK_SECONDS = 10.0
 _SOCKET_KEY = "wigeonfront.socket"
 
+
 Decoded = TypeVar("Decoded")
-_encoder = msgspec.json.Encoder()
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,17 +268,6 @@
     return "OK" if status < 400 else "Error"
 
 
-def encode(value: Any) -> bytes:
-    """Return `value` as JSON."""
-    return _encoder.encode(value)
-
-
-def parse_address(address: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class _Pool(ThreadPool):
     """A pool that starts threads when few are idle, and ends them some time later.
 
@@ -376,175 +358,3 @@
 def _log_server_error(message: str = "", level: int = 20, traceback: bool = False):
     if message:
         event(logger, "server_error", level=logging.WARNING, detail=message[:300])
-
-
-# --- client ------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A whole HTTP answer."""
-
-    status: int
-    body: bytes
-    retry_after: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class NotSent:
-    """The call certainly did not reach the other end."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Lost:
-    """The call was sent at least in part and no whole answer came."""
-
-    reason: str
-
-
-class Pool:
-    """Connections to one address, without any automatic retry.
-
-    Parameters
-    ----------
-    address : str
-        ``host:port``, or a URL.
-    connect_seconds, read_seconds : float
-        Longest silence while connecting and while reading.
-    size : int
-        Idle connections kept.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        connect_seconds: float = 1.0,
-        read_seconds: float = 5.0,
-        size: int = 4,
-    ) -> None:
-        text = address.removeprefix("http://").rstrip("/")
-        self._host, self._port = parse_address(text)
-        self._connect_seconds = connect_seconds
-        self._read_seconds = read_seconds
-        self._size = size
-        self._pool = self._make_pool()
-
-    @property
-    def address(self) -> str:
-        """``host:port`` of the other end."""
-        return f"{self._host}:{self._port}"
-
-    def _make_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
-            self._host, self._port, maxsize=self._size, block=False, retries=False
-        )
-
-    def reset(self) -> None:
-        """Forget every connection; the next call opens a new one."""
-        old, self._pool = self._pool, self._make_pool()
-        old.close()
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._pool.close()
-
-    def call(
-        self,
-        method: str,
-        path: str,
-        body: Any = None,
-        headers: dict[str, str] | None = None,
-        timeout: float | None = None,
-    ) -> Answer | NotSent | Lost:
-        """Make one call and return its end as a value."""
-        read = self._read_seconds if timeout is None else timeout
-        try:
-            response = self._request(method, path, body, headers, read, preload=True)
-        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
-            return NotSent(type(error).__name__)
-        except (HTTPError, OSError) as error:
-            return Lost(type(error).__name__)
-        retry_after = _seconds(response.headers.get("Retry-After", ""))
-        return Answer(response.status, response.data, retry_after)
-
-    def open_stream(
-        self,
-        path: str,
-        body: Any,
-        read_seconds: float,
-        fresh: bool = True,
-        head_seconds: float | None = None,
-    ) -> urllib3.BaseHTTPResponse | NotSent | Lost:
-        """POST `body` and return the response with its body unread.
-
-        Parameters
-        ----------
-        read_seconds : float
-            Longest silence between two chunks.
-        fresh : bool
-            Open a new connection instead of an idle one.
-        head_seconds : float, optional
-            Longest wait for the response's head; `read_seconds` by default.
-        """
-        if fresh:
-            self.reset()
-        head = read_seconds if head_seconds is None else head_seconds
-        try:
-            response = self._request("POST", path, body, None, head, preload=False)
-            if response.connection is not None and response.connection.sock:
-                response.connection.sock.settimeout(read_seconds)
-            return response
-        except (NewConnectionError, ConnectTimeoutError, NameResolutionError) as error:
-            return NotSent(type(error).__name__)
-        except (HTTPError, OSError) as error:
-            return Lost(type(error).__name__)
-
-    def _request(
-        self,
-        method: str,
-        path: str,
-        body: Any,
-        headers: dict[str, str] | None,
-        read_seconds: float,
-        preload: bool,
-    ) -> urllib3.BaseHTTPResponse:
-        timeout = urllib3.Timeout(connect=self._connect_seconds, read=read_seconds)
-        data = None
-        all_headers = dict(headers or {})
-        if body is not None:
-            data = body if isinstance(body, bytes) else encode(body)
-            all_headers.setdefault("Content-Type", JSON_TYPE)
-        return self._pool.urlopen(
-            method,
-            path,
-            body=data,
-            headers=all_headers,
-            timeout=timeout,
-            retries=False,
-            redirect=False,
-            preload_content=preload,
-        )
-
-
-def _seconds(text: str) -> float:
-    try:
-        return max(0.0, float(text))
-    except ValueError:
-        return 0.0
-
-
-def lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield the lines of an NDJSON response as they arrive.
-
-    Raises
-    ------
-    urllib3.exceptions.HTTPError
-        When the stream is cut or silent for longer than its read timeout.
-    """
-    rest = b""
-    for chunk in response.stream(65_536):
-        rest += chunk
-        *whole, rest = rest.split(b"\n")
-        yield from whole
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -103,7 +103,7 @@
 
 
 def test_idle_threads_end(monkeypatch, serve, gate):
-    monkeypatch.setattr(http, "POOL_CHECK_SECONDS", 0.02)
+    monkeypatch.setattr(http.server, "POOL_CHECK_SECONDS", 0.02)
     before = pool_threads()
     wait = hold(serve(60), 50)
     for _ in range(50):
@@ -112,6 +112,6 @@
     gate.opened.set()
     wait()
     deadline = time.monotonic() + LONGEST_WAIT
-    while pool_threads() - before > 2 * http.SPARE_THREADS:
+    while pool_threads() - before > 2 * http.server.SPARE_THREADS:
         assert time.monotonic() < deadline
         time.sleep(0.02)
