What is handed back or refused again stays in flight until it is told

Cause: hand_back, a preempted run that is refused and a run made again that is refused were forgotten before the ledger had their outcome: the same gap for a stopping side as before, on three more paths. `_handed_back` stood beside `_as_begun`, which says the same. Failed before: test_in_flight_until_the_ledger_has_the_outcome[handed_back, preempted, again].

--- a/src/wigeonfront/side/execution.py
+++ b/src/wigeonfront/side/execution.py
@@ -117,14 +117,19 @@
         if attempt.min_version > self._condition.version and self._generates:
             return NotRun("version_behind", VERSION_RETRY_SECONDS)
         deadline = self._clock.monotonic() + attempt.remaining
-        return self._offer(Run.of(attempt, deadline))
+        refusal = self._offer(Run.of(attempt, deadline))
+        if refusal is not None:
+            self._forget(attempt.attempt)
+        return refusal
 
     def again(self, admissions: Iterable[Admitted]) -> None:
         """Queue runs that the ledger wants made again."""
         for admitted in admissions:
+            name = admitted.attempt.attempt
             refusal = self._offer(Run.of(admitted.attempt, admitted.deadline))
             if refusal is not None:
-                self._finish(admitted.attempt.attempt, refusal)
+                self._finish(name, refusal)
+                self._forget(name)
 
     def expired(self, item: AdmissionItem, outcome: Expired) -> None:
         """Tell the ledger that `item` expired while waiting."""
@@ -152,8 +157,9 @@
         """Take nothing more, and send back all that waits, to go on elsewhere."""
         self._closed.set()
         for item in self._queue.close():
+            not_run = NotRun(reason, RETRY_SECONDS)
+            self._finish(item.id, _as_begun(item.payload, not_run))
             self._forget(item.id)
-            self._finish(item.id, _handed_back(item.payload, reason))
 
     def release(self) -> None:
         """Take all classes again."""
@@ -182,6 +188,7 @@
         return item is not None
 
     def _offer(self, run: Run) -> NotRun | None:
+        """Queue a run; where it is refused, the caller has it forgotten."""
         attempt = run.attempt
         item = AdmissionItem(
             id=attempt.attempt,
@@ -205,7 +212,6 @@
             **(decision.figures if admitted else {"work_class": attempt.work_class}),
         )
         if not admitted:
-            self._forget(attempt.attempt)
             return decision
         for yielding in decision.preempt:
             self._preempt(yielding)
@@ -291,13 +297,6 @@
     return outcome
 
 
-def _handed_back(run: Run, reason: str) -> Outcome:
-    if run.started:
-        # It was preempted; another engine resumes from what it has.
-        return Interrupted(reason, tuple(run.tokens), tuple(run.versions))
-    return NotRun(reason, RETRY_SECONDS)
-
-
 def _tokens_of(outcome: Outcome) -> float:
     if isinstance(outcome, Completed):
         return float(len(outcome.payload["tokens"]))
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -276,11 +276,12 @@
     assert desk.send("b") is None
 
 
-@pytest.mark.parametrize("end", ["ran", "expired", "held"])
+@pytest.mark.parametrize(
+    "end", ["ran", "expired", "held", "handed_back", "preempted", "again"]
+)
 def test_in_flight_until_the_ledger_has_the_outcome(monkeypatch, end):
     """A stopping side waits for `in_flight` and then for unread results."""
-    desk = Desk()
-    desk.send("a", remaining=1.0)
+    desk = Desk(generates=True)
     finish, seen = desk.side.ledger.finish, []
 
     def watched(run, outcome):
@@ -288,14 +289,42 @@
         return finish(run, outcome)
 
     monkeypatch.setattr(desk.side.ledger, "finish", watched)
-    if end == "ran":
+
+    def during():
+        if end == "again":
+            desk.send("b", key="k", min_version=7)
+        if end != "ran":
+            desk.execution.hand_back("leaving")
+        if end == "preempted":
+            desk.side.queue._running["a"].payload.cancel("preempted")
+
+    desk.execution.condition = TargetCondition(9)
+    desk.send("a", remaining=1.0, key="k")
+    desk.target.script.append(generate(["t"], 6, during))
+    if end in ("ran", "preempted", "again"):
         desk.step()
     elif end == "held":
         desk.execution.hold("swapping")
+    elif end == "handed_back":
+        desk.execution.hand_back("leaving")
     else:
         desk.clock.advance(2.0)
         desk.side.queue.sweep()
-    assert (seen, desk.execution.in_flight) == ([1], 0)
+    assert (set(seen), desk.execution.in_flight) == (
+        {2, 1} if end == "again" else {1},
+        0,
+    )
+
+
+def test_what_has_begun_is_handed_back_with_its_tokens():
+    desk = Desk(generates=True, capacity=1)
+    preempted(desk)
+    desk.send("waits")
+    desk.execution.hand_back("leaving")
+    outcomes = desk.outcomes()
+    assert outcomes["rollout"] == Interrupted("leaving", ("a", "b"), BEGUN.versions)
+    assert outcomes["waits"] == NotRun("leaving", 1.0)
+    assert desk.send("late").reason == "leaving"
 
 
 def test_runs_made_again_may_be_refused():
