--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,8 +8,16 @@
 
 from fakes import BEAT, MemoryNetwork, SideProcess, whole
 from wigeonfront.clock import ManualClock
+from wigeonfront.coordination import slots
 from wigeonfront.entry.peers import Identity, Peer
-from wigeonfront.messages import Attempt, Beat, Opened, Result, to_wire
+from wigeonfront.messages import (
+    Attempt,
+    Beat,
+    DeliveryRequest,
+    Opened,
+    Result,
+    to_wire,
+)
 from wigeonfront.outcomes import Completed, Expired, Failed, NotRun, Unknown
 from wigeonfront.platform import Vm
 
@@ -187,6 +195,32 @@
     assert entry.outcomes == {name: Unknown("side_gone")}
 
 
+@pytest.mark.parametrize(
+    ("fate", "status", "connected"),
+    [
+        ("whole", "granted", True),
+        ("twice", "granted", True),
+        ("not_sent", None, True),
+        ("lost", None, False),
+        ("answer_lost", None, False),
+    ],
+)
+def test_speaking_for_a_lot(world, entry, fate, status, connected):
+    """An owner that doesn't answer leaves it open; asking again changes nothing."""
+    keeper = world.side.keeper
+    keeper._key_value.put(
+        "slots/desk", slots.encode(slots.create("desk", ["side-1"], 1))
+    )
+    keeper.refresh()
+    ask = DeliveryRequest(step="begin", key="t/l", service="desk", holder="h", epoch=2)
+    world.network.fates.append(fate)
+    reply = entry.peer.deliver(ask)
+    assert (reply and reply.status) == status
+    entry.read()
+    assert entry.peer.state.connected == connected
+    assert entry.peer.deliver(ask).status == "granted"
+
+
 def foreign(entry, kind, session=0, incarnation="s1"):
     """Return a frame as another entry's stream might carry it, as a line."""
     header = {"session": session or entry.peer._session, "incarnation": incarnation}
