Records that come twice change nothing, also after a pause

Cause: a side that doubts its slots after a pause takes them up again at the same epoch. A copy of the records that it had adopted, come late, was then adopted once more over what had happened since: an acknowledged Lot could be delivered again. Each pause also began the window of lost records anew, so that a VM that is paused now and then would have refused repeated keys for ever. Failed before: test_records_that_come_twice_change_nothing[paused], test_a_pause_does_not_prolong_the_window_of_lost_records.

--- a/src/wigeonfront/side/slots.py
+++ b/src/wigeonfront/side/slots.py
@@ -112,6 +112,7 @@
         self._owned: dict[int, OwnedSlot] = {}
         self._sealed: dict[int, int] = {}
         self._given: dict[int, SlotRecords] = {}
+        self._taken: dict[int, int] = {}
         self._wake = threading.Event()
         self._leaving = False
         self._giving = False
@@ -201,7 +202,8 @@
                 return None
             for one in records.slots:
                 known = self._given.get(one.slot)
-                if known is None or known.epoch < one.epoch:
+                newest = max(self._taken.get(one.slot, 0), known.epoch if known else 0)
+                if one.epoch > newest:
                     self._given[one.slot] = one
         event(
             logger,
@@ -236,11 +238,12 @@
         if self._owned and (not vms or self._read()[1] is None):
             return False
         records = self._seal_all()
-        heirs = self._give(records, vms)
-        written = self._write_heirs(heirs)
-        with self._lock:
+        try:
+            heirs = self._give(records, vms)
+            written = self._write_heirs(heirs)
+        finally:
             self._giving = False
-            done = written and len(heirs) == len(records) and not self._owned
+        done = written and len(heirs) == len(records) and not self._owned
         event(
             logger,
             "handed_over",
@@ -287,6 +290,8 @@
 
     def _own(self, slot: OwnedSlot) -> None:
         """Take up a slot, with its records if they were handed over for it."""
+        taken = self._taken.get(slot.slot, 0)
+        self._taken[slot.slot] = slot.epoch
         given = self._given.get(slot.slot)
         if given is not None and given.epoch <= slot.epoch:
             del self._given[slot.slot]
@@ -295,7 +300,8 @@
             self._rights.adopt(slot.slot, slot.epoch, given.lots)
             return
         lost = None
-        if slot.lost_before:
+        # A slot taken up again brings no new loss; what was lost before is known.
+        if slot.lost_before > taken:
             lost = LostRecords(slot.lost_before, self._retention)
         self._ledger.own(slot.slot, slot.epoch, lost)
         self._rights.own(slot.slot, slot.epoch, lost)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -12,10 +12,11 @@
 from wigeonfront.entry.member_calls import Unreachable
 from wigeonfront.entry.members import Member
 from wigeonfront.entry.slots import GONE_SECONDS, SlotMover, SlotTables, Voters
-from wigeonfront.messages import Attempt, Dispatch, OpenSession
+from wigeonfront.messages import Attempt, DeliveryRequest, Dispatch, OpenSession
 from wigeonfront.outcomes import NotRun, Unknown
 from wigeonfront.platform import Listing, Vm
 from wigeonfront.platform.memory import MemoryState, MemoryVmList
+from wigeonfront.side.slots import PAUSE_SECONDS
 
 ROW = slots.PREFIX + "desk"
 SLOTS = 2
@@ -278,6 +279,51 @@
     assert "s2" not in slots.owners(world.table)
 
 
+@pytest.mark.parametrize("paused", [False, True])
+def test_records_that_come_twice_change_nothing(world, paused):
+    """Also when the side doubts its slots after a pause, and takes them up again."""
+    first = world.sides["s1"]
+    index, epoch = next(iter(owned(first).items()))
+
+    def speak(side, epoch, step, submission=1):
+        lot = DeliveryRequest(
+            step=step,
+            key=PROBES[index],
+            service="desk",
+            submission=submission,
+            holder="h",
+            epoch=epoch,
+        )
+        return side.rights.handle(lot).status
+
+    assert speak(first, epoch, "begin") == "granted"
+    world.network.fates.append("again_later")
+    assert first.keeper.leave()
+    side = world.sides[world.table.slots[index].owner]
+    side.keeper.refresh()
+    for step in ("take", "acknowledge"):
+        assert speak(side, epoch + 1, step) == "granted"
+    world.network.late.pop()()
+    if paused:
+        world.clock.advance(PAUSE_SECONDS + 1.0)
+        side.keeper.note_awake()
+        assert speak(side, epoch + 1, "begin", 2) == "not_owner"
+    side.keeper.refresh()
+    assert speak(side, epoch + 1, "begin", 2) == "already_delivered"
+
+
+def test_a_pause_does_not_prolong_the_window_of_lost_records(world):
+    side = world.start("s1")
+    index = next(iter(owned(side)))
+    until = side.ledger._keys._owned._lost[index]
+    assert until[0] == owned(side)[index]
+    world.clock.advance(PAUSE_SECONDS + 1.0)
+    side.keeper.note_awake()
+    assert owned(side) == {}
+    side.keeper.refresh()
+    assert side.ledger._keys._owned._lost[index] == until
+
+
 def test_an_entry_that_a_move_does_not_wait_for_names_no_owner(world):
     entry = world.entries["e1"]
     assert entry.tables.owner("desk", "k") is not None
@@ -500,7 +546,9 @@
 
     @rule(
         name=SIDES,
-        kind=st.sampled_from(("refresh", "refresh", "hand_over", "leave", "crash")),
+        kind=st.sampled_from(
+            ("refresh", "refresh", "hand_over", "leave", "crash", "pause")
+        ),
         fault=st.sampled_from(("", "", "", "outage", "answer", "late", "down")),
         between=st.sampled_from(("", "", "hand_over", "move", "refresh", "leave")),
         other=SIDES,
@@ -527,6 +575,9 @@
             self.world.stop(name)
         elif kind == "hand_over":
             side.keeper.hand_over("test")
+        elif kind == "pause":
+            self.world.clock.advance(PAUSE_SECONDS + 1.0)
+            side.keeper.note_awake()
         else:
             side.keeper.refresh()
         key_value.between = None
