Platform adapters share one reader of answers

The VM list's and the weight store's adapters decoded answers as the key-value service's did, line for line. read, decode and unavailable now stand once, in json_client, with the statuses. Behaviour and tests as they were.

--- a/src/wigeonfront/platform/json_client.py
+++ b/src/wigeonfront/platform/json_client.py
@@ -7,7 +7,7 @@
 
 import threading
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -20,12 +20,19 @@
     ProtocolError,
 )
 
+from wigeonfront.platform import Unavailable
+
+OK = 200
+NOT_FOUND = 404
+THROTTLED = 429
 CONNECT_TIMEOUT = 1.0
 READ_TIMEOUT = 3.0
 POOL_SIZE = 4
 RETRY_AFTER_DEFAULT = 1.0
 RETRY_AFTER_LIMIT = 300.0
 
+Decoded = TypeVar("Decoded")
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -157,6 +164,30 @@
         )
 
 
+def decode(answer: Answer, reply_type: type[Decoded]) -> Decoded | None:
+    """Return the body as `reply_type`, or ``None`` where it is malformed."""
+    try:
+        return msgspec.json.decode(answer.body, type=reply_type)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def read(
+    answer: Answer | Unsent | Unanswered, reply_type: type[Decoded]
+) -> Decoded | Unavailable:
+    """Return a read's reply; a read that gave nothing changed nothing."""
+    if isinstance(answer, Answer) and answer.status == OK:
+        return decode(answer, reply_type) or Unavailable("malformed")
+    return unavailable(answer)
+
+
+def unavailable(answer: Answer | Unsent | Unanswered) -> Unavailable:
+    """Return why `answer` gave nothing."""
+    if isinstance(answer, Answer):
+        return Unavailable(f"status {answer.status}")
+    return Unavailable(answer.reason)
+
+
 def parse_retry_after(value: str | None) -> float:
     """Return the seconds of a ``Retry-After`` header.
 
--- a/src/wigeonfront/platform/key_value.py
+++ b/src/wigeonfront/platform/key_value.py
@@ -4,7 +4,7 @@
 service may change their white space.
 """
 
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 
@@ -23,22 +23,23 @@
 )
 from wigeonfront.platform.json_client import (
     CONNECT_TIMEOUT,
+    NOT_FOUND,
+    OK,
     READ_TIMEOUT,
+    THROTTLED,
     Answer,
     JsonClient,
     Unanswered,
     Unsent,
+    decode,
+    read,
+    unavailable,
 )
 
-OK = 200
-NOT_FOUND = 404
 CONFLICT = 409
-THROTTLED = 429
 OUTAGE = 503
 SERVER_ERROR = 500
 
-Decoded = TypeVar("Decoded")
-
 
 class _Revision(msgspec.Struct):
     revision: int = 0
@@ -97,14 +98,14 @@
         """Read one key."""
         answer = self._calls.get("/kv", {"key": key})
         if isinstance(answer, Answer) and answer.status == NOT_FOUND:
-            reply = _decode(answer, _Revision)
+            reply = decode(answer, _Revision)
             return Absent(reply.revision) if reply else Unavailable("malformed")
-        row = _read(answer, _RowReply)
+        row = read(answer, _RowReply)
         return row if isinstance(row, Unavailable) else _row(row)
 
     def list(self, prefix: str) -> Listing | Unavailable:
         """Read all keys below `prefix`."""
-        reply = _read(self._calls.get("/kv/list", {"prefix": prefix}), _ListReply)
+        reply = read(self._calls.get("/kv/list", {"prefix": prefix}), _ListReply)
         if isinstance(reply, Unavailable):
             return reply
         return Listing(tuple(_row(row) for row in reply.rows), reply.revision)
@@ -133,7 +134,7 @@
         """Wait up to `timeout` seconds for writes below `prefix` after a revision."""
         query = {"prefix": prefix, "after": after, "timeout": timeout}
         answer = self._watches.get("/kv/watch", query, wait=timeout)
-        reply = _read(answer, _ChangesReply)
+        reply = read(answer, _ChangesReply)
         if isinstance(reply, Unavailable):
             return reply
         changes = tuple(_change(change) for change in reply.changes)
@@ -152,7 +153,7 @@
         answer = self._calls.post("/leases/renew", {"lease": lease})
         if isinstance(answer, Answer) and answer.status == NOT_FOUND:
             return LeaseLost(lease)
-        return _leased(answer) or _unavailable(answer)
+        return _leased(answer) or unavailable(answer)
 
     def revoke_lease(self, lease: int) -> Stored | LeaseLost | Unavailable | Uncertain:
         """End a lease at once."""
@@ -176,27 +177,10 @@
     return Change(reply.key, None if value == b"null" else value, reply.revision)
 
 
-def _decode(answer: Answer, reply_type: type[Decoded]) -> Decoded | None:
-    """Return the body as `reply_type`, or ``None`` where it is malformed."""
-    try:
-        return msgspec.json.decode(answer.body, type=reply_type)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-
-
-def _read(
-    answer: Answer | Unsent | Unanswered, reply_type: type[Decoded]
-) -> Decoded | Unavailable:
-    """Return a read's reply; a read that gave nothing changed nothing."""
-    if isinstance(answer, Answer) and answer.status == OK:
-        return _decode(answer, reply_type) or Unavailable("malformed")
-    return _unavailable(answer)
-
-
 def _leased(answer: Answer | Unsent | Unanswered) -> Lease | None:
     if not isinstance(answer, Answer) or answer.status != OK:
         return None
-    reply = _decode(answer, _LeaseReply)
+    reply = decode(answer, _LeaseReply)
     return Lease(reply.lease, reply.ttl) if reply else None
 
 
@@ -204,10 +188,10 @@
     answer: Answer | Unsent | Unanswered,
 ) -> Stored | Conflict | Unavailable | Uncertain:
     if isinstance(answer, Answer) and answer.status == CONFLICT:
-        reply = _decode(answer, _Revision)
+        reply = decode(answer, _Revision)
         return Conflict(reply.revision if reply else 0)
     if isinstance(answer, Answer) and answer.status == OK:
-        stored = _decode(answer, _StoredReply)
+        stored = decode(answer, _StoredReply)
         return Stored(stored.revision) if stored else Uncertain("malformed")
     return _lost(answer)
 
@@ -218,15 +202,9 @@
         return Uncertain(answer.reason)
     if isinstance(answer, Answer) and _may_have_worked(answer.status):
         return Uncertain(f"status {answer.status}")
-    return _unavailable(answer)
+    return unavailable(answer)
 
 
 def _may_have_worked(status: int) -> bool:
     refused = status in (THROTTLED, OUTAGE)
     return not refused and (status < 400 or status >= SERVER_ERROR)
-
-
-def _unavailable(answer: Answer | Unsent | Unanswered) -> Unavailable:
-    if isinstance(answer, Answer):
-        return Unavailable(f"status {answer.status}")
-    return Unavailable(answer.reason)
--- a/src/wigeonfront/platform/vm_list.py
+++ b/src/wigeonfront/platform/vm_list.py
@@ -8,8 +8,8 @@
 from wigeonfront.platform.json_client import (
     CONNECT_TIMEOUT,
     READ_TIMEOUT,
-    Answer,
     JsonClient,
+    read,
 )
 
 
@@ -47,15 +47,9 @@
 
     def vms(self) -> tuple[Vm, ...] | Unavailable:
         """Return the VMs now listed."""
-        answer = self._client.get("/vms")
-        if not isinstance(answer, Answer):
-            return Unavailable(answer.reason)
-        if answer.status != 200:
-            return Unavailable(f"status {answer.status}")
-        try:
-            reply = msgspec.json.decode(answer.body, type=_VmsReply)
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return Unavailable("malformed")
+        reply = read(self._client.get("/vms"), _VmsReply)
+        if isinstance(reply, Unavailable):
+            return reply
         return tuple(_vm(vm) for vm in reply.vms)
 
     def close(self) -> None:
--- a/src/wigeonfront/platform/weight_store.py
+++ b/src/wigeonfront/platform/weight_store.py
@@ -7,9 +7,12 @@
 from wigeonfront.platform import Absent, Throttled, Unavailable
 from wigeonfront.platform.json_client import (
     CONNECT_TIMEOUT,
+    NOT_FOUND,
     READ_TIMEOUT,
+    THROTTLED,
     Answer,
     JsonClient,
+    read,
 )
 
 
@@ -39,18 +42,12 @@
     def newest(self, model: str) -> int | Absent | Throttled | Unavailable:
         """Return the newest version published for `model`."""
         answer = self._client.get(f"/models/{quote(model, safe='')}")
-        if not isinstance(answer, Answer):
-            return Unavailable(answer.reason)
-        if answer.status == 404:
+        if isinstance(answer, Answer) and answer.status == NOT_FOUND:
             return Absent()
-        if answer.status == 429:
+        if isinstance(answer, Answer) and answer.status == THROTTLED:
             return Throttled(answer.retry_after)
-        if answer.status != 200:
-            return Unavailable(f"status {answer.status}")
-        try:
-            return msgspec.json.decode(answer.body, type=_NewestReply).newest
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return Unavailable("malformed")
+        reply = read(answer, _NewestReply)
+        return reply if isinstance(reply, Unavailable) else reply.newest
 
     def close(self) -> None:
         """Close all connections."""
