Remove what nothing used

A heartbeat callback that no caller passed, the supervisor among the entry server's parts, a heartbeat field never set, a constant each in commands.output and policy.retries, and a method of the admission queue that repeated _preemptible. One test passed supervisor=None to build the parts; that argument goes with it, its assertions stay.

--- a/src/wigeonfront/commands/output.py
+++ b/src/wigeonfront/commands/output.py
@@ -10,7 +10,6 @@
 from wigeonfront.differences import flatten
 
 _GAP = "  "
-_INDENT = "  "
 
 
 def print_json(data: Any) -> None:
--- a/src/wigeonfront/entry/directory.py
+++ b/src/wigeonfront/entry/directory.py
@@ -62,8 +62,6 @@
     announcements : Announcements
     select : callable
         Chooses this entry's subset among the sides of a service.
-    on_beat : callable
-        Told of each heartbeat.
     policy : callable
         Returns what the sides of a service follow of the catalogue.
     """
@@ -76,7 +74,6 @@
         beat_seconds: float,
         announcements: Announcements,
         select: Callable[[str, list[Vm]], list[Vm]] = lambda service, vms: vms,
-        on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
         policy: Callable[[str], ServicePolicy | None] = lambda service: None,
     ) -> None:
         self._supervisor = supervisor
@@ -85,7 +82,6 @@
         self._beat_seconds = beat_seconds
         self._announcements = announcements
         self._select = select
-        self._on_beat = on_beat
         self._policy = policy
         self._lock = threading.Lock()
         self._peers: dict[str, Peer] = {}
@@ -262,7 +258,6 @@
             self._clock,
             self._beat_seconds,
             self._announcements.newest,
-            self._on_beat,
             lambda: self._policy(vm.service),
         )
         with self._lock:
--- a/src/wigeonfront/entry/peers.py
+++ b/src/wigeonfront/entry/peers.py
@@ -146,8 +146,6 @@
         Interval of the side's heartbeats.
     announced : callable
         Returns the newest weight version announced for each service.
-    on_beat : callable
-        Told of each heartbeat.
     policy : callable
         Returns what the side follows of the catalogue.
     pools : callable
@@ -161,7 +159,6 @@
         clock: Clock,
         beat_seconds: float,
         announced: Callable[[], dict[str, int]] = dict,
-        on_beat: Callable[[str, Beat], None] = lambda side, beat: None,
         policy: Callable[[], ServicePolicy | None] = lambda: None,
         pools: Callable[..., Pool] = Pool,
     ) -> None:
@@ -170,7 +167,6 @@
         self._clock = clock
         self._beat_seconds = beat_seconds
         self._announced = announced
-        self._on_beat = on_beat
         self._policy = policy
         self._told: ServicePolicy | None = None
         self._lock = threading.Lock()
@@ -426,7 +422,6 @@
                 frame.leaving or now - self._acknowledged_at >= ACKNOWLEDGE_SECONDS
             )
             header = self._header()
-        self._on_beat(self._vm.name, frame)
         if due or header.policy is not None:
             answer = self._pool.call("POST", "/peer/dispatch", header)
             if isinstance(answer, Answer):
--- a/src/wigeonfront/entry/server.py
+++ b/src/wigeonfront/entry/server.py
@@ -43,7 +43,6 @@
 )
 from wigeonfront.metrics import Registry
 from wigeonfront.outcomes import Expired, NotRun, Outcome, http_status
-from wigeonfront.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
 
@@ -74,7 +73,6 @@
     slots: SlotTables
     mover: SlotMover
     metrics: Registry
-    supervisor: Supervisor
 
 
 class EntryServer:
--- a/src/wigeonfront/entry/supervisor.py
+++ b/src/wigeonfront/entry/supervisor.py
@@ -149,7 +149,6 @@
                 slots=self._slots,
                 mover=self._mover,
                 metrics=self._metrics,
-                supervisor=self._supervisor,
             )
         )
         application = Application(settings.max_body_bytes)
--- a/src/wigeonfront/messages.py
+++ b/src/wigeonfront/messages.py
@@ -418,7 +418,6 @@
     serving: bool = True
     leaving: bool = False
     revision: int = 0
-    slot_revision: int = 0
 
 
 class Result(Message, frozen=True, kw_only=True, tag="result"):
--- a/src/wigeonfront/policy/admission.py
+++ b/src/wigeonfront/policy/admission.py
@@ -320,11 +320,6 @@
                 token_seconds=self._estimate.token_seconds,
             )
 
-    def preemption_candidates(self, count: int) -> list[AdmissionItem]:
-        """Return up to `count` running rollouts that may yield, most slack first."""
-        with self._changed:
-            return self._preemptible()[:count]
-
     # --- under the lock ------------------------------------------------------
 
     def _refusal(self, item: AdmissionItem, wait: float, now: float) -> NotRun | None:
--- a/src/wigeonfront/policy/retries.py
+++ b/src/wigeonfront/policy/retries.py
@@ -36,9 +36,6 @@
 RETRY_RATIO = 0.1
 """Retries allowed for each first attempt."""
 
-HEDGE_RATIO = 0.05
-"""Hedges allowed for each first attempt."""
-
 
 def backoff(attempt: int, random: Random) -> float:
     """Return the pause in seconds before retry number `attempt` (from 1).
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -90,7 +90,6 @@
             slots=table_of("s1"),
             mover=None,
             metrics=Registry(),
-            supervisor=None,
         )
     )
     application = Application(MAX_BODY)
