--- a/src/wigeonfront/policy/circuit.py
+++ b/src/wigeonfront/policy/circuit.py
@@ -208,6 +208,20 @@
                 return self._succeeded(target, circuit)
             return self._failed(target, circuit)
 
+    def answering(self, target: str) -> CircuitChange | None:
+        """Note that a request has begun to be answered; a probe closes the circuit.
+
+        What is streamed lasts for seconds, in which the target would stay empty. The
+        next pause still doubles until a request has ended in success.
+        """
+        with self._lock:
+            circuit = self._circuits.get(target)
+            if circuit is None or circuit.state != "half_open":
+                return None
+            now = self._clock.monotonic()
+            self._circuits[target] = _Circuit(openings=circuit.openings, updated=now)
+            return CircuitChange(target, "closed", "probe_answering")
+
     def state(self, target: str) -> State:
         """Return the state of the circuit of `target`."""
         with self._lock:
@@ -223,6 +237,8 @@
 
     def _succeeded(self, target: str, circuit: _Circuit) -> CircuitChange | None:
         circuit.consecutive = 0
+        if circuit.state == "closed":
+            circuit.openings = 0
         if circuit.state != "half_open":
             return None
         self._circuits[target] = _Circuit(updated=circuit.updated)
--- a/src/wigeonfront/target_table.py
+++ b/src/wigeonfront/target_table.py
@@ -275,12 +275,16 @@
                 state.probed.add(model)
 
     def accepted(self, id: str, model: str) -> None:
-        """Note that the target works for `model`."""
+        """Note that the target has begun to answer a request for `model`."""
         with self._lock:
             state = self._states.get(id)
-            if state is not None and model in state.probed:
+            if state is None:
+                return
+            if model in state.probed:
                 state.probed.discard(model)
                 state.refused_until.pop(model, None)
+            change = self._circuits_of(state.target.service).answering(id)
+        self._log(change)
 
     def saw_version(self, id: str, model: str, version: int) -> None:
         """Note the version under which the target answers for `model`."""
--- a/tests/test_policy_circuit.py
+++ b/tests/test_policy_circuit.py
@@ -55,6 +55,23 @@
     assert made.state("a") == state
 
 
+@pytest.mark.parametrize(("outcome", "grows"), [(BAD, True), (GOOD, False)])
+def test_an_answer_that_begins_closes_the_circuit(outcome, grows):
+    """Pauses grow until a request ends well; one that breaks off begins an answer."""
+    clock = ManualClock()
+    made = circuits(clock, consecutive=1, base_pause=1.0, max_pause=8.0)
+    first = made.record("a", BAD).pause
+    assert made.answering("a") is None
+    assert made.is_open("a")
+    clock.advance(1.0)
+    made.sent("a")
+    assert made.answering("a").state == "closed"
+    assert not made.is_open("a")
+    opened = [change for change in record(made, "a", [outcome, BAD]) if change]
+    assert first <= 1.0
+    assert (opened[0].pause > 1.0) == grows
+
+
 def test_a_lost_probe_does_not_block_for_ever():
     clock = ManualClock()
     made = circuits(clock, probe_timeout=10.0)
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -99,6 +99,9 @@
 
 def test_a_probe_that_generates_closes_the_circuit(table, clock):
     """The run itself may go on for seconds, in which its engine would stay empty."""
+    # The only target of a service is never left alone.
+    others = [Target(id, "s", f"h:{id}", "z", 6) for id in ("2", "3")]
+    table.replace([*table.all_targets(), *others])
     for _ in range(CIRCUIT_SETTINGS.consecutive):
         table.started("e", MODEL)
         table.ended("e", "failure")
