Owners of Lots tell each other their runs at engines; a sample of one version goes where that stays

Each counted its own runs only, and both gave their longest samples to the quickest engine: 24 runs on 12 places, of which some waited for 3 s ("no answer") and a sample of 107 events took 7.0 s in place of 4.2 s.

Change: `rollout/engine_loads.py` (was paces.py): an entry asks the last three owners each 0.25 s while it runs Lots, else each second, for their runs and paces; until they tell, one other owner is taken to send as many as this one. An engine's cost counts the runs of all, and those beyond its places more. Own runs alone decide whether a sample is sent. No Lot waits for the answer any more.

test_an_entry_learns_from_others_which_engines_are_quick waits until the second entry knows the paces, as it asks in rounds and no longer at the Lot's start; what it asserts is unchanged.

Also, for routes that want one version a sample: engines are told to let runs end first (`MoveOrder.keep_runs`), such samples stay off engines that are about to load, and a broken text goes on at its version only.

--- a/examples/platform_standins/engine.py
+++ b/examples/platform_standins/engine.py
@@ -42,12 +42,17 @@
     silent: bool = False
 
 
+RUNS_PAUSE_SECONDS = 0.005
+"""Pause between two looks whether the runs have ended."""
+
+
 class _Order(msgspec.Struct):
     model: str
     version: int
     expected: int | None = None
     holder: str = ""
     fence: int = 0
+    mode: str = "retain"
 
 
 class Engine(Served):
@@ -85,6 +90,8 @@
         self.orders: list[_Order] = []
         self.running = 0
         self._loading = False
+        # Model whose runs end before its next version is loaded.
+        self._finishing = ""
         self._load_seconds = load_seconds
         self._lock = threading.Lock()
         super().__init__(address, self._answer, threads=100)
@@ -126,11 +133,16 @@
                 return
             self.orders.append(order)
             self._loading = True
-        threading.Timer(self._load_seconds, self._loaded, (order,)).start()
+            self._finishing = order.model if order.mode == "wait" else ""
+        threading.Thread(target=self._load, args=(order,), daemon=True).start()
         call.reply(202)
 
-    def _loaded(self, order: _Order) -> None:
+    def _load(self, order: _Order) -> None:
+        while self._finishing and self.running:
+            time.sleep(RUNS_PAUSE_SECONDS)
+        time.sleep(self._load_seconds)
         self.versions[order.model] = order.version
+        self._finishing = ""
         self._loading = False
 
     def _generate(self, call: RawCall) -> None:
@@ -139,7 +151,7 @@
         if call.header(names.EXPECT_INSTANCE) not in ("", self.id):
             call.reply(421, headers=((names.NOT_EXECUTED, "1"),))
             return
-        if self.faults.refuse:
+        if self.faults.refuse or self._finishing == call.header(names.MODEL) != "":
             call.reply(503, headers=((names.NOT_EXECUTED, "1"),))
             return
         with self._lock:
--- a/src/wigeonfront/configuration.py
+++ b/src/wigeonfront/configuration.py
@@ -128,6 +128,14 @@
     services: dict[str, Service] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
 
+    def wants_one_version(self, service: str) -> bool:
+        """Tell whether a route wants each sample of `service` from one version."""
+        return any(
+            route.single_version and share.service == service
+            for route in self.routes
+            for share in route.shares
+        )
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of `host` with the longest prefix that begins `path`."""
         best: Route | None = None
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -29,9 +29,9 @@
 from wigeonfront.platform.lot_calls import PlatformSamples
 from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.platform.target_calls import PlatformTargets
+from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.rollout.owner_calls import OwnerServer
-from wigeonfront.rollout.paces import PaceClient, PaceServer
 from wigeonfront.rollout.repository import LotRepository
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.sample_run import SampleRunner
@@ -161,9 +161,12 @@
             self._live_mirror,
             self._registration.member,
             self._members,
-            PaceClient(table),
+            lambda: self._loads.lot_started(),
             clock,
         )
+        self._loads = LoadFollower(
+            table, self._lots.recent_owners, self._runner.has_open_lots
+        )
         domain = settings.failure_domain
         sends = metrics.counter(
             "sends_total", "Sends to targets.", ("service", "outcome")
@@ -195,7 +198,7 @@
             RelayServer(direct),
             FeedServer(self._mirrors),
             OwnerServer(self._runner),
-            PaceServer(table),
+            LoadServer(table),
         )
         self._peer_server = RawServer(
             settings.peer_address, peer_calls.answer, PEER_THREADS
@@ -227,6 +230,7 @@
         start("registration", self._registration.run)
         start("send", self._runner.send_loop)
         start("keep", self._runner.keeper.run)
+        start("loads", self._loads.run)
         start("own", self._lots.own_loop)
         start("upkeep", self._upkeep)
         start("call-log", self._meter.log_loop)
@@ -306,7 +310,7 @@
             ids = {view.target.address: view.target.id for view in views}
             models = tuple(sorted(service.models))
             for address in loading_engines(ids, models, named.model, named.version):
-                self._table.expect_refusals(ids[address], named.model)
+                self._table.expect_load(ids[address], named.model, named.version)
 
     def _on_live(self, mirror: Mirror) -> None:
         me = self._registration.member.incarnation
--- a/src/wigeonfront/node/peer_calls.py
+++ b/src/wigeonfront/node/peer_calls.py
@@ -1,8 +1,8 @@
 """The calls that the system's processes make to each other."""
 
 from wigeonfront.http.raw import RawCall
+from wigeonfront.rollout.engine_loads import LOADS_PATH, LoadServer
 from wigeonfront.rollout.owner_calls import OWNER_PATH, OwnerServer
-from wigeonfront.rollout.paces import PACES_PATH, PaceServer
 from wigeonfront.row_feed import FEED_PATH, FeedServer
 from wigeonfront.store_relay import RELAY_PATH, RelayServer
 
@@ -15,7 +15,7 @@
     relay : RelayServer
     feed : FeedServer
     owner : OwnerServer
-    paces : PaceServer
+    loads : LoadServer
     """
 
     def __init__(
@@ -23,13 +23,13 @@
         relay: RelayServer,
         feed: FeedServer,
         owner: OwnerServer,
-        paces: PaceServer,
+        loads: LoadServer,
     ) -> None:
         self._answers = {
             RELAY_PATH: relay.answer,
             FEED_PATH: feed.answer,
             OWNER_PATH: owner.answer,
-            PACES_PATH: paces.answer,
+            LOADS_PATH: loads.answer,
         }
 
     def answer(self, call: RawCall) -> None:
--- a/src/wigeonfront/node/side.py
+++ b/src/wigeonfront/node/side.py
@@ -70,6 +70,7 @@
             PlatformEngine(settings.target_address, settings.name),
             self._follower.versions,
             self._find_place,
+            self._keeps_runs,
             clock,
             metrics,
         )
@@ -124,6 +125,12 @@
         rank = addresses.index(self._address)
         return Place(rank, len(addresses), self._models())
 
+    def _keeps_runs(self) -> bool:
+        configuration = self._follower.current
+        return configuration is None or not configuration.wants_one_version(
+            self._service
+        )
+
     def _models(self) -> tuple[str, ...]:
         configuration = self._follower.current
         service = configuration and configuration.services.get(self._service)
--- a/src/wigeonfront/platform/engine_calls.py
+++ b/src/wigeonfront/platform/engine_calls.py
@@ -21,6 +21,9 @@
 KEEP_RUNNING = "retain"
 """Mode in which runs in progress go on under the new version."""
 
+FINISH_RUNS = "wait"
+"""Mode in which runs in progress end first; until then no other run starts."""
+
 
 class _Model(msgspec.Struct, frozen=True):
     name: str
@@ -72,7 +75,7 @@
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "mode": KEEP_RUNNING,
+            "mode": KEEP_RUNNING if order.keep_runs else FINISH_RUNS,
             "holder": self._holder,
             "fence": fence,
             "expected": expected,
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -12,7 +12,6 @@
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.owner_calls import OwnerClient
 from wigeonfront.rollout.ownership import NO_OWNER, claimable_lots
-from wigeonfront.rollout.paces import PaceClient
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import (
     HEAD_PREFIX,
@@ -129,8 +128,8 @@
     me : Member
     members : callable
         Returns the members that are registered.
-    paces : PaceClient
-        Asks other owners how fast engines are.
+    on_start : callable
+        Called before a Lot's first samples are sent.
     clock : Clock
     """
 
@@ -141,10 +140,10 @@
         mirror: Mirror,
         me: Member,
         members: Callable[[], list[Member]],
-        paces: PaceClient,
+        on_start: Callable[[], None],
         clock: Clock,
     ) -> None:
-        self._paces = paces
+        self._on_start = on_start
         self._owners = OwnerClient()
         self._leaving = False
         self._repository = repository
@@ -178,7 +177,7 @@
         )
         if isinstance(outcome, Kept):
             if owner != NO_OWNER:
-                self._paces.learn(self._recent_owners())
+                self._on_start()
                 self._runner.adopt(lot, outcome.revision, [])
             return Accepted()
         if isinstance(outcome, AlreadyKept):
@@ -364,9 +363,20 @@
         results = self._repository.results(lot_id, 0)
         if isinstance(lot, Lot) and isinstance(results, list):
             texts = self._repository.texts(lot_id)
-            self._paces.learn(self._recent_owners())
+            self._on_start()
             self._runner.adopt(lot, revision, results, texts)
 
+    def recent_owners(self) -> list[str]:
+        """Return the addresses of other owners, that of the newest Lot first."""
+        addresses = {
+            member.incarnation: member.address
+            for member in self._members()
+            if member.incarnation != self._me.incarnation
+        }
+        heads = sorted(self.heads().values(), key=lambda head: -head.submitted_at)
+        owners = dict.fromkeys(head.owner for head in heads)
+        return [addresses[owner] for owner in owners if owner in addresses]
+
     # --- Lots of others ------------------------------------------------------
 
     def _remember(self, lot_id: str, lot: Lot, results: list[SampleResult]) -> None:
@@ -440,17 +450,6 @@
                 return member.address
         return ""
 
-    def _recent_owners(self) -> list[str]:
-        """Return the addresses of other owners, that of the newest Lot first."""
-        addresses = {
-            member.incarnation: member.address
-            for member in self._members()
-            if member.incarnation != self._me.incarnation
-        }
-        heads = sorted(self.heads().values(), key=lambda head: -head.submitted_at)
-        owners = dict.fromkeys(head.owner for head in heads)
-        return [addresses[owner] for owner in owners if owner in addresses]
-
     def _load(self, lot_id: str) -> Lot | LotUnknown | LotUnavailable:
         progress = self._runner.owned(lot_id)
         if progress is not None:
--- a/src/wigeonfront/rollout/order.py
+++ b/src/wigeonfront/rollout/order.py
@@ -58,6 +58,11 @@
 """Share by which an event takes longer on an engine with all places taken, from the
 step times that the users gave."""
 
+QUEUEING = 1.0
+"""Share by which an event takes longer for each sample that waits at a full engine, as
+a share of its places: it waits until as many have ended. Without it the quickest engine
+of several owners had 24 runs on 12 places while others had free ones."""
+
 PACE_EVENTS = 6
 """Events over which the pace of a run is taken: a fifth of a second on a quick engine,
 so that one late event does not count as slowness."""
@@ -84,6 +89,37 @@
 place that falls free goes to the sample that needs it most, wherever that is."""
 
 
+@dataclass(frozen=True, slots=True)
+class Needs:
+    """What a sample asks of an engine's weights.
+
+    Attributes
+    ----------
+    model : str
+    min_version : int
+        Engines known to hold older weights are left out.
+    single_version : bool
+        It must come from one version: an engine that is about to change its weights
+        would have to wait for it, or break it off.
+    text_version : int
+        The version that it must go on from; 0 if any will do.
+    """
+
+    model: str
+    min_version: int = 0
+    single_version: bool = False
+    text_version: int = 0
+
+    def fit(self, view: TargetView) -> bool:
+        """Tell whether the weights of an engine fit, as far as they are known."""
+        version = view.versions.get(self.model)
+        if self.single_version and self.model in view.closing:
+            return self.text_version != 0 and version == self.text_version
+        if self.text_version:
+            return version == self.text_version
+        return version is None or version >= self.min_version
+
+
 @dataclass(frozen=True, slots=True)
 class Waiting:
     """A sample that waits, with its Lot."""
@@ -91,6 +127,15 @@
     progress: LotProgress
     state: SampleState
 
+    @property
+    def needs(self) -> "Needs":
+        """What it asks of an engine's weights."""
+        lot = self.progress.lot
+        bound = self.state.text_version if lot.single_version else 0
+        return Needs(
+            self.state.sample.model, lot.min_version, lot.single_version, bound
+        )
+
     @property
     def latest_start(self) -> float:
         """Unix time at which it must start to end in time."""
@@ -123,9 +168,9 @@
 
 
 def usable_engines(
-    views: Sequence[TargetView], model: str, min_version: int, now: float
+    views: Sequence[TargetView], needs: Needs, now: float
 ) -> list[TargetView]:
-    """Return the engines that take samples of `model` from weights new enough.
+    """Return the engines that take samples with such needs.
 
     Parameters
     ----------
@@ -137,8 +182,8 @@
         for view in views
         if not view.draining
         and view.available
-        and view.refused_until.get(model, 0.0) <= now
-        and view.versions.get(model, min_version) >= min_version
+        and view.refused_until.get(needs.model, 0.0) <= now
+        and needs.fit(view)
     ]
 
 
@@ -152,14 +197,14 @@
     bonus : int
         Places that count as free though they are taken.
     """
-    crowded = (view.in_flight - bonus) / max(1, view.target.slots)
-    return (view.latency or typical) * (1 + CROWDING * crowded)
+    crowded = (view.load - bonus) / max(1, view.target.slots)
+    queued = max(0.0, crowded - 1)
+    return (view.latency or typical) * (1 + CROWDING * crowded + QUEUEING * queued)
 
 
 def choose_engine(
     views: Sequence[TargetView],
-    model: str,
-    min_version: int,
+    needs: Needs,
     group_targets: frozenset[str],
     avoid: str,
     now: float,
@@ -169,9 +214,7 @@
     Parameters
     ----------
     views : sequence of TargetView
-    model : str
-    min_version : int
-        Engines known to hold older weights are left out.
+    needs : Needs
     group_targets : frozenset of str
         Engines that have samples of the same group.
     avoid : str
@@ -179,7 +222,7 @@
     now : float
         Monotonic time.
     """
-    usable = usable_engines(views, model, min_version, now)
+    usable = usable_engines(views, needs, now)
     healthy = [view for view in usable if view.target.id != avoid] or usable
     with_room = [view for view in healthy if has_room(view)]
     known = [view.latency for view in healthy if view.latency > 0]
@@ -228,9 +271,8 @@
     typical = median(view.latency for view in known)
     if pace > MOVE_FACTOR * typical:
         return True
-    quickest = min(
-        (event_seconds(view, typical) for view in known if has_room(view)), default=pace
-    )
+    free = [view for view in known if view.load < view.target.slots]
+    quickest = min((event_seconds(view, typical) for view in free), default=pace)
     saved = seconds_left * (1 - quickest / pace)
     return pace >= QUICKER_FACTOR * quickest and saved >= LEAST_GAIN_SECONDS
 
@@ -244,7 +286,11 @@
 
 
 def has_room(view: TargetView) -> bool:
-    """Tell whether the engine would start one more sample at once."""
+    """Tell whether the engine gets one more sample.
+
+    Own samples alone count: what others have there is known late, and a place that
+    falls free would wait for the next round. What is too much waits at the engine.
+    """
     return view.free + int(QUEUE_SHARE * view.target.slots) > 0
 
 
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -42,6 +42,11 @@
     snapshot: Text | None = None
     saved: int = 0
 
+    @property
+    def text_version(self) -> int:
+        """Oldest version that has generated its text; 0 for none."""
+        return min(self.text.versions, default=0) if self.text.last_id else 0
+
     @property
     def snapshot_id(self) -> int:
         """Id of the last event of the snapshot; 0 for none."""
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -23,6 +23,7 @@
     PACE_EVENTS,
     SNAPSHOT_EVENTS,
     UNKNOWN_TOKENS,
+    Needs,
     Waiting,
     choose_engine,
     should_move,
@@ -264,25 +265,48 @@
         now = self._clock.monotonic()
         self._give_up_late()
         started = False
-        full: set[tuple[str, str, int]] = set()
+        full: set[tuple[str, Needs]] = set()
         for waiting in waiting_samples(list(self._lots.values()), now):
             lot = waiting.progress.lot
             route = configuration.find(lot.host, lot.prefix)
             if route is None:
                 continue
             service = route.shares[0].service
-            key = (service, waiting.state.sample.model, lot.min_version)
-            if key in full:
+            needs = self._needs(waiting, service)
+            if (service, needs) in full:
                 continue
-            view = self._choose(waiting, service, now)
+            view = self._choose(waiting, needs, service, now)
             if view is None:
-                full.add(key)
+                full.add((service, needs))
                 continue
             self._start(waiting, view)
             started = True
         return started
 
-    def _choose(self, waiting: Waiting, service: str, now: float) -> TargetView | None:
+    def _needs(self, waiting: Waiting, service: str) -> Needs:
+        """Return what a sample asks of an engine; drop a text that none can go on."""
+        needs = waiting.needs
+        if not needs.text_version:
+            return needs
+        versions = [
+            view.versions.get(needs.model) for view in self._table.views(service)
+        ]
+        if needs.text_version in versions:
+            return needs
+        event(
+            logger,
+            "text_dropped",
+            lot=waiting.progress.lot.id,
+            sample=waiting.state.sample.id,
+            version=needs.text_version,
+            events=waiting.state.text.last_id,
+        )
+        waiting.state.forget_text()
+        return waiting.needs
+
+    def _choose(
+        self, waiting: Waiting, needs: Needs, service: str, now: float
+    ) -> TargetView | None:
         sample = waiting.state.sample
         group_targets = frozenset(
             run.target_id
@@ -291,8 +315,7 @@
         )
         return choose_engine(
             self._table.views(service),
-            sample.model,
-            waiting.progress.lot.min_version,
+            needs,
             group_targets,
             waiting.state.avoid,
             now,
@@ -311,6 +334,7 @@
             sample=state.sample.id,
             target=view.target.id,
             load=view.in_flight,
+            others=view.others,
             slots=view.target.slots,
             after=state.text.last_id,
             expected_tokens=state.sample.expected_tokens,
@@ -394,8 +418,7 @@
         left = max(expected - events * tokens_for_event, events * tokens_for_event)
         others = usable_engines(
             self._table.views(run.view.target.service),
-            state.sample.model,
-            run.progress.lot.min_version,
+            Waiting(run.progress, state).needs,
             self._clock.monotonic(),
         )
         return should_move(
--- a/src/wigeonfront/target_table.py
+++ b/src/wigeonfront/target_table.py
@@ -47,30 +47,58 @@
 """Pause between two requests that find out whether a target takes work for a model
 again: a third of the time that a load of weights takes."""
 
+LOADING_SECONDS = 8.0
+"""How long an engine that is to load a version is taken to be about to: the longest
+samples, which end first where they may not change weights, and the load take 7 s."""
+
 REPLACED_SECONDS = 4.0
 """How long a target gets no work once another incarnation has answered at its address:
 within three heartbeats of 1.2 s the store drops the registration of the one that is
 gone. Without it every sample was sent there again each 0.3 s after a loss of power."""
 
 
+MIRRORED_OWNERS = 1
+"""Other owners that are taken to send runs as this one does, until they tell: trainers
+ask for steps at the same moments, and two at once is common, three is not."""
+
+
 @dataclass(frozen=True, slots=True)
-class Pace:
-    """How fast an engine generates.
+class EngineState:
+    """What one owner of Lots knows of an engine.
 
     Attributes
     ----------
     target : str
-    seconds : float
-        Smoothed seconds for an event of a stream.
+    runs : int
+        Its own requests there that have not ended.
+    pace : float
+        Smoothed seconds for an event of a stream; 0 if unknown.
     age : float
-        Seconds since it was taken last.
+        Seconds since the pace was taken last.
     """
 
     target: str
-    seconds: float
+    runs: int
+    pace: float
     age: float
 
 
+@dataclass(frozen=True, slots=True)
+class OthersEngines:
+    """What the other owners know of engines, at one moment.
+
+    Attributes
+    ----------
+    owners : int
+        Owners that were asked, whether they told or not.
+    states : list of EngineState
+        Those that they told.
+    """
+
+    owners: int
+    states: list[EngineState]
+
+
 @dataclass(frozen=True, slots=True)
 class TargetView:
     """A target at one moment.
@@ -89,6 +117,10 @@
         Versions last seen; empty if unknown.
     refused_until : dict of str to float
         Monotonic time until which it takes no work for a model.
+    closing : frozenset of str
+        Models whose weights it is about to change.
+    others : int
+        Runs of other owners of Lots there, as far as known.
     """
 
     target: Target
@@ -98,12 +130,25 @@
     draining: bool
     versions: Mapping[str, int]
     refused_until: Mapping[str, float]
+    closing: frozenset[str] = frozenset()
+    others: int = 0
 
     @property
     def free(self) -> int:
-        """Places free, as far as known; negative while requests wait there."""
+        """Places free of own requests; negative while these wait there."""
         return self.target.slots - self.in_flight
 
+    @property
+    def load(self) -> int:
+        """Requests there of this process and of other owners."""
+        return self.in_flight + self.others
+
+
+@dataclass(frozen=True, slots=True)
+class _ExpectedLoad:
+    version: int
+    until: float
+
 
 @dataclass(slots=True)
 class _State:
@@ -113,9 +158,13 @@
     measured_at: float = 0.0
     # Its latency is the pace of runs.
     paced: bool = False
+    # Runs of other owners, and own ones of which they could not tell yet.
+    others: int = 0
+    recent: int = 0
     replaced_until: float = 0.0
     # Models of which it is unknown whether the target takes work again.
     probed: set[str] = field(default_factory=set)
+    loads: dict[str, _ExpectedLoad] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     refused_until: dict[str, float] = field(default_factory=dict)
 
@@ -136,6 +185,7 @@
         self._lock = threading.Lock()
         self._states: dict[str, _State] = {}
         self._circuits: dict[str, Circuits] = {}
+        self._other_owners = 0
 
     def replace(self, targets: Iterable[Target]) -> None:
         """Take `targets` as all that there are."""
@@ -189,6 +239,8 @@
             if state is None:
                 return
             state.in_flight += 1
+            if model:
+                state.recent += 1
             if model in state.probed:
                 state.refused_until[model] = self._clock.monotonic() + PROBE_SECONDS
             change = self._circuits_of(state.target.service).sent(id)
@@ -234,29 +286,43 @@
         fresh = now - state.measured_at < LATENCY_LIFE_SECONDS
         return state.latency if fresh else 0.0
 
-    def paces(self) -> list[Pace]:
-        """Return what is known of the engines' paces."""
+    def engine_states(self) -> list[EngineState]:
+        """Return what this process knows of engines that it uses or has used."""
         with self._lock:
             now = self._clock.monotonic()
-            return [
-                Pace(id, latency, now - state.measured_at)
+            found = [
+                EngineState(
+                    id,
+                    state.in_flight if state.target.versions else 0,
+                    self._latency(state, now) if state.paced else 0.0,
+                    now - state.measured_at,
+                )
                 for id, state in self._states.items()
-                if state.paced and (latency := self._latency(state, now))
             ]
+        return [state for state in found if state.runs or state.pace]
+
+    def learn(self, others: OthersEngines) -> int:
+        """Take what other owners know; return how many newer paces there were.
 
-    def learn_paces(self, paces: Iterable[Pace]) -> int:
-        """Take paces that are newer than the own ones; return how many."""
+        It replaces what was told before.
+        """
         taken = 0
         with self._lock:
             now = self._clock.monotonic()
-            for pace in paces:
-                state = self._states.get(pace.target)
-                if state is None or now - pace.age <= state.measured_at:
+            self._other_owners = others.owners
+            for state in self._states.values():
+                state.others = 0
+                state.recent = 0
+            for told in others.states:
+                state = self._states.get(told.target)
+                if state is None:
                     continue
-                state.latency = pace.seconds
-                state.measured_at = now - pace.age
-                state.paced = True
-                taken += 1
+                state.others += told.runs
+                if told.pace and now - told.age > state.measured_at:
+                    state.latency = told.pace
+                    state.measured_at = now - told.age
+                    state.paced = True
+                    taken += 1
         return taken
 
     def refused(self, id: str, model: str) -> None:
@@ -267,11 +333,13 @@
                 state.refused_until[model] = self._clock.monotonic() + PROBE_SECONDS
                 state.probed.add(model)
 
-    def expect_refusals(self, id: str, model: str) -> None:
-        """Note that the target may take no work for `model` for some time."""
+    def expect_load(self, id: str, model: str, version: int) -> None:
+        """Note that the target is to load `version` and may take no work meanwhile."""
         with self._lock:
             state = self._states.get(id)
             if state is not None:
+                until = self._clock.monotonic() + LOADING_SECONDS
+                state.loads[model] = _ExpectedLoad(version, until)
                 state.probed.add(model)
 
     def accepted(self, id: str, model: str) -> None:
@@ -311,6 +379,7 @@
 
     def _view(self, state: _State, now: float) -> TargetView:
         id = state.target.id
+        unseen = MIRRORED_OWNERS * state.recent if self._other_owners else 0
         circuits = self._circuits_of(state.target.service)
         return TargetView(
             target=state.target,
@@ -320,6 +389,12 @@
             draining=state.target.draining,
             versions=dict(state.versions),
             refused_until=dict(state.refused_until),
+            closing=frozenset(
+                model
+                for model, load in state.loads.items()
+                if now < load.until and state.versions.get(model, 0) < load.version
+            ),
+            others=state.others + unseen,
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/weights/mover.py
+++ b/src/wigeonfront/weights/mover.py
@@ -47,6 +47,8 @@
         Returns the newest named versions and the fencing token that orders bear.
     place : callable
         Returns where the engine stands among those of its service.
+    keep_runs : callable
+        Tells whether runs in progress may go on under new weights.
     clock : Clock
     metrics : wigeonfront.metrics.Registry
     """
@@ -56,12 +58,14 @@
         engine: Engine,
         named: Callable[[], tuple[list[NamedVersion], int]],
         place: Callable[[], Place],
+        keep_runs: Callable[[], bool],
         clock: Clock,
         metrics: Registry,
     ) -> None:
         self._engine = engine
         self._named = named
         self._place = place
+        self._keep_runs = keep_runs
         self._clock = clock
         self._wake = threading.Event()
         self._versions: dict[str, int] = {}
@@ -100,7 +104,7 @@
             return BUSY_PAUSE_SECONDS
         self._versions = dict(report.versions)
         now = self._clock.monotonic()
-        order = next_move(report, named, now, self._place())
+        order = next_move(report, named, now, self._place(), self._keep_runs())
         if order is None:
             return BUSY_PAUSE_SECONDS
         answer = self._engine.move(order, fence, report.orders)
@@ -112,6 +116,7 @@
             previous=report.versions.get(order.model, 0),
             version=order.version,
             reason=order.reason,
+            keep_runs=order.keep_runs,
             fence=fence,
             expected=report.orders,
             running=report.running,
--- a/src/wigeonfront/weights/plan.py
+++ b/src/wigeonfront/weights/plan.py
@@ -87,11 +87,14 @@
     model : str
     version : int
     reason : str
+    keep_runs : bool
+        Runs in progress go on under the new weights; else they end first.
     """
 
     model: str
     version: int
     reason: str
+    keep_runs: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,7 +166,11 @@
 
 
 def next_move(
-    report: EngineReport, named: list[NamedVersion], now: float, place: Place
+    report: EngineReport,
+    named: list[NamedVersion],
+    now: float,
+    place: Place,
+    keep_runs: bool = True,
 ) -> MoveOrder | None:
     """Return the order that an engine should get now, if any.
 
@@ -174,6 +181,8 @@
     now : float
         Monotonic time.
     place : Place
+    keep_runs : bool
+        Samples may come from several versions.
     """
     if report.loading or report.draining:
         return None
@@ -185,10 +194,10 @@
     for one in behind:
         lag = one.version - report.versions.get(one.model, 0)
         if lag > AGREED_LAG + 1:
-            return MoveOrder(one.model, one.version, "far too old")
+            return MoveOrder(one.model, one.version, "far too old", keep_runs)
     for one in behind:
         lag = one.version - report.versions.get(one.model, 0)
         due = lag > AGREED_LAG or place.follows(one.version)
         if due and now >= one.named_at + place.load_delay:
-            return MoveOrder(one.model, one.version, f"{lag} behind")
+            return MoveOrder(one.model, one.version, f"{lag} behind", keep_runs)
     return None
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from wigeonfront.configuration import Configuration, Route, RouteKind, ServiceShare
@@ -15,6 +17,15 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("single", "service", "wants"),
+    [(True, "s", True), (False, "s", False), (True, "other", False)],
+)
+def test_services_whose_samples_come_from_one_version(single, service, wants):
+    routes = (route("plain"), replace(route("lots"), single_version=single))
+    assert Configuration(1, routes).wants_one_version(service) == wants
+
+
 ROUTES = Configuration(
     1,
     (
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -190,6 +190,7 @@
     quick.faults.event_seconds, slow.faults.event_seconds = 0.01, 0.04
     submit(first, "l1")
     read_all(first, "l1")
+    wait_for(lambda: len(second._table.engine_states()) == 2)
     # As many as the quick engine has places for.
     submit(second, "l2", samples=4)
     read_all(second, "l2", 4)
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -5,6 +5,8 @@
 from wigeonfront.rollout.order import (
     BATCH_SECONDS,
     TEXT_SECONDS,
+    Needs,
+    Waiting,
     batch_due,
     choose_engine,
     engine_priority,
@@ -94,10 +96,43 @@
     ],
 )
 def test_the_engine_with_most_room_is_chosen(views, group, avoid, chosen):
-    found = choose_engine(views, MODEL, 3, frozenset(group), avoid, now=1.0)
+    found = choose_engine(views, Needs(MODEL, 3), frozenset(group), avoid, now=1.0)
     assert (found.target.id if found else None) == chosen
 
 
+OLD, NEW = engine("old", version=3), engine("new", 4, version=4)
+CLOSING = engine("closing", version=3, closing=frozenset({MODEL}))
+
+
+@pytest.mark.parametrize(
+    ("views", "needs", "chosen"),
+    [
+        ([CLOSING, NEW], Needs(MODEL, 3), "closing"),
+        ([CLOSING, NEW], Needs(MODEL, 3, single_version=True), "new"),
+        ([CLOSING, OLD], Needs(MODEL, 3, single_version=True), "old"),
+        ([CLOSING], Needs(MODEL, 3, single_version=True), None),
+        ([OLD, NEW], Needs(MODEL, 3, True, text_version=4), "new"),
+        ([CLOSING, NEW], Needs(MODEL, 3, True, text_version=3), "closing"),
+        ([OLD], Needs(MODEL, 3, True, text_version=4), None),
+        ([engine("unknown"), NEW], Needs(MODEL, 3, True, text_version=4), "new"),
+    ],
+)
+def test_a_sample_of_one_version_goes_where_that_stays(views, needs, chosen):
+    found = choose_engine(views, needs, frozenset(), "", now=1.0)
+    assert (found.target.id if found else None) == chosen
+
+
+@pytest.mark.parametrize(
+    ("single", "versions", "bound"),
+    [(True, {4}, 4), (False, {4}, 0), (True, set(), 0)],
+)
+def test_a_text_binds_only_samples_of_one_version(single, versions, bound):
+    lot = progress([sample("a")], single_version=single, min_version=3)
+    state = lot.open["a"]
+    state.text = Text([b"x"] * len(versions), versions)
+    assert Waiting(lot, state).needs == Needs(MODEL, 3, single, bound)
+
+
 QUICK = engine("quick", latency=0.04)
 FULL = engine("full", 6, latency=0.04)
 SLOW = engine("slow", latency=0.09)
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -6,9 +6,11 @@
 from wigeonfront.target_table import (
     CIRCUIT_SETTINGS,
     LATENCY_LIFE_SECONDS,
+    LOADING_SECONDS,
     PROBE_SECONDS,
     REPLACED_SECONDS,
-    Pace,
+    EngineState,
+    OthersEngines,
     TargetTable,
 )
 from wigeonfront.targets import Target
@@ -49,7 +51,7 @@
 
 
 def test_an_engine_that_is_to_load_gets_one_request_at_a_time(table, clock):
-    table.expect_refusals("e", MODEL)
+    table.expect_load("e", MODEL, 2)
     assert takes(table, clock)
     table.started("e", MODEL)
     assert not takes(table, clock)
@@ -59,6 +61,22 @@
     assert takes(table, clock)
 
 
+def closing(table):
+    return table.views("s")[0].closing
+
+
+def test_an_engine_is_closing_until_it_has_the_version(table, clock):
+    table.expect_load("e", MODEL, 3)
+    table.accepted("e", MODEL)
+    table.saw_version("e", MODEL, 2)
+    assert closing(table) == {MODEL}
+    table.saw_version("e", MODEL, 3)
+    assert closing(table) == frozenset()
+    table.expect_load("e", MODEL, 5)
+    clock.advance(LOADING_SECONDS)
+    assert closing(table) == frozenset()
+
+
 def test_a_target_that_was_replaced_rests_until_its_registration_ends(table, clock):
     table.replaced("e")
     assert not table.views("s")[0].available
@@ -66,9 +84,11 @@
     assert table.views("s")[0].available
 
 
-@pytest.mark.parametrize("call", ["refused", "expect_refusals", "accepted"])
-def test_a_target_that_is_gone_is_passed_over(table, call):
-    getattr(table, call)("gone", MODEL)
+@pytest.mark.parametrize(
+    ("call", "arguments"), [("refused", ()), ("expect_load", (2,)), ("accepted", ())]
+)
+def test_a_target_that_is_gone_is_passed_over(table, call, arguments):
+    getattr(table, call)("gone", MODEL, *arguments)
     assert [view.target.id for view in table.views("s")] == ["e"]
 
 
@@ -91,10 +111,37 @@
     clock.advance(20.0)
     table.paced("e", 0.04)
     clock.advance(3.0)
-    told = [Pace("e", 0.06, age), Pace("gone", 0.05, 0.0)]
-    assert table.learn_paces(told) == taken
+    told = [EngineState("e", 0, 0.06, age), EngineState("gone", 0, 0.05, 0.0)]
+    assert table.learn(OthersEngines(1, told)) == taken
     assert latency(table) == (0.06 if taken else 0.04)
-    assert table.paces() == [Pace("e", latency(table), age if taken else 3.0)]
+    (state,) = table.engine_states()
+    assert state == EngineState("e", 0, latency(table), age if taken else 3.0)
+
+
+def test_runs_of_other_owners_count_as_load(table):
+    table.started("e", MODEL)
+    told = [EngineState("e", 2, 0.0, 0.0), EngineState("e", 1, 0.0, 0.0)]
+    table.learn(OthersEngines(2, told))
+    assert table.views("s")[0].load == 4
+    assert [state.runs for state in table.engine_states()] == [1]
+    table.learn(OthersEngines(2, []))
+    assert table.views("s")[0].load == 1
+
+
+@pytest.mark.parametrize(
+    ("owners", "model", "load"),
+    [(0, MODEL, 3), (1, MODEL, 5), (3, MODEL, 5), (1, "", 3)],
+)
+def test_another_owner_is_taken_to_send_alike_until_it_tells(
+    table, owners, model, load
+):
+    table.started("e", MODEL)
+    table.learn(OthersEngines(owners, []))
+    for _ in range(2):
+        table.started("e", model)
+    assert table.views("s")[0].load == load
+    table.learn(OthersEngines(owners, []))
+    assert table.views("s")[0].load == 3
 
 
 def test_a_probe_that_generates_closes_the_circuit(table, clock):
--- a/tests/test_weight_plan.py
+++ b/tests/test_weight_plan.py
@@ -38,6 +38,13 @@
         assert (order.model, order.version) == ("a", newest)
 
 
+@pytest.mark.parametrize("keep_runs", [True, False])
+@pytest.mark.parametrize("have", [1, 2])
+def test_an_order_says_whether_runs_may_go_on(keep_runs, have):
+    order = next_move(report(a=have), [named(4)], 99.0, Place(), keep_runs)
+    assert order.keep_runs == keep_runs
+
+
 @pytest.mark.parametrize("busy", [{"loading": True}, {"draining": True}])
 def test_a_busy_or_leaving_engine_gets_no_order(busy):
     state = EngineReport(versions={"a": 1}, **busy)
