--- a/src/wigeonfront/http/raw.py
+++ b/src/wigeonfront/http/raw.py
@@ -218,7 +218,7 @@
         call = RawCall(request, lambda: self._close_connections)
         try:
             self._handler(call)
-        except OSError as error:
+        except (OSError, BodyCutOff) as error:
             # The caller's connection broke; there is nobody to answer.
             call.abort()
             event(logger, "caller_lost", level=logging.DEBUG, detail=str(error))
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -308,8 +308,8 @@
                 continue
             views = self._table.views(service.name)
             ids = {view.target.address: view.target.id for view in views}
-            models = tuple(sorted(service.models))
-            for address in loading_engines(ids, models, named.model, named.version):
+            loading = loading_engines(ids, service.models, named.model, named.version)
+            for address in loading:
                 self._table.expect_load(ids[address], named.model, named.version)
 
     def _on_live(self, mirror: Mirror) -> None:
--- a/src/wigeonfront/node/side.py
+++ b/src/wigeonfront/node/side.py
@@ -22,7 +22,7 @@
 from wigeonfront.store_relay import RoutedStore
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.weights.mover import WeightMover
-from wigeonfront.weights.plan import NamedVersion, Place
+from wigeonfront.weights.plan import NamedVersion, Place, engine_places
 
 logger = logging.getLogger(__name__)
 
@@ -112,18 +112,13 @@
         if isinstance(listing, Unavailable):
             return None
         # One that is gone may still be registered beside the next at its address.
-        addresses = sorted(
-            {
-                target.address
-                for row in listing.rows
-                if (target := records.decode_target(row.key, row.value)) is not None
-                and target.service == self._service
-            }
-        )
-        if self._address not in addresses:
-            return None
-        rank = addresses.index(self._address)
-        return Place(rank, len(addresses), self._models())
+        addresses = [
+            target.address
+            for row in listing.rows
+            if (target := records.decode_target(row.key, row.value)) is not None
+            and target.service == self._service
+        ]
+        return engine_places(addresses, self._models()).get(self._address)
 
     def _keeps_runs(self) -> bool:
         configuration = self._follower.current
@@ -134,7 +129,7 @@
     def _models(self) -> tuple[str, ...]:
         configuration = self._follower.current
         service = configuration and configuration.services.get(self._service)
-        return tuple(sorted(service.models)) if service else ()
+        return service.models if service else ()
 
 
 def run(settings: NodeSettings) -> int:
--- a/src/wigeonfront/weights/plan.py
+++ b/src/wigeonfront/weights/plan.py
@@ -144,23 +144,33 @@
         return min(turn * SPREAD_SECONDS, MOST_SPREAD_SECONDS)
 
 
-def loading_engines(
-    addresses: Collection[str], models: tuple[str, ...], model: str, version: int
-) -> list[str]:
-    """Return the addresses of the engines that load a version once it is named.
+def engine_places(
+    addresses: Collection[str], models: Collection[str]
+) -> dict[str, Place]:
+    """Return where each engine of a service stands, by its address.
 
     Parameters
     ----------
     addresses : collection of str
-        Of all engines of the service.
-    models : tuple of str
-        Models of the service, in an order that all agree on.
+        Of all engines of the service; one may stand twice.
+    models : collection of str
+        Models of the service.
     """
-    ordered = sorted(addresses)
-    places = [Place(rank, len(ordered), models) for rank in range(len(ordered))]
+    ordered = sorted(set(addresses))
+    agreed = tuple(sorted(models))
+    return {
+        address: Place(rank, len(ordered), agreed)
+        for rank, address in enumerate(ordered)
+    }
+
+
+def loading_engines(
+    addresses: Collection[str], models: Collection[str], model: str, version: int
+) -> list[str]:
+    """Return the addresses of the engines that load a version once it is named."""
     return [
         address
-        for address, place in zip(ordered, places, strict=True)
+        for address, place in engine_places(addresses, models).items()
         if place.serves(model) and place.follows(version)
     ]
 
--- a/tests/test_http_raw.py
+++ b/tests/test_http_raw.py
@@ -1,3 +1,4 @@
+import socket
 import threading
 
 import pytest
@@ -51,3 +52,24 @@
     threading.Thread(target=server.run, args=(None,), daemon=True).start()
     assert Pool(address).call("GET", "/x", timeout=2.0).status == 500
     server.close(0.1)
+
+
+def test_a_call_that_is_cut_in_its_body_is_no_error(caplog):
+    served = threading.Event()
+
+    def read(call):
+        try:
+            call.body(100)
+        finally:
+            served.set()
+
+    address = free_address()
+    server = raw.RawServer(address, read, threads=4)
+    server.bind()
+    threading.Thread(target=server.run, args=(None,), daemon=True).start()
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
+    assert served.wait(2.0)
+    server.close(0.1)
+    assert "handler_failed" not in caplog.text
