A text of one version is kept while an engine can go on from it; runs move to no engine that is about to load

Moves also went to engines that had to load, which refused them ("Mov Ref Ref" in nearly each longest sample).

Change: what was generated stays until no engine has its version (`LotRunner._needs`); engines that are about to load are no aim of a move. tests/test_lot_runner.py failed first.

--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -422,7 +422,13 @@
             self._clock.monotonic(),
         )
         return should_move(
-            [view for view in others if view.target.id != run.target_id],
+            [
+                view
+                for view in others
+                # One that is about to load would refuse the run.
+                if view.target.id != run.target_id
+                and state.sample.model not in view.closing
+            ],
             pace,
             left,
             pace / tokens_for_event,
@@ -499,7 +505,8 @@
                 self._table.refused(run.target_id, model)
         elif isinstance(outcome, RunTooOld):
             self._table.saw_version(run.target_id, model, outcome.version)
-            if lot.single_version or not state.text.fits(lot.min_version, False):
+            # What another engine can go on from is kept; see `_needs`.
+            if not state.text.fits(lot.min_version, lot.single_version):
                 state.forget_text()
         else:
             state.avoid = run.target_id
--- /dev/null
+++ b/tests/test_lot_runner.py
@@ -0,0 +1,114 @@
+"""Decisions of `LotRunner` about samples, with scripted runs."""
+
+import random
+import threading
+
+import pytest
+
+from rows_fakes import wait_for
+from wigeonfront.clock import ManualClock
+from wigeonfront.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from wigeonfront.metrics import Registry
+from wigeonfront.rollout.events import StreamEvent
+from wigeonfront.rollout.lot import Lot, Sample
+from wigeonfront.rollout.run_outcomes import RunBroken, RunCompleted, RunTooOld
+from wigeonfront.rollout.runner import LotRunner
+from wigeonfront.target_table import TargetTable
+from wigeonfront.targets import Target
+
+MODEL = "m"
+
+
+class ScriptedRuns:
+    """Runs that each add events of one version and end as told."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.began = []
+
+    def run(self, lot, sample, text, target, seconds, handle, on_event):
+        events, version, outcome = self.steps.pop(0)
+        self.began.append((target.id, text.last_id))
+        for _ in range(events):
+            text.add(StreamEvent(text.last_id + 1, b"x", version), version)
+            on_event(version)
+        return outcome
+
+
+def make_runner(samples, versions):
+    clock = ManualClock(100.0)
+    table = TargetTable(clock, random.Random(1))
+    table.replace(
+        Target(id, "s", f"h:{id}", "z", 2, versions={MODEL: version})
+        for id, version in versions.items()
+    )
+    route = Route("r", "h", "/", RouteKind.LOTS, (ServiceShare("s", 1.0),), 1.0, 0.4, 3)
+    services = {"s": Service("s", "/health", 100, 2, (MODEL,))}
+    configuration = Configuration(1, (route,), services)
+    return LotRunner(None, table, samples, lambda: configuration, clock, Registry())
+
+
+@pytest.fixture
+def sending():
+    stop = threading.Event()
+    threads = []
+
+    def start(runner):
+        thread = threading.Thread(target=runner.send_loop, args=(stop,), daemon=True)
+        thread.start()
+        threads.append((runner, thread))
+
+    yield start
+    stop.set()
+    for runner, thread in threads:
+        runner.wake()
+        thread.join()
+
+
+@pytest.mark.parametrize(
+    ("steps", "versions", "began"),
+    [
+        # The engine has changed its weights; another one still goes on.
+        (
+            [(3, 4, RunBroken("x")), (0, 5, RunTooOld(5)), (2, 4, RunCompleted())],
+            {"a": 4, "b": 4, "c": 4},
+            [0, 3, 3],
+        ),
+        # None goes on from that version: the sample begins anew.
+        (
+            [(3, 4, RunBroken("x")), (0, 5, RunTooOld(5)), (5, 5, RunCompleted())],
+            {"a": 4, "b": 5},
+            [0, 3, 0],
+        ),
+    ],
+)
+def test_a_text_of_one_version_is_kept_while_an_engine_goes_on(
+    sending, steps, versions, began
+):
+    runs = ScriptedRuns(*steps)
+    runner = make_runner(runs, versions)
+    lot = Lot(
+        "l",
+        "h",
+        "/",
+        (Sample("s1", "/x", (), b"", "g", MODEL),),
+        model=MODEL,
+        min_version=4,
+        give_up_seconds=100.0,
+        submitted_at=100.0,
+        single_version=True,
+    )
+    runner.adopt(lot, 1, [])
+    sending(runner)
+    progress = runner.owned("l")
+    wait_for(lambda: not progress.open)
+    (result,) = progress.unkept
+    assert [after for _, after in runs.began] == began
+    assert len(result.versions) == 1
+    assert result.text.count(b"x") == 5
