--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -22,14 +22,11 @@
 from wigeonfront.rollout.order import (
     PACE_EVENTS,
     SNAPSHOT_EVENTS,
-    UNKNOWN_TOKENS,
     Needs,
     Waiting,
-    choose_engine,
-    should_move,
-    usable_engines,
     waiting_samples,
 )
+from wigeonfront.rollout.placing import SamplePlacer
 from wigeonfront.rollout.progress import LotProgress, SampleState
 from wigeonfront.rollout.repository import LotRepository
 from wigeonfront.rollout.run_outcomes import (
@@ -111,6 +108,7 @@
         self._table = table
         self._samples = samples
         self._configuration = configuration
+        self._placer = SamplePlacer(table, configuration, clock)
         self._clock = clock
         self._lock = threading.RLock()
         self._work = threading.Condition(self._lock)
@@ -272,10 +270,11 @@
             if route is None:
                 continue
             service = route.shares[0].service
-            needs = self._needs(waiting, service)
+            needs = self._placer.needs(waiting, service)
             if (service, needs) in full:
                 continue
-            view = self._choose(waiting, needs, service, now)
+            group_targets = self._group_targets(waiting.state.sample.group)
+            view = self._placer.choose(waiting, needs, service, group_targets)
             if view is None:
                 full.add((service, needs))
                 continue
@@ -283,42 +282,12 @@
             started = True
         return started
 
-    def _needs(self, waiting: Waiting, service: str) -> Needs:
-        """Return what a sample asks of an engine; drop a text that none can go on."""
-        needs = waiting.needs
-        if not needs.text_version:
-            return needs
-        versions = [
-            view.versions.get(needs.model) for view in self._table.views(service)
-        ]
-        if needs.text_version in versions:
-            return needs
-        event(
-            logger,
-            "text_dropped",
-            lot=waiting.progress.lot.id,
-            sample=waiting.state.sample.id,
-            version=needs.text_version,
-            events=waiting.state.text.last_id,
-        )
-        waiting.state.forget_text()
-        return waiting.needs
-
-    def _choose(
-        self, waiting: Waiting, needs: Needs, service: str, now: float
-    ) -> TargetView | None:
-        sample = waiting.state.sample
-        group_targets = frozenset(
+    def _group_targets(self, group: str) -> frozenset[str]:
+        """Return the engines that have samples of a group."""
+        return frozenset(
             run.target_id
             for run in self._runs.values()
-            if run.state.sample.group == sample.group
-        )
-        return choose_engine(
-            self._table.views(service),
-            needs,
-            group_targets,
-            waiting.state.avoid,
-            now,
+            if run.state.sample.group == group
         )
 
     def _start(self, waiting: Waiting, view: TargetView) -> None:
@@ -394,7 +363,8 @@
         run.paced_at = now
         run.paced_events = 1
         self._table.paced(run.target_id, pace)
-        if run.handle.moved or not self._slow(run, pace):
+        running = Waiting(run.progress, run.state)
+        if run.handle.moved or not self._placer.should_move(running, run.view, pace):
             return
         run.state.moves += 1
         event(
@@ -409,37 +379,6 @@
         )
         run.handle.move()
 
-    def _slow(self, run: _Run, pace: float) -> bool:
-        state = run.state
-        events = max(1, state.text.last_id)
-        tokens_for_event = self._tokens_for_event(run)
-        expected = state.sample.expected_tokens or UNKNOWN_TOKENS
-        # An estimate that is passed says little: as much again may follow.
-        left = max(expected - events * tokens_for_event, events * tokens_for_event)
-        others = usable_engines(
-            self._table.views(run.view.target.service),
-            Waiting(run.progress, state).needs,
-            self._clock.monotonic(),
-        )
-        return should_move(
-            [
-                view
-                for view in others
-                # One that is about to load would refuse the run.
-                if view.target.id != run.target_id
-                and state.sample.model not in view.closing
-            ],
-            pace,
-            left,
-            pace / tokens_for_event,
-            state.moves,
-        )
-
-    def _tokens_for_event(self, run: _Run) -> float:
-        configuration = self._configuration()
-        service = configuration and configuration.services.get(run.view.target.service)
-        return float(service.event_tokens) if service else 1.0
-
     def _ended(
         self, run: _Run, outcome: RunOutcome, seconds: float, events: int
     ) -> None:
@@ -505,7 +444,7 @@
                 self._table.refused(run.target_id, model)
         elif isinstance(outcome, RunTooOld):
             self._table.saw_version(run.target_id, model, outcome.version)
-            # What another engine can go on from is kept; see `_needs`.
+            # What another engine can go on from is kept; see `SamplePlacer.needs`.
             if not state.text.fits(lot.min_version, lot.single_version):
                 state.forget_text()
         else:
