--- /dev/null
+++ b/benchmarks/days/variants.py
@@ -0,0 +1,140 @@
+"""Writes variants of a site file: ``python -m benchmarks.days.variants SITE FOLDER``.
+
+Each differs from the site in one respect that another deployment may have; the users'
+program plays them like the site itself, such as ``hunt FOLDER/streams.toml --days 4``.
+The file of the site's messages (``wire``) must lie beside them.
+"""
+
+import argparse
+import re
+import shutil
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+
+STREAM_CLASS = "chat"
+"""Name of the kind of streamed request that two variants add."""
+
+STREAMS_A_MIX = 3.0
+"""Its share of the mix, beside 6.0 of the plain requests."""
+
+Change = Callable[[str], str]
+
+
+class NoChangeError(ValueError):
+    """A variant that would be the site itself."""
+
+
+def scaled(field: str, factor: float) -> Change:
+    """Return a change that multiplies each whole or decimal value of `field`."""
+
+    def change(text: str) -> str:
+        def one(match: re.Match[str]) -> str:
+            value = float(match[1]) * factor
+            return f"{field} = {max(1, int(value)) if '.' not in match[1] else value}"
+
+        return re.sub(rf"\b{field} = ([\d.]+)", one, text)
+
+    return change
+
+
+def put(old: str, new: str) -> Change:
+    """Return a change that puts `new` for each `old`."""
+    return lambda text: text.replace(old, new)
+
+
+def all_of(*changes: Change) -> Change:
+    """Return the changes one after the other."""
+
+    def change(text: str) -> str:
+        for one in changes:
+            text = one(text)
+        return text
+
+    return change
+
+
+def unsafe(text: str) -> str:
+    """Make the plain requests such that may not be repeated."""
+    for line in _class_lines(text, lambda fields: "lot" not in fields):
+        changed = re.sub(r" \},?\s*$", ', kind = "unsafe" },', line)
+        text = text.replace(line, changed, 1)
+    return text
+
+
+def streams(resumable: bool) -> Change:
+    """Return a change that adds streamed requests to the first trainer's engines."""
+
+    def change(text: str) -> str:
+        line = _class_lines(text, lambda fields: "lot" in fields)[0]
+        name = tomllib.loads(f"a = [{line.strip().rstrip(',')}]")["a"][0]["name"]
+        made = line.replace(f'name = "{name}"', f'name = "{STREAM_CLASS}"')
+        made = made.replace('kind = "rollout", ', "")
+        made = re.sub(r", only = \[\d+\]", "", made)
+        made = re.sub(r", keep_s = .*$", " },", made)
+        if not resumable:
+            made = made.replace("resume = true", "resume = false")
+        mixed = re.sub(
+            r"(mix = \{ [^}]*?) \}",
+            rf"\1, {STREAM_CLASS} = {STREAMS_A_MIX} }}",
+            text,
+        )
+        return mixed.replace(line, f"{made}\n{line}", 1)
+
+    return change
+
+
+def _class_lines(text: str, wanted: Callable[[dict], bool]) -> list[str]:
+    """Return the lines of the site's kinds of requests that are `wanted`."""
+    lines = [line for line in text.splitlines() if re.match(r"\s*\{ name = ", line)]
+    found = []
+    for line in lines:
+        fields = tomllib.loads(f"a = [{line.strip().rstrip(',')}]")["a"][0]
+        if "deadline_ms" in fields and wanted(fields):
+            found.append(line)
+    return found
+
+
+VARIANTS: dict[str, Change] = {
+    "one-version": put("pure = false", "pure = true"),
+    "streams": streams(resumable=True),
+    "streams-once": streams(resumable=False),
+    "unsafe": unsafe,
+    "few-places": scaled("slots", 1 / 3),
+    "little-memory": scaled("memory_mb", 0.27),
+    "slow-machines": all_of(scaled("cpu_share", 0.3), scaled("sync_ms", 60.0)),
+    "small-engine-memory": scaled("kv_tokens", 0.4),
+}
+
+
+def write(site: Path, folder: Path) -> list[Path]:
+    """Write all variants of `site` to `folder`; return their paths."""
+    text = site.read_text()
+    folder.mkdir(parents=True, exist_ok=True)
+    written = []
+    for name, change in VARIANTS.items():
+        changed = change(text)
+        if changed == text:
+            raise NoChangeError(name)
+        tomllib.loads(changed)
+        path = folder / f"{name}.toml"
+        path.write_text(changed)
+        written.append(path)
+    wire = tomllib.loads(text).get("wire")
+    if wire:
+        shutil.copy(site.parent / wire, folder / wire)
+    return written
+
+
+def main() -> None:
+    """Write the variants and print where they are."""
+    parser = argparse.ArgumentParser(prog="benchmarks.days.variants")
+    parser.add_argument("site", type=Path)
+    parser.add_argument("folder", type=Path)
+    arguments = parser.parse_args()
+    for path in write(arguments.site, arguments.folder):
+        print(path)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,72 @@
+"""What `benchmarks.days` writes for the users' program."""
+
+import tomllib
+
+import pytest
+
+from benchmarks.days import variants
+
+SITE = """\
+wire = "wire.json"
+machines = [
+  { class = "front", cpu_share = 0.8, memory_mb = 300, disk = { sync_ms = 0.5 } },
+]
+services = [
+  { name = "judge", slots = 12, llm = { kv_tokens = 80000 } },
+]
+classes = [
+  { name = "page", deadline_ms = 1500.0, worth = 0.2 },
+  { name = "rollouts", deadline_ms = 12000, kind = "rollout",\
+ stream = { resume = true }, only = [0], keep_s = 40.0, lot = { groups = 13, pure = false } },
+]
+traffic = [
+  { zone = "a", mix = { page = 6.0 } },
+]
+"""
+
+
+@pytest.fixture
+def written(tmp_path):
+    site = tmp_path / "site" / "site.toml"
+    site.parent.mkdir()
+    site.write_text(SITE)
+    (site.parent / "wire.json").write_text("{}")
+    paths = variants.write(site, tmp_path / "out")
+    assert (tmp_path / "out" / "wire.json").exists()
+    return {path.stem: tomllib.loads(path.read_text()) for path in paths}
+
+
+@pytest.mark.parametrize(
+    ("name", "at", "value"),
+    [
+        ("one-version", ("classes", 1, "lot", "pure"), True),
+        ("streams", ("classes", 1, "name"), "chat"),
+        ("streams", ("classes", 1, "stream", "resume"), True),
+        ("streams", ("classes", 2, "name"), "rollouts"),
+        ("streams", ("traffic", 0, "mix", "chat"), variants.STREAMS_A_MIX),
+        ("streams-once", ("classes", 1, "stream", "resume"), False),
+        ("unsafe", ("classes", 0, "kind"), "unsafe"),
+        ("unsafe", ("classes", 1, "kind"), "rollout"),
+        ("few-places", ("services", 0, "slots"), 4),
+        ("little-memory", ("machines", 0, "memory_mb"), 81),
+        ("slow-machines", ("machines", 0, "disk", "sync_ms"), 30.0),
+        ("small-engine-memory", ("services", 0, "llm", "kv_tokens"), 32000),
+    ],
+)
+def test_each_variant_changes_one_respect(written, name, at, value):
+    found = written[name]
+    for key in at:
+        found = found[key]
+    assert found == value
+
+
+def test_streams_are_no_lots(written):
+    for name in ("streams", "streams-once"):
+        assert {"kind", "only", "lot"}.isdisjoint(written[name]["classes"][1])
+
+
+def test_a_site_that_a_variant_does_not_change_is_told(tmp_path):
+    site = tmp_path / "site.toml"
+    site.write_text(SITE.replace("pure = false", "pure = true"))
+    with pytest.raises(variants.NoChangeError):
+        variants.write(site, tmp_path / "out")
