--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -17,7 +17,8 @@
 classes = [
   { name = "page", deadline_ms = 1500.0, worth = 0.2 },
   { name = "rollouts", deadline_ms = 12000, kind = "rollout",\
- stream = { resume = true }, only = [0], keep_s = 40.0, lot = { groups = 13, pure = false } },
+ stream = { resume = true }, only = [0], keep_s = 40.0,\
+ lot = { groups = 13, pure = false } },
 ]
 traffic = [
   { zone = "a", mix = { page = 6.0 } },
