A text of one version is waited for no longer than it takes to generate

Change: SamplePlacer.place drops a text once no engine has its version, or once it has waited for as long as generating it anew takes. tests/test_lot_runner.py failed first.

--- a/src/wigeonfront/rollout/placing.py
+++ b/src/wigeonfront/rollout/placing.py
@@ -7,8 +7,8 @@
 from wigeonfront.configuration import Configuration
 from wigeonfront.logs import event
 from wigeonfront.rollout.order import (
+    TOKEN_SECONDS,
     UNKNOWN_TOKENS,
-    Needs,
     Waiting,
     choose_engine,
     should_move,
@@ -40,49 +40,62 @@
         self._configuration = configuration
         self._clock = clock
 
-    def needs(self, waiting: Waiting, service: str) -> Needs:
-        """Return what a sample asks of an engine; drop a text that none can go on."""
-        needs = waiting.needs
-        if not needs.text_version:
-            return needs
-        versions = [
-            view.versions.get(needs.model) for view in self._table.views(service)
-        ]
-        if needs.text_version in versions:
-            return needs
-        event(
-            logger,
-            "text_dropped",
-            lot=waiting.progress.lot.id,
-            sample=waiting.state.sample.id,
-            version=needs.text_version,
-            events=waiting.state.text.last_id,
-        )
-        waiting.state.forget_text()
-        return waiting.needs
-
-    def choose(
-        self,
-        waiting: Waiting,
-        needs: Needs,
-        service: str,
-        group_targets: frozenset[str],
+    def place(
+        self, waiting: Waiting, service: str, group_targets: frozenset[str]
     ) -> TargetView | None:
         """Return the engine that a sample should be sent to now, if any.
 
+        A text that must go on at its version is dropped once that is in vain.
+
         Parameters
         ----------
         group_targets : frozenset of str
             Engines that have samples of the same group.
         """
+        views = self._table.views(service)
+        view = self._choose(views, waiting, group_targets)
+        if view is None and self._in_vain(waiting, views, service):
+            event(
+                logger,
+                "text_dropped",
+                lot=waiting.progress.lot.id,
+                sample=waiting.state.sample.id,
+                version=waiting.state.text_version,
+                events=waiting.state.text.last_id,
+            )
+            waiting.state.forget_text()
+            view = self._choose(views, waiting, group_targets)
+        return view
+
+    def _choose(
+        self,
+        views: list[TargetView],
+        waiting: Waiting,
+        group_targets: frozenset[str],
+    ) -> TargetView | None:
         return choose_engine(
-            self._table.views(service),
-            needs,
+            views,
+            waiting.needs,
             group_targets,
             waiting.state.avoid,
             self._clock.monotonic(),
         )
 
+    def _in_vain(self, waiting: Waiting, views: list[TargetView], service: str) -> bool:
+        """Tell whether a text that binds its sample should no longer be waited for.
+
+        No engine has its version, or it has waited for as long as generating it anew
+        takes: so waiting costs at most as much again as the better choice would.
+        """
+        needs, state = waiting.needs, waiting.state
+        if not needs.text_version:
+            return False
+        if all(view.versions.get(needs.model) != needs.text_version for view in views):
+            return True
+        tokens = state.text.last_id * self._tokens_for_event(service)
+        waited = self._clock.monotonic() - state.waits_since
+        return waited >= tokens * TOKEN_SECONDS
+
     def should_move(self, running: Waiting, view: TargetView, pace: float) -> bool:
         """Tell whether a sample that runs at an engine should go on elsewhere.
 
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -26,6 +26,8 @@
         Times that it was moved off a slow target.
     not_before : float
         Monotonic time before which it is not sent again.
+    waits_since : float
+        Monotonic time at which it began to wait.
     snapshot : Text or None
         Copy of the text that the run's own thread took between two events.
     saved : int
@@ -39,6 +41,7 @@
     avoid: str = ""
     moves: int = 0
     not_before: float = 0.0
+    waits_since: float = 0.0
     snapshot: Text | None = None
     saved: int = 0
 
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -160,6 +160,7 @@
             progress = LotProgress(lot, head_revision, results)
             for id, state in progress.open.items():
                 text = self._recent.pop(id, None) or texts.get(id)
+                state.waits_since = self._clock.monotonic()
                 if text is not None and text.fits(lot.min_version, lot.single_version):
                     state.text = text
             self._lots[lot.id] = progress
@@ -270,13 +271,15 @@
             if route is None:
                 continue
             service = route.shares[0].service
-            needs = self._placer.needs(waiting, service)
+            needs = waiting.needs
             if (service, needs) in full:
                 continue
             group_targets = self._group_targets(waiting.state.sample.group)
-            view = self._placer.choose(waiting, needs, service, group_targets)
+            view = self._placer.place(waiting, service, group_targets)
             if view is None:
-                full.add((service, needs))
+                # Whether a text is waited for is decided for each sample.
+                if not needs.text_version:
+                    full.add((service, needs))
                 continue
             self._start(waiting, view)
             started = True
@@ -408,6 +411,7 @@
             if self._runs.get(state.sample.id) is run:
                 del self._runs[state.sample.id]
             state.running = False
+            state.waits_since = self._clock.monotonic()
             if not isinstance(outcome, RunCancelled) and not run.progress.ended:
                 self._settle(run, outcome)
             self._work.notify_all()
@@ -444,7 +448,7 @@
                 self._table.refused(run.target_id, model)
         elif isinstance(outcome, RunTooOld):
             self._table.saw_version(run.target_id, model, outcome.version)
-            # What another engine can go on from is kept; see `SamplePlacer.needs`.
+            # What another engine can go on from is kept; see `SamplePlacer`.
             if not state.text.fits(lot.min_version, lot.single_version):
                 state.forget_text()
         else:
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -15,14 +15,18 @@
     ServiceShare,
 )
 from wigeonfront.metrics import Registry
-from wigeonfront.rollout.events import StreamEvent
+from wigeonfront.rollout.events import StreamEvent, Text
 from wigeonfront.rollout.lot import Lot, Sample
+from wigeonfront.rollout.order import Waiting
+from wigeonfront.rollout.placing import SamplePlacer
+from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.run_outcomes import RunBroken, RunCompleted, RunTooOld
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.target_table import TargetTable
 from wigeonfront.targets import Target
 
 MODEL = "m"
+SAMPLE = Sample("s1", "/x", (), b"", "g", MODEL)
 
 
 class ScriptedRuns:
@@ -71,6 +75,43 @@
         thread.join()
 
 
+def placed(waited, events=10):
+    """Place a sample whose text goes on at version 4 only, where no place is free.
+
+    Engines take 0.8 ms a token and 1 token an event.
+    """
+    clock = ManualClock(100.0)
+    table = TargetTable(clock, random.Random(1))
+    table.replace(
+        Target(id, "s", f"h:{id}", "z", 2, versions={MODEL: version})
+        for id, version in {"old": 4, "new": 5}.items()
+    )
+    for _ in range(2):
+        table.started("old", MODEL)
+    lot = Lot("l", "h", "/", (SAMPLE,), min_version=4, single_version=True)
+    progress = LotProgress(lot, 1, [])
+    state = progress.open["s1"]
+    state.text = Text([b"x"] * events, {4})
+    state.waits_since = clock.monotonic()
+    clock.advance(waited)
+    placer = SamplePlacer(table, lambda: None, clock)
+    view = placer.place(Waiting(progress, state), "s", frozenset())
+    return view and view.target.id, state.text.last_id
+
+
+@pytest.mark.parametrize(
+    ("waited", "events", "expected"),
+    [
+        (0.0, 10, (None, 10)),
+        (0.0079, 10, (None, 10)),
+        (0.0081, 10, ("new", 0)),
+        (0.0081, 100, (None, 100)),
+    ],
+)
+def test_a_text_is_waited_for_as_long_as_it_takes_to_generate(waited, events, expected):
+    assert placed(waited, events) == expected
+
+
 @pytest.mark.parametrize(
     ("steps", "versions", "began"),
     [
@@ -97,7 +138,7 @@
         "l",
         "h",
         "/",
-        (Sample("s1", "/x", (), b"", "g", MODEL),),
+        (SAMPLE,),
         model=MODEL,
         min_version=4,
         give_up_seconds=100.0,
