Refusals do not begin the wait for a text's version anew

Change: a sample waits since it was last generated; a text that has waited for as long as it takes to generate is dropped before an engine is chosen.

--- a/src/wigeonfront/rollout/placing.py
+++ b/src/wigeonfront/rollout/placing.py
@@ -53,8 +53,7 @@
             Engines that have samples of the same group.
         """
         views = self._table.views(service)
-        view = self._choose(views, waiting, group_targets)
-        if view is None and self._in_vain(waiting, views, service):
+        if self._in_vain(waiting, views, service):
             event(
                 logger,
                 "text_dropped",
@@ -64,15 +63,6 @@
                 events=waiting.state.text.last_id,
             )
             waiting.state.forget_text()
-            view = self._choose(views, waiting, group_targets)
-        return view
-
-    def _choose(
-        self,
-        views: list[TargetView],
-        waiting: Waiting,
-        group_targets: frozenset[str],
-    ) -> TargetView | None:
         return choose_engine(
             views,
             waiting.needs,
@@ -84,8 +74,9 @@
     def _in_vain(self, waiting: Waiting, views: list[TargetView], service: str) -> bool:
         """Tell whether a text that binds its sample should no longer be waited for.
 
-        No engine has its version, or it has waited for as long as generating it anew
-        takes: so waiting costs at most as much again as the better choice would.
+        No engine has its version, or it has waited, or been refused, for as long as
+        generating it anew takes: so waiting costs at most as much again as the better
+        choice would.
         """
         needs, state = waiting.needs, waiting.state
         if not needs.text_version:
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -27,7 +27,7 @@
     not_before : float
         Monotonic time before which it is not sent again.
     waits_since : float
-        Monotonic time at which it began to wait.
+        Monotonic time since which nothing of it was generated.
     snapshot : Text or None
         Copy of the text that the run's own thread took between two events.
     saved : int
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -411,7 +411,8 @@
             if self._runs.get(state.sample.id) is run:
                 del self._runs[state.sample.id]
             state.running = False
-            state.waits_since = self._clock.monotonic()
+            if events:
+                state.waits_since = self._clock.monotonic()
             if not isinstance(outcome, RunCancelled) and not run.progress.ended:
                 self._settle(run, outcome)
             self._work.notify_all()
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -20,13 +20,29 @@
 from wigeonfront.rollout.order import Waiting
 from wigeonfront.rollout.placing import SamplePlacer
 from wigeonfront.rollout.progress import LotProgress
-from wigeonfront.rollout.run_outcomes import RunBroken, RunCompleted, RunTooOld
+from wigeonfront.rollout.run_outcomes import (
+    RunBroken,
+    RunCompleted,
+    RunRefused,
+    RunTooOld,
+)
 from wigeonfront.rollout.runner import LotRunner
-from wigeonfront.target_table import TargetTable
+from wigeonfront.target_table import PROBE_SECONDS, TargetTable
 from wigeonfront.targets import Target
 
 MODEL = "m"
 SAMPLE = Sample("s1", "/x", (), b"", "g", MODEL)
+LOT = Lot(
+    "l",
+    "h",
+    "/",
+    (SAMPLE,),
+    model=MODEL,
+    min_version=4,
+    give_up_seconds=100.0,
+    submitted_at=100.0,
+    single_version=True,
+)
 
 
 class ScriptedRuns:
@@ -75,8 +91,8 @@
         thread.join()
 
 
-def placed(waited, events=10):
-    """Place a sample whose text goes on at version 4 only, where no place is free.
+def placed(waited, events, places_taken=2):
+    """Place a sample whose text goes on at version 4 only.
 
     Engines take 0.8 ms a token and 1 token an event.
     """
@@ -86,10 +102,9 @@
         Target(id, "s", f"h:{id}", "z", 2, versions={MODEL: version})
         for id, version in {"old": 4, "new": 5}.items()
     )
-    for _ in range(2):
+    for _ in range(places_taken):
         table.started("old", MODEL)
-    lot = Lot("l", "h", "/", (SAMPLE,), min_version=4, single_version=True)
-    progress = LotProgress(lot, 1, [])
+    progress = LotProgress(LOT, 1, [])
     state = progress.open["s1"]
     state.text = Text([b"x"] * events, {4})
     state.waits_since = clock.monotonic()
@@ -99,6 +114,12 @@
     return view and view.target.id, state.text.last_id
 
 
+def test_an_engine_that_refused_for_so_long_is_no_better_than_a_full_one():
+    assert placed(0.0, 10, places_taken=0) == ("old", 10)
+    assert placed(0.0081, 10, places_taken=0) == ("old", 0)
+    assert placed(0.0081, 10, places_taken=1) == ("new", 0)
+
+
 @pytest.mark.parametrize(
     ("waited", "events", "expected"),
     [
@@ -134,18 +155,7 @@
 ):
     runs = ScriptedRuns(*steps)
     runner = make_runner(runs, versions)
-    lot = Lot(
-        "l",
-        "h",
-        "/",
-        (SAMPLE,),
-        model=MODEL,
-        min_version=4,
-        give_up_seconds=100.0,
-        submitted_at=100.0,
-        single_version=True,
-    )
-    runner.adopt(lot, 1, [])
+    runner.adopt(LOT, 1, [])
     sending(runner)
     progress = runner.owned("l")
     wait_for(lambda: not progress.open)
@@ -153,3 +163,21 @@
     assert [after for _, after in runs.began] == began
     assert len(result.versions) == 1
     assert result.text.count(b"x") == 5
+
+
+def test_refusals_do_not_begin_the_wait_anew(sending):
+    """The engine with the text's version lets its runs end and refuses."""
+    refused = (0, 4, RunRefused("status 503", True))
+    runs = ScriptedRuns(
+        (5, 4, RunBroken("x")), refused, refused, (5, 5, RunCompleted())
+    )
+    runner = make_runner(runs, {"a": 4, "b": 5})
+    runner.adopt(LOT, 1, [])
+    sending(runner)
+    for began in range(2, 4):
+        wait_for(lambda began=began: len(runs.began) >= began)
+        runner._clock.advance(PROBE_SECONDS)
+        runner.wake()
+    progress = runner.owned("l")
+    wait_for(lambda: not progress.open)
+    assert [after for _, after in runs.began] == [0, 5, 0, 0]
