--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,10 +1,11 @@
 """What `benchmarks.days` writes for the users' program."""
 
+import json
 import tomllib
 
 import pytest
 
-from benchmarks.days import variants
+from benchmarks.days import plots, variants
 
 SITE = """\
 wire = "wire.json"
@@ -71,3 +72,22 @@
     site.write_text(SITE.replace("pure = false", "pure = true"))
     with pytest.raises(variants.NoChangeError):
         variants.write(site, tmp_path / "out")
+
+
+def test_the_journal_is_read_score_by_score(tmp_path):
+    days = [{"name": "quiet-1", "G": 0.9}, {"name": "fresh-1a2b", "G": 0.2}]
+    entry = {"cmd": "score", "site": "a", "at": ["2026-01-02"], "lines": 7}
+    entry["argv"] = [".../a.toml", "--jobs", "6"]
+    entries = [
+        entry | {"days": days},
+        entry | {"at": ["2026-01-01"], "days": [{"name": "quiet-1", "G": 0.5}]},
+        entry | {"cmd": "run", "days": days},
+        entry | {"argv": [".../streams.toml"], "days": days},
+        entry | {"days": []},
+    ]
+    for number, each in enumerate(entries):
+        (tmp_path / f"{number}.json").write_text(json.dumps(each))
+    assert plots.read_scores(tmp_path) == [
+        plots.Score("a", "2026-01-01", 7, {"quiet-1": 0.5}),
+        plots.Score("a", "2026-01-02", 7, {"quiet-1": 0.9}),
+    ]
