--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -29,9 +29,15 @@
     folder: str
 
 
-def play(seed: int, seconds: float) -> Played:
-    """Play one seed for `seconds` of faults."""
-    cluster = Cluster(seed)
+def play(seed: int, seconds: float, one_version: bool = False) -> Played:
+    """Play one seed for `seconds` of faults.
+
+    Parameters
+    ----------
+    one_version : bool
+        See `Cluster`.
+    """
+    cluster = Cluster(seed, one_version)
     trainer = Trainer(cluster, seed)
     stop = threading.Event()
     thread = threading.Thread(target=trainer.run, args=(stop,), daemon=True)
@@ -80,11 +86,16 @@
     parser = argparse.ArgumentParser(prog="benchmarks.soak")
     parser.add_argument("--seeds", default="1-3", help="one seed, or first-last")
     parser.add_argument("--seconds", type=float, default=10.0, help="faults of a seed")
+    parser.add_argument(
+        "--one-version",
+        action="store_true",
+        help="samples must come from one version, and engines change theirs",
+    )
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
-        played = play(seed, arguments.seconds)
+        played = play(seed, arguments.seconds, arguments.one_version)
         broken += bool(played.violations)
         print(
             f"seed={seed} lots={played.lots} accepted={played.accepted} "
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -94,16 +94,19 @@
     Parameters
     ----------
     seed : int
+    one_version : bool
+        Samples must come from one version, and engines change theirs at any time.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, one_version: bool = False) -> None:
+        self.one_version = one_version
         self.random = Random(seed)
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.rows = MemoryRows()
         self.store = StoreServer(self._free_address(), self.rows)
         self.store.start()
         self.engines = [self._engine(number) for number in range(ENGINE_COUNT)]
-        self.rows.put("op/config", deployment.configuration())
+        self._configure_version(1)
         for engine in self.engines:
             deployment.register(self.rows, engine.id, ENGINES, engine.address)
         self.entries = self._entries()
@@ -210,7 +213,9 @@
         return name
 
     def _faults(self):
-        return {
+        # What seeds draw without it stays as it was.
+        more = {"change_weights": self._change_weights} if self.one_version else {}
+        return more | {
             "kill": self._kill,
             "kill_all": self._kill_all,
             "pause": self._pause,
@@ -283,5 +288,10 @@
         self.random.choice(self.engines).faults.event_seconds = 0.3
 
     def _configure(self, entry: EntryProcess) -> None:
-        version = 2 + len(self.injected)
-        self.rows.put("op/config", deployment.configuration(version))
+        self._configure_version(2 + len(self.injected))
+
+    def _configure_version(self, version: int) -> None:
+        self.rows.put("op/config", deployment.configuration(version, self.one_version))
+
+    def _change_weights(self, entry: EntryProcess) -> None:
+        self.random.choice(self.engines).versions[MODEL] += 1
--- a/benchmarks/soak/trainer.py
+++ b/benchmarks/soak/trainer.py
@@ -138,9 +138,21 @@
             self._violate(lot, f"{result.id} is {result.state} with a wrong text")
         if any(version < 1 for version in result.versions) or not result.versions:
             self._violate(lot, f"{result.id} from versions {result.versions}")
+        if self._cluster.one_version and len(result.versions) != 1:
+            self._violate(lot, f"{result.id} from versions {result.versions}")
+        if not all(
+            self._made(result.id, number) & set(result.versions)
+            for number in range(1, engine.events + 1)
+        ):
+            self._violate(lot, f"{result.id} not made under {result.versions}")
         if any(result.id == other.id for other in lot.results):
             self._violate(lot, f"{result.id} stands twice")
 
+    def _made(self, sample: str, number: int) -> set[int]:
+        """Return the versions under which engines made an event of a sample."""
+        engines = self._cluster.engines
+        return set().union(*(one.made.get((sample, number), ()) for one in engines))
+
     def _read_everywhere(self, lot: SentLot) -> None:
         for entry in self._cluster.entries:
             found = self._pages(lot, entry.front)
--- a/examples/platform_standins/deployment.py
+++ b/examples/platform_standins/deployment.py
@@ -14,8 +14,18 @@
 MODEL = "model-a"
 
 
-def configuration(version: int = 1, **changes: object) -> bytes:
-    """Return a configuration; `changes` replace fields of the plain route."""
+def configuration(
+    version: int = 1, one_version: bool = False, **changes: object
+) -> bytes:
+    """Return a configuration.
+
+    Parameters
+    ----------
+    one_version : bool
+        Each sample of a Lot must come from one version of the weights.
+    **changes
+        They replace fields of the plain route.
+    """
     plain = {
         "name": "plain",
         "host": HOST,
@@ -48,6 +58,7 @@
             "maxAttempts": 3,
             "maxQueueS": 40,
             "deadlineMs": 7500,
+            "singleVersion": one_version,
         },
     ]
     services = [
--- a/examples/platform_standins/engine.py
+++ b/examples/platform_standins/engine.py
@@ -85,6 +85,8 @@
         self.events = events
         self.faults = EngineFaults()
         self.ran: Counter[str] = Counter()
+        # Versions under which it made each event of each sample.
+        self.made: dict[tuple[str, int], set[int]] = {}
         # Event behind which each sample's last run began.
         self.began_after: dict[str, int] = {}
         self.orders: list[_Order] = []
@@ -176,6 +178,7 @@
         self.began_after[id] = after
         for number in range(after + 1, self.events + 1):
             time.sleep(self.faults.event_seconds)
+            self.made.setdefault((id, number), set()).add(version)
             call.write(f"id: {number}\ndata: {self.data(id, number)}\n\n".encode())
             if self.faults.cuts and number - after == self.faults.cut_after:
                 self.faults.cuts -= 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,6 +24,12 @@
     assert played.accepted > 0
 
 
+def test_samples_of_one_version_stay_whole_while_weights_change():
+    played = play(4, seconds=4.0, one_version=True)
+    assert played.violations == []
+    assert played.accepted > 0
+
+
 def test_the_ports_of_a_process_differ():
     ports = free_ports(loopback_host(), 500)
     assert len(set(ports)) == len(ports)
