--- a/benchmarks/days/variants.py
+++ b/benchmarks/days/variants.py
@@ -67,7 +67,7 @@
 
     def change(text: str) -> str:
         line = _class_lines(text, lambda fields: "lot" in fields)[0]
-        name = tomllib.loads(f"a = [{line.strip().rstrip(',')}]")["a"][0]["name"]
+        name = _fields(line)["name"]
         made = line.replace(f'name = "{name}"', f'name = "{STREAM_CLASS}"')
         made = made.replace('kind = "rollout", ', "")
         made = re.sub(r", only = \[\d+\]", "", made)
@@ -89,12 +89,17 @@
     lines = [line for line in text.splitlines() if re.match(r"\s*\{ name = ", line)]
     found = []
     for line in lines:
-        fields = tomllib.loads(f"a = [{line.strip().rstrip(',')}]")["a"][0]
+        fields = _fields(line)
         if "deadline_ms" in fields and wanted(fields):
             found.append(line)
     return found
 
 
+def _fields(line: str) -> dict:
+    """Return an entry of a list that stands on one line."""
+    return tomllib.loads(f"a = [{line.strip().rstrip(',')}]")["a"][0]
+
+
 VARIANTS: dict[str, Change] = {
     "one-version": put("pure = false", "pure = true"),
     "streams": streams(resumable=True),
