--- a/benchmarks/days/variants.py
+++ b/benchmarks/days/variants.py
@@ -100,11 +100,33 @@
     return tomllib.loads(f"a = [{line.strip().rstrip(',')}]")["a"][0]
 
 
+def on_engines(change: Change) -> Change:
+    """Return `change` for the lines of engines and of the machines beside them."""
+
+    def changed(text: str) -> str:
+        return "\n".join(
+            change(line) if "llm = {" in line or "app = " in line else line
+            for line in text.split("\n")
+        )
+
+    return changed
+
+
+def one_zone(text: str) -> str:
+    """Put all engines into the first failure domain."""
+    zones = [zone["name"] for zone in tomllib.loads(text)["zones"]]
+    moves = (put(f'zone = "{zone}"', f'zone = "{zones[0]}"') for zone in zones[1:])
+    return on_engines(all_of(*moves))(text)
+
+
 VARIANTS: dict[str, Change] = {
     "one-version": put("pure = false", "pure = true"),
     "streams": streams(resumable=True),
     "streams-once": streams(resumable=False),
     "unsafe": unsafe,
+    "one-zone": one_zone,
+    "few-engines": on_engines(scaled("count", 0.5)),
+    "many-engines": on_engines(scaled("count", 2.0)),
     "few-places": scaled("slots", 1 / 3),
     "little-memory": scaled("memory_mb", 0.27),
     "slow-machines": all_of(scaled("cpu_share", 0.3), scaled("sync_ms", 60.0)),
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -9,11 +9,15 @@
 
 SITE = """\
 wire = "wire.json"
+zones = [{ name = "a" }, { name = "b" }]
 machines = [
   { class = "front", cpu_share = 0.8, memory_mb = 300, disk = { sync_ms = 0.5 } },
+  { class = "side", zone = "b", count = 4, app = "judge" },
 ]
 services = [
-  { name = "judge", slots = 12, llm = { kv_tokens = 80000 } },
+  { name = "judge", servers = [{ zone = "b", count = 4 }], slots = 12,\
+ llm = { kv_tokens = 80000 } },
+  { name = "portal", servers = [{ zone = "b", count = 2 }], slots = 6 },
 ]
 classes = [
   { name = "page", deadline_ms = 1500.0, worth = 0.2 },
@@ -49,6 +53,12 @@
         ("streams-once", ("classes", 1, "stream", "resume"), False),
         ("unsafe", ("classes", 0, "kind"), "unsafe"),
         ("unsafe", ("classes", 1, "kind"), "rollout"),
+        ("one-zone", ("services", 0, "servers", 0, "zone"), "a"),
+        ("one-zone", ("machines", 1, "zone"), "a"),
+        ("one-zone", ("services", 1, "servers", 0, "zone"), "b"),
+        ("few-engines", ("services", 0, "servers", 0, "count"), 2),
+        ("few-engines", ("machines", 1, "count"), 2),
+        ("many-engines", ("services", 0, "servers", 0, "count"), 8),
         ("few-places", ("services", 0, "slots"), 4),
         ("little-memory", ("machines", 0, "memory_mb"), 81),
         ("slow-machines", ("machines", 0, "disk", "sync_ms"), 30.0),
