--- a/tests/test_engine_loads.py
+++ b/tests/test_engine_loads.py
@@ -1,13 +1,12 @@
 """Two owners of Lots that start at the same moment, over real connections."""
 
 import random
-import threading
 
 import pytest
 
+from platform_standins.served import Served
 from rows_fakes import free_address
 from wigeonfront.clock import ManualClock
-from wigeonfront.http.raw import RawServer
 from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
 from wigeonfront.rollout.order import Needs, choose_engine
 from wigeonfront.target_table import TargetTable
@@ -29,9 +28,8 @@
             for id in ENGINES
         )
         self.address = free_address()
-        self.server = RawServer(self.address, LoadServer(self.table).answer, 4)
-        self.server.bind()
-        threading.Thread(target=self.server.run, args=(None,), daemon=True).start()
+        self.server = Served(self.address, LoadServer(self.table).answer, 4)
+        self.server.start()
         self.sent = dict.fromkeys(ENGINES, 0)
 
     def follow(self, address):
@@ -61,7 +59,7 @@
     pair[1].follow(pair[0].address)
     yield pair
     for owner in pair:
-        owner.server.close(0.1)
+        owner.server.stop()
 
 
 def totals(owners):
@@ -88,7 +86,7 @@
     if told:
         owners[0].ask()
     else:
-        owners[1].server.close(0.1)
+        owners[1].server.stop()
         owners[0].ask()
     assert owners[0].send(48) == 0
     assert totals(owners) == [SLOTS] * len(ENGINES)
--- a/tests/test_http_raw.py
+++ b/tests/test_http_raw.py
@@ -3,11 +3,18 @@
 
 import pytest
 
+from platform_standins.served import Served
 from rows_fakes import free_address
 from wigeonfront.http import raw
 from wigeonfront.http.client import Answer, Lost, Pool
 
 
+def serve(handler):
+    server = Served(free_address(), handler, threads=4)
+    server.start()
+    return server
+
+
 def lose_caller(call):
     raise ConnectionResetError
 
@@ -32,12 +39,9 @@
 def test_a_call_that_is_cut_off_has_no_answer_and_is_no_error(
     errors, handler, expected
 ):
-    address = free_address()
-    server = raw.RawServer(address, handler, threads=4)
-    server.bind()
-    threading.Thread(target=server.run, args=(None,), daemon=True).start()
-    answer = Pool(address).call("GET", "/x", timeout=2.0)
-    server.close(0.1)
+    server = serve(handler)
+    answer = Pool(server.address).call("GET", "/x", timeout=2.0)
+    server.stop()
     assert isinstance(answer, expected)
     assert [message for message in errors if message] == []
 
@@ -46,12 +50,9 @@
     def fail(call):
         raise KeyError("x")
 
-    address = free_address()
-    server = raw.RawServer(address, fail, threads=4)
-    server.bind()
-    threading.Thread(target=server.run, args=(None,), daemon=True).start()
-    assert Pool(address).call("GET", "/x", timeout=2.0).status == 500
-    server.close(0.1)
+    server = serve(fail)
+    assert Pool(server.address).call("GET", "/x", timeout=2.0).status == 500
+    server.stop()
 
 
 def test_a_call_that_is_cut_in_its_body_is_no_error(caplog):
@@ -63,13 +64,10 @@
         finally:
             served.set()
 
-    address = free_address()
-    server = raw.RawServer(address, read, threads=4)
-    server.bind()
-    threading.Thread(target=server.run, args=(None,), daemon=True).start()
-    host, port = address.split(":")
+    server = serve(read)
+    host, port = server.address.split(":")
     with socket.create_connection((host, int(port))) as caller:
         caller.sendall(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
     assert served.wait(2.0)
-    server.close(0.1)
+    server.stop()
     assert "handler_failed" not in caplog.text
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from platform_standins.served import Served
 from rows_fakes import free_address, make_store, wait_for
 from wigeonfront.clock import SystemClock
-from wigeonfront.http.raw import RawServer
 from wigeonfront.mirror import Mirror
 from wigeonfront.row_feed import DirectRows, FeedServer, FollowedRows
 from wigeonfront.rows import Changes, Row
@@ -137,12 +137,10 @@
     clock = SkippingClock()
     mirror = Mirror(DirectRows(store), PREFIX, clock, wait=0.01)
     feed = FeedServer(lambda: {PREFIX: mirror})
-    address = free_address()
-    server = RawServer(address, feed.answer, 10)
-    server.bind()
-    threading.Thread(target=server.run, args=(None,), daemon=True).start()
-    yield store, mirror, address, clock
-    server.close(0.1)
+    server = Served(free_address(), feed.answer, 10)
+    server.start()
+    yield store, mirror, server.address, clock
+    server.stop()
 
 
 def follow(store, addresses, interval=1.0):
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -1,12 +1,11 @@
 import random
-import threading
 
 import pytest
 
+from platform_standins.served import Served
 from platform_standins.store import StoreServer
 from rows_fakes import free_address, make_store, wait_for
 from wigeonfront.clock import ManualClock, SystemClock
-from wigeonfront.http.raw import RawServer
 from wigeonfront.metrics import Registry
 from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.rows import (
@@ -39,11 +38,9 @@
 
 
 def serve(answer):
-    address = free_address()
-    server = RawServer(address, answer, 10)
-    server.bind()
-    threading.Thread(target=server.run, args=(None,), daemon=True).start()
-    return address, server
+    server = Served(free_address(), answer, 10)
+    server.start()
+    return server.address, server
 
 
 @pytest.fixture
@@ -51,7 +48,7 @@
     store = make_store()
     address, server = serve(RelayServer(store).answer)
     yield store, address
-    server.close(0.1)
+    server.stop()
 
 
 def routed(direct, *addresses, clock=None):
@@ -112,7 +109,7 @@
     away = routed(TurnedAway(Unavailable("x")), dead)
     assert isinstance(away.write((), (Put("a", b"1"),)), Uncertain)
     assert isinstance(away.get("a"), Unavailable)
-    server.close(0.1)
+    server.stop()
 
 
 @pytest.fixture
