--- a/examples/platform_standins/deployment.py
+++ b/examples/platform_standins/deployment.py
@@ -74,17 +74,25 @@
     return msgspec.json.encode(document | {"limits": {"maxBodyBytes": 100_000}})
 
 
-def register(
-    rows: MemoryRows, id: str, service: str, address: str, state: str = "ready"
-) -> None:
-    """Register a target as it does itself."""
-    entry = {
+def registration(service: str, address: str, **changes: object) -> dict[str, object]:
+    """Return what a target writes of itself, with `changes` of its fields."""
+    return {
         "service": service,
         "address": address,
         "zone": "z1",
+        "version": "v1",
         "slotCount": 4,
-        "state": state,
-    }
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+    } | changes
+
+
+def register(
+    rows: MemoryRows, id: str, service: str, address: str, state: str = "ready", **more
+) -> None:
+    """Register a target as it does itself."""
+    entry = registration(service, address, state=state, **more)
     rows.put(f"servers/{id}", msgspec.json.encode(entry))
 
 
--- a/examples/platform_standins/engine.py
+++ b/examples/platform_standins/engine.py
@@ -1,5 +1,6 @@
 """A model engine that speaks the platform's protocol, and a plain service beside it."""
 
+import itertools
 import threading
 import time
 from collections import Counter
@@ -32,6 +33,8 @@
         Everything is refused as not run.
     silent : bool
         Streams stop in the middle without a word.
+    hang : bool
+        Nothing of an answer comes until the engine is released.
     """
 
     cut_after: int = 0
@@ -40,6 +43,7 @@
     statuses: dict[str, int] = field(default_factory=dict)
     refuse: bool = False
     silent: bool = False
+    hang: bool = False
 
 
 RUNS_PAUSE_SECONDS = 0.005
@@ -89,6 +93,9 @@
         self.made: dict[tuple[str, int], set[int]] = {}
         # Event behind which each sample's last run began.
         self.began_after: dict[str, int] = {}
+        # Monotonic time at which each sample's last event was made.
+        self.ended_at: dict[str, float] = {}
+        self.release = threading.Event()
         self.orders: list[_Order] = []
         self.running = 0
         self._loading = False
@@ -165,6 +172,8 @@
             return
         self.running += 1
         try:
+            if self.faults.hang:
+                self.release.wait(10)
             self._stream(call, id, seal)
         finally:
             self.running -= 1
@@ -179,6 +188,8 @@
         for number in range(after + 1, self.events + 1):
             time.sleep(self.faults.event_seconds)
             self.made.setdefault((id, number), set()).add(version)
+            if number == self.events:
+                self.ended_at[id] = time.monotonic()
             call.write(f"id: {number}\ndata: {self.data(id, number)}\n\n".encode())
             if self.faults.cuts and number - after == self.faults.cut_after:
                 self.faults.cuts -= 1
@@ -196,6 +207,15 @@
     Parameters
     ----------
     address, id : str
+
+    Attributes
+    ----------
+    marks : dict of str to list of str
+        Marks of its successful answers, by the request's id.
+    arrived : dict of str to list of float
+        Monotonic times at which requests began to run, by id.
+    statuses : dict of str to int
+        Status that a request gets, by its id.
     """
 
     def __init__(self, address: str, id: str) -> None:
@@ -205,6 +225,10 @@
         self.cut = False
         self.pause = 0.0
         self.seen: list[tuple[str, str, bytes]] = []
+        self.marks: dict[str, list[str]] = {}
+        self.arrived: dict[str, list[float]] = {}
+        self.statuses: dict[str, int] = {}
+        self._numbers = itertools.count(1)
         super().__init__(address, self._answer, threads=50)
 
     def _answer(self, call: RawCall) -> None:
@@ -217,9 +241,13 @@
             call.reply(503, headers=((names.NOT_EXECUTED, "1"),))
             return
         self.seen.append((call.method, call.target, body))
+        self.arrived.setdefault(id, []).append(time.monotonic())
         time.sleep(self.pause)
         if self.cut:
             call.abort()
             return
-        seal = ((names.ATTEMPT_ID, id), (names.SEAL, "s"))
-        call.reply(self.status, body, seal)
+        status = self.statuses.get(id, self.status)
+        mark = f"{self.id}.{next(self._numbers)}"
+        if status == 200:
+            self.marks.setdefault(id, []).append(mark)
+        call.reply(status, body, ((names.ATTEMPT_ID, id), (names.SEAL, mark)))
--- a/src/wigeonfront/forwarding/__init__.py
+++ b/src/wigeonfront/forwarding/__init__.py
@@ -18,10 +18,12 @@
     TargetProtocol,
     TimedOut,
 )
+from wigeonfront.forwarding.handle import CallHandle
 
 __all__ = [
     "Answered",
     "Broken",
+    "CallHandle",
     "CallerGone",
     "Connections",
     "Exchange",
--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -9,6 +9,7 @@
 import threading
 from collections import defaultdict, deque
 from dataclasses import dataclass
+from weakref import WeakSet
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
@@ -37,13 +38,15 @@
 """Idle connections kept for each target: two times the requests an engine runs."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class Connection:
     """A connection to one target.
 
     Attributes
     ----------
     link : urllib3.connection.HTTPConnection
+    sock : socket
+        Kept, as the library drops its reference while the body is still read.
     target_id : str
     used : bool
         It has carried an answer before.
@@ -54,6 +57,7 @@
     """
 
     link: HTTPConnection
+    sock: socket.socket
     target_id: str
     used: bool = False
     idle_since: float = 0.0
@@ -61,14 +65,17 @@
 
     def close(self) -> None:
         """Close it at once, also while another thread reads from it."""
-        sock = self.link.sock
-        if sock is not None:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        self.shut_down()
         self.link.close()
 
+    def shut_down(self) -> None:
+        """Have the thread that uses it fail; that one then closes it."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # It is closed already.
+            pass
+
 
 class Connections:
     """The kept connections of one process.
@@ -82,6 +89,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._idle: dict[str, deque[Connection]] = defaultdict(deque)
+        self._used: WeakSet[Connection] = WeakSet()
         self.opened = 0
 
     def take(
@@ -97,6 +105,8 @@
         while (kept := self._pop(target_id)) is not None:
             age = self._clock.monotonic() - kept.idle_since
             if age <= min(most_idle, kept.most_idle) and kept.link.is_connected:
+                with self._lock:
+                    self._used.add(kept)
                 return kept
             kept.close()
         return self._open(target_id, address)
@@ -116,6 +126,7 @@
         connection.idle_since = self._clock.monotonic()
         connection.most_idle = idle_seconds(keep_alive)
         with self._lock:
+            self._used.discard(connection)
             idle = self._idle[connection.target_id]
             idle.append(connection)
             surplus = idle.popleft() if len(idle) > MOST_IDLE else None
@@ -129,6 +140,18 @@
         for connection in idle:
             connection.close()
 
+    def cut(self, target_id: str) -> None:
+        """Break off all calls to a target that runs no more.
+
+        Those that wait for its answers go on elsewhere at once: a machine that lost
+        power never closes its connections, and time-outs take seconds.
+        """
+        self.forget(target_id)
+        with self._lock:
+            used = [one for one in self._used if one.target_id == target_id]
+        for connection in used:
+            connection.shut_down()
+
     def close_idle(self) -> None:
         """Close connections that have been idle for too long."""
         now = self._clock.monotonic()
@@ -155,9 +178,11 @@
         except (HTTPError, OSError):
             link.close()
             return None
+        connection = Connection(link, link.sock, target_id)
         with self._lock:
             self.opened += 1
-        return Connection(link, target_id)
+            self._used.add(connection)
+        return connection
 
 
 def idle_seconds(keep_alive: str) -> float:
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -16,6 +16,7 @@
 
 from wigeonfront.clock import Clock
 from wigeonfront.forwarding.connections import Connection, Connections
+from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.targets import Target
 
 READ_BYTES = 65_536
@@ -56,11 +57,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The target's whole answer."""
+    """The target's whole answer.
+
+    Attributes
+    ----------
+    status : int
+    headers : tuple of pairs
+    body : bytes
+    framed : bool
+        It told its own end; else the close of its connection did.
+    """
 
     status: int
     headers: Headers
     body: bytes = field(repr=False)
+    framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerGone:
-    """The caller closed its connection; the target's was closed too."""
+    """Nobody wants the answer any more; the target's connection was closed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,12 +149,12 @@
         connection: Connection,
         response: BaseHTTPResponse,
         connections: Connections,
+        handle: CallHandle | None = None,
     ) -> None:
         self._connection = connection
         self._response = response
         self._connections = connections
-        # Kept, as the library drops its reference while the body is still read.
-        self._socket = connection.link.sock
+        self._handle = handle
 
     @property
     def status(self) -> int:
@@ -155,6 +166,12 @@
         """Headers of the answer."""
         return self._response.headers
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer tells its own end."""
+        chunked = self.headers.get("Transfer-Encoding", "").lower() == "chunked"
+        return chunked or "Content-Length" in self.headers
+
     def pieces(self, silence: float) -> Iterator[bytes]:
         """Yield the body as it arrives.
 
@@ -168,8 +185,7 @@
         urllib3.exceptions.HTTPError, OSError, http.client.HTTPException
             When the body breaks off or falls silent.
         """
-        if self._socket is not None:
-            self._socket.settimeout(silence)
+        self._connection.sock.settimeout(silence)
         while piece := self._response.read1(READ_BYTES):
             yield piece
         if self._response.length_remaining:
@@ -177,6 +193,8 @@
 
     def finish(self) -> None:
         """Keep the connection after the whole body was read."""
+        if self._handle is not None:
+            self._handle.detach()
         original = getattr(self._response, "_original_response", None)
         will_close = original is None or original.will_close
         if will_close or self._connection.link.sock is None:
@@ -187,12 +205,7 @@
 
     def abort(self) -> None:
         """Have the thread that reads the body fail; it then closes the connection."""
-        if self._socket is not None:
-            try:
-                self._socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # The connection is closed already.
-                pass
+        self._connection.shut_down()
 
     def close(self) -> None:
         """Close the connection, which tells the target to stop."""
@@ -224,6 +237,8 @@
         target: Target,
         deadline: float,
         caller: socket.socket | None = None,
+        run_seconds: float | None = None,
+        handle: CallHandle | None = None,
     ) -> Outcome:
         """Send `request` and read the whole answer.
 
@@ -231,11 +246,11 @@
         ----------
         deadline : float
             Monotonic time at which waiting ends.
-        caller : socket, optional
-            The caller's connection; its close ends the request.
+        caller, run_seconds, handle
+            As for `open`.
         """
         started = self._clock.monotonic()
-        call = self.open(request, target, deadline, caller)
+        call = self.open(request, target, deadline, caller, run_seconds, handle)
         if isinstance(call, TimedOut):
             return TimedOut(self._clock.monotonic() - started)
         if not isinstance(call, OpenCall):
@@ -255,7 +270,7 @@
             return Broken(f"body:{type(error).__name__}")
         headers = self._protocol.response_headers(call.headers)
         call.finish()
-        return Answered(call.status, headers, bytes(body))
+        return Answered(call.status, headers, bytes(body), call.framed)
 
     def open(
         self,
@@ -264,6 +279,7 @@
         deadline: float,
         caller: socket.socket | None = None,
         run_seconds: float | None = None,
+        handle: CallHandle | None = None,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         """Send `request` and return once the head of the answer has come.
 
@@ -275,6 +291,8 @@
             The caller's connection; its close ends the request.
         run_seconds : float, optional
             Time that the target may work; until `deadline` by default.
+        handle : CallHandle, optional
+            Ends the request from another thread.
         """
         idle = None if request.repeatable else FRESH_IDLE_SECONDS
         connection = (
@@ -284,8 +302,11 @@
         )
         if connection is None:
             return NotExecuted("no connection")
+        if handle is not None and not handle.attach(connection.sock):
+            connection.close()
+            return CallerGone()
         outcome = self._send_on(
-            connection, request, target, deadline, caller, run_seconds
+            connection, request, target, deadline, caller, run_seconds, handle
         )
         stale = isinstance(outcome, Broken) and connection.used
         if not isinstance(outcome, OpenCall):
@@ -293,7 +314,9 @@
         if stale and request.repeatable:
             # The target had dropped the kept connection: once more on a new one.
             self._connections.forget(target.id)
-            return self.open(request, target, deadline, caller, run_seconds)
+            return self.open(request, target, deadline, caller, run_seconds, handle)
+        if handle is not None and handle.cancelled and isinstance(outcome, Broken):
+            return CallerGone()
         return outcome
 
     def _send_on(
@@ -304,6 +327,7 @@
         deadline: float,
         caller: socket.socket | None,
         run_seconds: float | None,
+        handle: CallHandle | None,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         link = connection.link
         remaining = deadline - self._clock.monotonic()
@@ -328,10 +352,14 @@
         waited = self._wait_head(link.sock, deadline, caller)
         if waited is not None:
             return waited
-        return self._read_head(connection, request, deadline)
+        return self._read_head(connection, request, deadline, handle)
 
     def _read_head(
-        self, connection: Connection, request: ForwardRequest, deadline: float
+        self,
+        connection: Connection,
+        request: ForwardRequest,
+        deadline: float,
+        handle: CallHandle | None,
     ) -> OpenCall | NotExecuted | Broken | TimedOut:
         link = connection.link
         link.sock.settimeout(max(0.05, deadline - self._clock.monotonic()))
@@ -341,13 +369,14 @@
             return TimedOut()
         except (HTTPError, OSError, http.client.HTTPException) as error:
             return Broken(f"head:{type(error).__name__}")
+        call = OpenCall(connection, response, self._connections, handle)
         if self._protocol.not_executed(response.status, response.headers):
-            self._drain(OpenCall(connection, response, self._connections))
+            self._drain(call)
             replaced = self._protocol.replaced(response.status)
             return NotExecuted(f"status {response.status}", response.status, replaced)
         if not self._protocol.belongs(request, response.headers):
             return Broken("foreign answer")
-        return OpenCall(connection, response, self._connections)
+        return call
 
     def _drain(self, call: OpenCall) -> None:
         """Read the short body of a refusal, so that its connection can be kept."""
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -14,6 +14,7 @@
     Outcome,
     TimedOut,
 )
+from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.placement import choose_target
 from wigeonfront.forwarding.steps import (
     DropRequest,
@@ -98,7 +99,7 @@
             now = self._clock.monotonic()
             state = SendState(request.repeatable, sends_left, deadline - now)
             until = now + most_wait(state, view.latency)
-            outcome = self._send(request, view, until, caller)
+            outcome = self.send(request, view, until, caller)
             tried.add(view.target.id)
             if not isinstance(outcome, NotExecuted):
                 may_have_run = True
@@ -110,19 +111,32 @@
             if not isinstance(step, SendAgain):
                 return step
 
-    def _send(
+    def send(
         self,
         request: ForwardRequest,
         view: TargetView,
         deadline: float,
-        caller: socket.socket | None,
+        caller: socket.socket | None = None,
+        run_seconds: float | None = None,
+        handle: CallHandle | None = None,
     ) -> Outcome:
+        """Send a request to one target, and take what its end says of the target.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time at which waiting ends.
+        caller, run_seconds, handle
+            As for `Exchange.open`.
+        """
         target = view.target
         started = self._clock.monotonic()
         self._table.started(target.id)
         outcome: Outcome = TimedOut()
         try:
-            outcome = self._exchange.send(request, target, deadline, caller)
+            outcome = self._exchange.send(
+                request, target, deadline, caller, run_seconds, handle
+            )
         finally:
             seconds = self._clock.monotonic() - started
             answered = isinstance(outcome, Answered)
--- a/src/wigeonfront/membership.py
+++ b/src/wigeonfront/membership.py
@@ -53,7 +53,7 @@
     """Return the member that a row registers, or ``None`` where it is malformed."""
     try:
         wire = msgspec.json.decode(row.value, type=_MemberRow)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     name = row.key.removeprefix(ENTRY_PREFIX)
     return Member(name, wire.incarnation, wire.address, wire.leaving)
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -33,6 +33,7 @@
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.rollout.owner_calls import OwnerServer
 from wigeonfront.rollout.repository import LotRepository
+from wigeonfront.rollout.reward_call import RewardCaller
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.sample_run import SampleRunner
 from wigeonfront.row_feed import (
@@ -121,15 +122,26 @@
         self._configuration = ConfigurationFollower(
             clock, self._on_configuration, self._on_version
         )
+        domain = settings.failure_domain
+        sends = metrics.counter(
+            "sends_total", "Sends to targets.", ("service", "outcome")
+        )
+        seconds = metrics.histogram("send_seconds", "Time of a send.", ("service",))
+        forwarder = Forwarder(table, exchange, clock, rng, domain, sends, seconds)
+        samples = PlatformSamples()
         self._runner = LotRunner(
             repository,
             table,
-            SampleRunner(exchange, PlatformSamples(), clock),
+            SampleRunner(exchange, samples, clock),
+            RewardCaller(forwarder, samples),
             lambda: self._configuration.current,
+            domain,
             clock,
             metrics,
         )
-        self._targets = TargetFollower(table, clock, self._runner.wake)
+        self._targets = TargetFollower(
+            table, clock, self._runner.wake, self._connections.cut
+        )
         change_seconds = settings.bounds.configuration_seconds * WATCH_SHARE
         self._operator_mirror = Mirror(
             self._rows(store, change_seconds),
@@ -167,12 +179,6 @@
         self._loads = LoadFollower(
             table, self._lots.recent_owners, self._runner.has_open_lots
         )
-        domain = settings.failure_domain
-        sends = metrics.counter(
-            "sends_total", "Sends to targets.", ("service", "outcome")
-        )
-        seconds = metrics.histogram("send_seconds", "Time of a send.", ("service",))
-        forwarder = Forwarder(table, exchange, clock, rng, domain, sends, seconds)
         streams = StreamForwarder(
             table, exchange, PlatformTargets(), clock, rng, domain
         )
@@ -230,6 +236,7 @@
         start("registration", self._registration.run)
         start("send", self._runner.send_loop)
         start("keep", self._runner.keeper.run)
+        start("score", self._runner.scoring.run)
         start("loads", self._loads.run)
         start("own", self._lots.own_loop)
         start("upkeep", self._upkeep)
--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -2,13 +2,14 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Container, Mapping
 
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
 from wigeonfront.logs import event
 from wigeonfront.mirror import Mirror
 from wigeonfront.platform import records
+from wigeonfront.rows import Row
 from wigeonfront.target_table import TargetTable
 from wigeonfront.targets import Target
 from wigeonfront.weights.plan import NamedVersion
@@ -20,6 +21,32 @@
 valid: targets that live are registered again within about two seconds."""
 
 
+class BadRowLog:
+    """Logs rows that can't be used, once for each change of them."""
+
+    def __init__(self) -> None:
+        self._logged: dict[str, int] = {}
+
+    def note(self, row: Row, bad: records.BadRow) -> None:
+        """Log a row unless it was logged as it is now."""
+        if self._logged.get(row.key) == row.revision:
+            return
+        self._logged[row.key] = row.revision
+        event(
+            logger,
+            "bad_row",
+            level=logging.ERROR,
+            key=row.key,
+            revision=row.revision,
+            reason=bad.reason,
+        )
+
+    def keep_only(self, keys: Container[str]) -> None:
+        """Forget the rows that are gone."""
+        for key in [key for key in self._logged if key not in keys]:
+            del self._logged[key]
+
+
 class ConfigurationFollower:
     """The newest configuration and the named versions; they never go backwards."""
 
@@ -35,6 +62,7 @@
         self._current: Configuration | None = None
         self._versions: dict[str, NamedVersion] = {}
         self._fence = 0
+        self._bad_rows = BadRowLog()
 
     @property
     def current(self) -> Configuration | None:
@@ -50,17 +78,15 @@
         state = mirror.state()
         row = state.rows.get(records.CONFIGURATION_KEY)
         if row is not None:
-            self._take_configuration(row.value)
+            self._take_configuration(row)
         for key, row in state.rows.items():
             if key.startswith(records.VERSION_PREFIX):
-                self._take_version(
-                    key.removeprefix(records.VERSION_PREFIX), row.value, row.revision
-                )
+                self._take_version(key.removeprefix(records.VERSION_PREFIX), row)
 
-    def _take_configuration(self, value: bytes) -> None:
-        new = records.decode_configuration(value)
-        if new is None:
-            event(logger, "configuration_malformed", level=logging.ERROR)
+    def _take_configuration(self, row: Row) -> None:
+        new = records.decode_configuration(row.value)
+        if isinstance(new, records.BadRow):
+            self._bad_rows.note(row, new)
             return
         if self._current is not None and new.version <= self._current.version:
             return
@@ -74,15 +100,24 @@
         self._current = new
         self._on_configuration(new)
 
-    def _take_version(self, model: str, value: bytes, revision: int) -> None:
-        version = records.decode_version(value)
+    def _take_version(self, model: str, row: Row) -> None:
+        version = records.decode_version(row.value)
+        if isinstance(version, records.BadRow):
+            self._bad_rows.note(row, version)
+            return
         known = self._versions.get(model)
-        if version is None or (known is not None and version <= known.version):
+        if known is not None and version <= known.version:
             return
         named = NamedVersion(model, version, self._clock.monotonic())
         self._versions[model] = named
-        self._fence = max(self._fence, revision)
-        event(logger, "version_named", model=model, version=version, revision=revision)
+        self._fence = max(self._fence, row.revision)
+        event(
+            logger,
+            "version_named",
+            model=model,
+            version=version,
+            revision=row.revision,
+        )
         self._on_version(named)
 
 
@@ -95,37 +130,65 @@
     clock : Clock
     on_change : callable
         Called after each change.
+    on_gone : callable
+        Called with the id of each target that certainly runs no more: it has started
+        again, or another one has its address.
     """
 
     def __init__(
-        self, table: TargetTable, clock: Clock, on_change: Callable[[], None]
+        self,
+        table: TargetTable,
+        clock: Clock,
+        on_change: Callable[[], None],
+        on_gone: Callable[[str], None] = lambda id: None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._on_change = on_change
+        self._on_gone = on_gone
         self._lock = threading.Lock()
         self._known: dict[str, Target] = {}
         self._missing_since: dict[str, float] = {}
+        self._bad_rows = BadRowLog()
 
     def take(self, mirror: Mirror) -> None:
         """Take what the targets' rows say now."""
         rows = mirror.state().rows
-        registered: dict[str, Target] = {}
-        for key, row in rows.items():
-            id = key.removeprefix(records.TARGET_PREFIX)
-            target = records.decode_target(id, row.value)
-            if target is not None:
-                registered[id] = target
-        revisions = {id: rows[records.TARGET_PREFIX + id].revision for id in registered}
-        registered = newest_at_address(registered, revisions)
         with self._lock:
+            registered = self._registered(rows)
             kept = self._still_valid(registered, mirror)
             self._log(registered)
+            gone = replaced_targets(self._known.values(), registered.values())
             self._known = {**kept, **registered}
             targets = list(self._known.values())
         self._table.replace(targets)
+        for id in gone:
+            event(logger, "target_restarted", id=id)
+            self._on_gone(id)
         self._on_change()
 
+    def _registered(self, rows: Mapping[str, Row]) -> dict[str, Target]:
+        """Return the targets that the rows name, by their ids."""
+        self._bad_rows.keep_only(rows)
+        starts = {one.name: one for one in self._known.values()}
+        found: dict[str, Target] = {}
+        revisions: dict[str, int] = {}
+        for key, row in rows.items():
+            target = records.decode_target(
+                key.removeprefix(records.TARGET_PREFIX), row.value
+            )
+            if isinstance(target, records.BadRow):
+                self._bad_rows.note(row, target)
+                continue
+            newest = starts.get(target.name)
+            if newest is not None and target.started_ms < newest.started_ms:
+                # The last words of an incarnation that has ended, written late.
+                self._bad_rows.note(row, records.BadRow("of an earlier start"))
+                target = newest
+            found[target.id] = target
+            revisions[target.id] = row.revision
+        return newest_at_address(found, revisions)
+
     def expire(self, mirror: Mirror) -> None:
         """Drop registrations that did not come back after an outage."""
         with self._lock:
@@ -192,3 +255,21 @@
             newest[target.address] = id
     alive = set(newest.values())
     return {id: target for id, target in targets.items() if id in alive}
+
+
+def replaced_targets(
+    known: Collection[Target], registered: Collection[Target]
+) -> list[str]:
+    """Return the ids of targets that others have replaced for certain.
+
+    Registrations that merely vanish prove nothing: such a target may serve on.
+    """
+    by_name = {target.name: target for target in registered}
+    by_address = {target.address: target for target in registered}
+    ids = {target.id for target in registered}
+    return [
+        target.id
+        for target in known
+        if target.id not in ids
+        and (target.name in by_name or target.address in by_address)
+    ]
--- a/src/wigeonfront/node/side.py
+++ b/src/wigeonfront/node/side.py
@@ -21,6 +21,7 @@
 from wigeonfront.store_meter import MeteredStore
 from wigeonfront.store_relay import RoutedStore
 from wigeonfront.supervisor import Supervisor
+from wigeonfront.targets import Target
 from wigeonfront.weights.mover import WeightMover
 from wigeonfront.weights.plan import NamedVersion, Place, engine_places
 
@@ -112,11 +113,16 @@
         if isinstance(listing, Unavailable):
             return None
         # One that is gone may still be registered beside the next at its address.
+        targets = [
+            records.decode_target(
+                row.key.removeprefix(records.TARGET_PREFIX), row.value
+            )
+            for row in listing.rows
+        ]
         addresses = [
             target.address
-            for row in listing.rows
-            if (target := records.decode_target(row.key, row.value)) is not None
-            and target.service == self._service
+            for target in targets
+            if isinstance(target, Target) and target.service == self._service
         ]
         return engine_places(addresses, self._models()).get(self._address)
 
--- a/src/wigeonfront/node/storage.py
+++ b/src/wigeonfront/node/storage.py
@@ -10,6 +10,7 @@
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.logs import event
 from wigeonfront.mirror import Mirror
+from wigeonfront.node.following import BadRowLog
 from wigeonfront.node.process import run_node
 from wigeonfront.node.settings import NodeSettings
 from wigeonfront.platform import records
@@ -45,6 +46,7 @@
         )
         self._supervisor = Supervisor("storage", clock)
         self._answered: set[int] = set()
+        self._bad_rows = BadRowLog()
         sources = rotated(settings.seed_addresses, settings.host)
         self._mirror = Mirror(
             FollowedRows(
@@ -74,6 +76,10 @@
         row = mirror.get(records.RETIRE_PREFIX + self._name)
         if row is None or row.revision in self._answered:
             return
+        within = records.decode_retire(row.value)
+        if isinstance(within, records.BadRow):
+            self._bad_rows.note(row, within)
+            return
         put = Put(
             records.RETIRE_STATUS_PREFIX + self._name,
             records.encode_retire_status(done=True),
--- a/src/wigeonfront/platform/lot_calls.py
+++ b/src/wigeonfront/platform/lot_calls.py
@@ -3,14 +3,15 @@
 import base64
 import binascii
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 from urllib3 import HTTPHeaderDict
 
 from wigeonfront.configuration import Route
-from wigeonfront.forwarding.exchange import ForwardRequest
+from wigeonfront.forwarding.exchange import Answered, ForwardRequest
 from wigeonfront.platform import headers as names
-from wigeonfront.rollout.lot import Lot, Sample, SampleResult
+from wigeonfront.rollout.lot import Lot, RewardCall, Sample, SampleResult
 from wigeonfront.rollout.order import engine_priority
 
 
@@ -21,6 +22,17 @@
     reason: str
 
 
+Id = Annotated[str, msgspec.Meta(min_length=1)]
+RequestTarget = Annotated[str, msgspec.Meta(pattern=r"\A/[!-~]*\Z")]
+
+
+class _Scorer(msgspec.Struct, frozen=True):
+    id: Id
+    host: Id
+    path: RequestTarget
+    body: str = ""
+
+
 class _Item(msgspec.Struct, frozen=True):
     id: str
     path: str
@@ -29,6 +41,8 @@
     # Prompt tokens and most output tokens together.
     tokens: int = 0
     group: str = ""
+    # The reward call, not a service or a target.
+    scorer: _Scorer | None = None
 
 
 class _Submission(msgspec.Struct, frozen=True, rename="camel"):
@@ -45,6 +59,7 @@
     state: str
     output: str
     versions: list[int]
+    score: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Page(msgspec.Struct, frozen=True):
@@ -57,6 +72,9 @@
 PAGE_BYTES = 900_000
 """Text in one answer; the platform allows a megabyte in all."""
 
+OK = 200
+MULTIPLE_CHOICES = 300
+
 _COMPLETED = "completed"
 _GIVEN_UP = "terminated"
 
@@ -102,9 +120,17 @@
         group=item.group,
         model=fields.get(names.MODEL.lower(), model),
         expected_tokens=_expected_tokens(fields),
+        reward_call=_reward_call(item.scorer),
     )
 
 
+def _reward_call(wire: _Scorer | None) -> RewardCall | None:
+    if wire is None:
+        return None
+    body = base64.b64decode(wire.body, validate=True)
+    return RewardCall(wire.id, wire.host, wire.path, body)
+
+
 def _expected_tokens(fields: dict[str, str]) -> int:
     """Return the estimate of the tokens to be generated; 0 for none."""
     hint = fields.get(names.LENGTH_HINT.lower(), "")
@@ -121,12 +147,16 @@
             break
         state = _COMPLETED if result.completed else _GIVEN_UP
         text = result.text.decode("utf-8", "surrogateescape")
-        page.append(_Result(result.id, state, text, list(result.versions)))
+        score = result.score or msgspec.UNSET
+        page.append(_Result(result.id, state, text, list(result.versions), score))
     return msgspec.json.encode(_Page(total, page, after + len(page)))
 
 
 class PlatformSamples:
-    """How a sample is put to an engine, as a `rollout.sample_run.SampleProtocol`."""
+    """How a sample is put to an engine, and its reward call to a plain service.
+
+    A `rollout.sample_run.SampleProtocol` and a `rollout.reward_call.RewardProtocol`.
+    """
 
     version_field = names.VERSION_LINE
 
@@ -149,6 +179,22 @@
             sample.id, "POST", sample.path, tuple(headers), sample.body, True
         )
 
+    def reward_request(self, call: RewardCall) -> ForwardRequest:
+        """Return the request that gives a sample's score."""
+        headers = (("Host", call.host), (names.ATTEMPT_ID, call.id))
+        return ForwardRequest(call.id, "POST", call.path, headers, call.body, True)
+
+    def score(self, answer: Answered) -> str:
+        """Return the score that a target's answer gives; empty if it gives none."""
+        if not OK <= answer.status < MULTIPLE_CHOICES:
+            return ""
+        marks = [
+            value
+            for name, value in answer.headers
+            if name.lower() == names.SEAL.lower()
+        ]
+        return marks[0] if len(marks) == 1 else ""
+
     def answer_version(self, headers: HTTPHeaderDict) -> int:
         """Return the version at which an answer begins; 0 if it says none."""
         text = headers.get(names.VERSION, "")
--- a/src/wigeonfront/platform/records.py
+++ b/src/wigeonfront/platform/records.py
@@ -1,5 +1,9 @@
 """Decodes what the operator and the targets write into the platform's store."""
 
+from dataclasses import dataclass
+from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated, Literal, TypeVar
+
 import msgspec
 
 from wigeonfront.configuration import (
@@ -27,8 +31,18 @@
     "batch": RouteKind.LOTS,
 }
 
+DRAINING = "draining"
+
 DEFAULT_TIMEOUT_MS = 30_000
 
+MOST_SLOTS = 100_000
+MOST_COLD_MS = 3_600_000
+MOST_RETIRE_SECONDS = 86_400
+"""Bounds beyond which a number is a mistake of its writer: ten times what any machine
+runs at once, an hour, and a day."""
+
+MOST_PORT = 65_535
+
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
@@ -88,29 +102,46 @@
 
 
 class _Target(msgspec.Struct, frozen=True, rename="camel"):
-    service: str
+    # All fields that a target writes are demanded: a row that lacks one has another
+    # writer.
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
-    zone: str = ""
-    slot_count: int = 1
-    state: str = "ready"
-    cold_left_ms: float = 0.0
+    zone: str
+    # Of its software, not of weights.
+    version: str
+    slot_count: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+    state: Literal["ready", "draining"]
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MOST_COLD_MS)]
+    seq: Annotated[int, msgspec.Meta(ge=0)]
     models: list[_Model] = []
+    # Its start; with the id it names the incarnation.
+    born: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _Version(msgspec.Struct, frozen=True):
-    version: int
-    model: str = ""
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    # Repeats the end of the key; what lacks it has another writer.
+    model: Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class _Retire(msgspec.Struct, frozen=True, rename="camel"):
-    duration_s: float = msgspec.field(name="durationS", default=10.0)
+    duration_s: Annotated[float, msgspec.Meta(ge=0, le=MOST_RETIRE_SECONDS)] = (
+        msgspec.field(name="durationS", default=10.0)
+    )
+
 
+@dataclass(frozen=True, slots=True)
+class BadRow:
+    """A row that can't be read, or has another writer than is expected."""
 
-def decode_configuration(value: bytes) -> Configuration | None:
-    """Return the configuration, or ``None`` where `value` is malformed."""
+    reason: str
+
+
+def decode_configuration(value: bytes) -> Configuration | BadRow:
+    """Return the configuration, or why `value` holds none."""
     wire = _decode(value, _Configuration)
-    if wire is None:
-        return None
+    if isinstance(wire, BadRow):
+        return wire
     limits = CallerLimits(
         header_bytes=wire.limits.max_header_bytes,
         body_bytes=wire.limits.max_body_bytes,
@@ -123,33 +154,48 @@
     )
 
 
-def decode_target(id: str, value: bytes) -> Target | None:
-    """Return the target that registered as `id`, or ``None`` where malformed."""
+def decode_target(id: str, value: bytes) -> Target | BadRow:
+    """Return the target that registered as `id`, or why the row names none."""
+    if not id or "/" in id:
+        return BadRow("key of another form")
     wire = _decode(value, _Target)
-    if wire is None:
-        return None
+    if isinstance(wire, BadRow):
+        return wire
+    if not _is_address(wire.address):
+        return BadRow("address of another form")
     return Target(
-        id=id,
+        id=f"{id}@{wire.born}" if wire.born else id,
         service=wire.service,
         address=wire.address,
         failure_domain=wire.zone,
         slots=wire.slot_count,
-        draining=wire.state != "ready",
+        draining=wire.state == DRAINING,
         cold_seconds=wire.cold_left_ms / 1000,
         versions={model.name: model.version for model in wire.models},
+        registered_id=id,
+        started_ms=wire.born,
     )
 
 
-def decode_version(value: bytes) -> int | None:
+def _is_address(text: str) -> bool:
+    host, _, port = text.partition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MOST_PORT
+
+
+def decode_version(value: bytes) -> int | BadRow:
     """Return the version of a model's weights that a trainer has named."""
     wire = _decode(value, _Version)
-    return None if wire is None else wire.version
+    return wire if isinstance(wire, BadRow) else wire.version
 
 
-def decode_retire(value: bytes) -> float | None:
+def decode_retire(value: bytes) -> float | BadRow:
     """Return the seconds within which a machine with a disk is to be emptied."""
     wire = _decode(value, _Retire)
-    return None if wire is None else wire.duration_s
+    return wire if isinstance(wire, BadRow) else wire.duration_s
 
 
 def encode_retire_status(done: bool) -> bytes:
@@ -157,11 +203,14 @@
     return msgspec.json.encode({"state": "completed" if done else "running"})
 
 
-def _decode(value: bytes, kind: type) -> object | None:
+_Wire = TypeVar("_Wire")
+
+
+def _decode(value: bytes, kind: type[_Wire]) -> _Wire | BadRow:
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return BadRow(str(error)[:200])
 
 
 def _route(wire: _Route) -> Route:
--- a/src/wigeonfront/platform/target_calls.py
+++ b/src/wigeonfront/platform/target_calls.py
@@ -41,7 +41,7 @@
         for name, value in request.headers:
             sent.add(name, value)
         sent[names.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
-        sent[names.EXPECT_INSTANCE] = target.id
+        sent[names.EXPECT_INSTANCE] = target.name
         return sent
 
     def not_executed(self, status: int, headers: HTTPHeaderDict) -> bool:
--- a/src/wigeonfront/rollout/events.py
+++ b/src/wigeonfront/rollout/events.py
@@ -81,16 +81,24 @@
         Data of events 1, 2, 3 and so on.
     versions : set of int
         Versions that generated them.
+    whole : bool
+        The engine has said that no event follows.
     """
 
     pieces: list[bytes] = field(default_factory=list)
     versions: set[int] = field(default_factory=set)
+    whole: bool = False
 
     @property
     def last_id(self) -> int:
         """Id of the last event; 0 for none."""
         return len(self.pieces)
 
+    @property
+    def extent(self) -> int:
+        """How far the text is: its events, and one more for knowing its end."""
+        return self.last_id + self.whole
+
     def add(self, event: StreamEvent, version: int) -> bool:
         """Add the next event; return whether its id is the one that is due."""
         if event.id != self.last_id + 1:
@@ -111,4 +119,4 @@
 
     def copy(self) -> "Text":
         """Return a copy that later events don't change."""
-        return Text(list(self.pieces), set(self.versions))
+        return Text(list(self.pieces), set(self.versions), self.whole)
--- a/src/wigeonfront/rollout/lot.py
+++ b/src/wigeonfront/rollout/lot.py
@@ -5,6 +5,25 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RewardCall:
+    """The request that scores a sample once its text is whole; it may be repeated.
+
+    Attributes
+    ----------
+    id : str
+        Of the request; a score belongs to the call with this id alone.
+    host, path : str
+        They select the route; `path` is the request target.
+    body : bytes
+    """
+
+    id: str
+    host: str
+    path: str
+    body: bytes = field(default=b"", repr=False)
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """One request of a Lot.
@@ -23,6 +42,8 @@
         Model that generates it.
     expected_tokens : int
         The trainer's estimate of the tokens generated; 0 if it gave none.
+    reward_call : RewardCall or None
+        Gives the score without which the sample is not completed.
     """
 
     id: str
@@ -32,6 +53,7 @@
     group: str = ""
     model: str = ""
     expected_tokens: int = 0
+    reward_call: RewardCall | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,9 +120,12 @@
         Data of all events, separated by line feeds.
     versions : tuple of int
         Versions that generated the events.
+    score : str
+        What the sample's reward call gave; empty where it has none.
     """
 
     id: str
     completed: bool
     text: bytes = field(default=b"", repr=False)
     versions: tuple[int, ...] = ()
+    score: str = ""
--- a/src/wigeonfront/rollout/order.py
+++ b/src/wigeonfront/rollout/order.py
@@ -161,7 +161,7 @@
         for progress in lots
         if not progress.ended
         for state in progress.open.values()
-        if not state.running and state.not_before <= now
+        if state.wants_run and state.not_before <= now
     ]
     waiting.sort(key=lambda one: one.latest_start)
     return waiting
@@ -322,4 +322,4 @@
     """
     if progress.ended or now - progress.flushed_at < TEXT_SECONDS:
         return False
-    return any(state.snapshot_id > state.saved for state in progress.open.values())
+    return any(state.unsaved for state in progress.open.values())
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -8,10 +8,44 @@
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 
 
+@dataclass(slots=True)
+class CallState:
+    """The reward call of a sample.
+
+    Attributes
+    ----------
+    running : bool
+        A send is in progress.
+    tries : int
+        Sends that have ended without a score.
+    failures : int
+        Sends that the target itself answered with a failure.
+    unframed : int
+        Scores that came with an answer that did not tell its own end.
+    tried : frozenset of str
+        Targets that have given no score.
+    not_before : float
+        Monotonic time before which it is not sent.
+    due_since : float
+        Monotonic time at which the text was known to be whole.
+    """
+
+    running: bool = False
+    tries: int = 0
+    failures: int = 0
+    unframed: int = 0
+    tried: frozenset[str] = frozenset()
+    not_before: float = 0.0
+    due_since: float = 0.0
+
+
 @dataclass(slots=True)
 class SampleState:
     """A sample that has no result yet.
 
+    It waits, is run until its text is whole, and waits for its score if it has a
+    reward call.
+
     Attributes
     ----------
     sample : Sample
@@ -31,7 +65,8 @@
     snapshot : Text or None
         Copy of the text that the run's own thread took between two events.
     saved : int
-        Events of its text that the store has.
+        Extent of its text that the store has.
+    call : CallState
     """
 
     sample: Sample
@@ -44,6 +79,7 @@
     waits_since: float = 0.0
     snapshot: Text | None = None
     saved: int = 0
+    call: CallState = field(default_factory=CallState)
 
     @property
     def text_version(self) -> int:
@@ -55,12 +91,33 @@
         """Id of the last event of the snapshot; 0 for none."""
         return self.snapshot.last_id if self.snapshot else 0
 
+    @property
+    def unsaved(self) -> bool:
+        """Whether the store lacks a part of the snapshot."""
+        return self.snapshot is not None and self.snapshot.extent > self.saved
+
+    @property
+    def wants_run(self) -> bool:
+        """Whether it waits to be run."""
+        return not self.running and not self.text.whole
+
+    @property
+    def wants_call(self) -> bool:
+        """Whether it waits for its reward call to be sent."""
+        return self.text.whole and not self.call.running
+
     def forget_text(self) -> None:
         """Begin anew: what was generated may not be used."""
         self.text = Text()
         self.snapshot = None
         self.saved = 0
 
+    def text_ended(self, now: float) -> None:
+        """Note at a monotonic time that the text is whole."""
+        self.text.whole = True
+        self.snapshot = self.text.copy()
+        self.call.due_since = now
+
 
 @dataclass(slots=True)
 class GroupState:
@@ -171,7 +228,7 @@
         self.in_doubt = []
         for id, text in texts.items():
             if id in self.open:
-                self.open[id].saved = text.last_id
+                self.open[id].saved = text.extent
 
     def _close(self, sample_id: str) -> bool:
         state = self.open.pop(sample_id, None)
--- a/src/wigeonfront/rollout/repository.py
+++ b/src/wigeonfront/rollout/repository.py
@@ -125,11 +125,11 @@
     """Return the head that a row holds, or ``None`` where it is malformed."""
     try:
         wire = msgspec.json.decode(row.value, type=_HeadRow)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     return Head(
         wire.owner,
-        LotState(wire.state),
+        wire.state,
         wire.total,
         wire.parts,
         wire.submitted_at,
@@ -139,16 +139,14 @@
 
 class _HeadRow(msgspec.Struct):
     owner: str
-    state: str
+    state: LotState
     total: int
     parts: int
     submitted_at: float
 
     @classmethod
     def of(cls, head: Head) -> "_HeadRow":
-        return cls(
-            head.owner, head.state.value, head.total, head.parts, head.submitted_at
-        )
+        return cls(head.owner, head.state, head.total, head.parts, head.submitted_at)
 
 
 class LotRepository:
--- /dev/null
+++ b/src/wigeonfront/rollout/reward_call.py
@@ -0,0 +1,153 @@
+"""Sends one reward call to one target and tells how that ended."""
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Protocol
+
+from wigeonfront.forwarding.exchange import (
+    Answered,
+    Broken,
+    CallerGone,
+    ForwardRequest,
+    NotExecuted,
+    Outcome,
+    TimedOut,
+)
+from wigeonfront.forwarding.forwarder import Forwarder
+from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.rollout.lot import RewardCall
+from wigeonfront.target_table import TargetView
+
+SERVER_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Scored:
+    """The target gave a score.
+
+    Attributes
+    ----------
+    score : str
+    framed : bool
+        The answer told its own end; if not, one that was broken off may look whole.
+    """
+
+    score: str
+    framed: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """The target itself answered with a failure, which counts towards giving up."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallRefused:
+    """The target did not run it."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallBroken:
+    """No usable answer came."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallCancelled:
+    """Nobody wants the score any more."""
+
+    reason: str = ""
+
+
+CallOutcome = Scored | CallFailed | CallRefused | CallBroken | CallCancelled
+
+
+class RewardProtocol(Protocol):
+    """How a reward call is put to a target; the platform's adapter gives it."""
+
+    def reward_request(self, call: RewardCall) -> ForwardRequest:
+        """Return the request that gives a sample's score."""
+
+    def score(self, answer: Answered) -> str:
+        """Return the score that a target's answer gives; empty if it gives none."""
+
+
+class RewardCaller:
+    """Sends reward calls, by the forwarder that plain requests use.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+    protocol : RewardProtocol
+    """
+
+    def __init__(self, forwarder: Forwarder, protocol: RewardProtocol) -> None:
+        self._forwarder = forwarder
+        self._protocol = protocol
+
+    def send(
+        self,
+        call: RewardCall,
+        view: TargetView,
+        deadline: float,
+        run_seconds: float,
+        handle: CallHandle,
+    ) -> CallOutcome:
+        """Send `call` to one target.
+
+        Parameters
+        ----------
+        deadline : float
+            Monotonic time at which waiting ends.
+        run_seconds : float
+            Time that the target may work.
+        handle : CallHandle
+            Ends the call from outside.
+        """
+        request = self._protocol.reward_request(call)
+        outcome = self._forwarder.send(
+            request, view, deadline, run_seconds=run_seconds, handle=handle
+        )
+        if handle.cancelled:
+            return CallCancelled()
+        if isinstance(outcome, Answered):
+            return self._read(outcome)
+        return _without_answer(outcome)
+
+    def _read(self, answer: Answered) -> CallOutcome:
+        score = self._protocol.score(answer)
+        if score:
+            return Scored(score, answer.framed)
+        if answer.status == SERVER_ERROR:
+            return CallFailed(f"status {answer.status}")
+        return CallBroken(f"status {answer.status}")
+
+
+@singledispatch
+def _without_answer(outcome: Outcome) -> CallOutcome:
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@_without_answer.register
+def _(outcome: NotExecuted) -> CallOutcome:
+    return CallRefused(outcome.reason)
+
+
+@_without_answer.register
+def _(outcome: Broken) -> CallOutcome:
+    return CallBroken(outcome.reason)
+
+
+@_without_answer.register
+def _(outcome: TimedOut) -> CallOutcome:
+    return CallBroken("timeout")
+
+
+@_without_answer.register
+def _(outcome: CallerGone) -> CallOutcome:
+    return CallCancelled()
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -1,8 +1,8 @@
 """Runs the Lots that this process owns.
 
-Three kinds of threads: one that sends what waits, one that keeps results
-(`ResultKeeper`), and one for each run. They meet in `LotRunner`, whose lock guards the
-`LotProgress` objects.
+Threads: one that sends what waits, one that keeps results (`ResultKeeper`), one that
+sends reward calls (`Scoring`), and one for each run and each call. They meet in
+`LotRunner`, whose lock guards the `LotProgress` objects.
 """
 
 import logging
@@ -29,6 +29,7 @@
 from wigeonfront.rollout.placing import SamplePlacer
 from wigeonfront.rollout.progress import LotProgress, SampleState
 from wigeonfront.rollout.repository import LotRepository
+from wigeonfront.rollout.reward_call import RewardCaller
 from wigeonfront.rollout.run_outcomes import (
     RunBroken,
     RunCancelled,
@@ -43,6 +44,7 @@
     evidence,
 )
 from wigeonfront.rollout.sample_run import RunHandle, SampleRunner
+from wigeonfront.rollout.scoring import Scoring, completed
 from wigeonfront.target_table import TargetTable, TargetView
 
 logger = logging.getLogger(__name__)
@@ -85,8 +87,11 @@
     repository : LotRepository
     table : TargetTable
     samples : SampleRunner
+    reward_caller : RewardCaller
     configuration : callable
         Returns the configuration in force, or ``None``.
+    failure_domain : str
+        Where this process is.
     clock : Clock
     metrics : wigeonfront.metrics.Registry
 
@@ -94,6 +99,8 @@
     ----------
     keeper : ResultKeeper
         Keeps what the runs generate.
+    scoring : Scoring
+        Gets the scores of whole texts.
     """
 
     def __init__(
@@ -101,7 +108,9 @@
         repository: LotRepository,
         table: TargetTable,
         samples: SampleRunner,
+        reward_caller: RewardCaller,
         configuration: Callable[[], Configuration | None],
+        failure_domain: str,
         clock: Clock,
         metrics: Registry,
     ) -> None:
@@ -129,6 +138,17 @@
                 "result_batches_total", "Writes of results by outcome.", ("outcome",)
             ),
         )
+        self.scoring = Scoring(
+            reward_caller,
+            table,
+            lambda: list(self._lots.values()),
+            self._finish,
+            threading.Condition(self._lock),
+            configuration,
+            failure_domain,
+            clock,
+            metrics,
+        )
         self._run_seconds = metrics.histogram(
             "sample_run_seconds", "Duration of runs.", ("outcome",)
         )
@@ -164,6 +184,9 @@
                 if text is not None and text.fits(lot.min_version, lot.single_version):
                     state.text = text
             self._lots[lot.id] = progress
+            whole = [state for state in progress.open.values() if state.text.whole]
+            for state in whole:
+                self._text_ended(progress, state)
             self._work.notify_all()
 
     def owned(self, lot_id: str) -> LotProgress | None:
@@ -195,7 +218,15 @@
             self._results.notify_all()
         for run in runs:
             run.handle.cancel()
-        event(logger, "lot_stopped", lot=lot_id, reason=reason, runs=len(runs))
+        calls = self.scoring.drop(progress)
+        event(
+            logger,
+            "lot_stopped",
+            lot=lot_id,
+            reason=reason,
+            runs=len(runs),
+            reward_calls=calls,
+        )
         return progress
 
     def texts_of(self, progress: LotProgress) -> dict[str, Text]:
@@ -251,7 +282,7 @@
 
     def _pause(self) -> float:
         waiting = any(
-            not state.running
+            state.wants_run
             for progress in self._lots.values()
             for state in progress.open.values()
         )
@@ -323,7 +354,7 @@
             if now < progress.lot.given_up_at or not progress.open:
                 continue
             for state in list(progress.open.values()):
-                if not state.running:
+                if not state.running and not state.call.running:
                     self._finish(progress, _terminated(state), "too late")
 
     # --- one run -------------------------------------------------------------
@@ -425,13 +456,7 @@
         model = state.sample.model
         if isinstance(outcome, RunCompleted):
             if state.text.fits(lot.min_version, lot.single_version):
-                result = SampleResult(
-                    state.sample.id,
-                    True,
-                    state.text.joined(),
-                    tuple(sorted(state.text.versions)),
-                )
-                self._finish(progress, result, "completed")
+                self._text_ended(progress, state)
             else:
                 state.forget_text()
         elif isinstance(outcome, RunImpossible):
@@ -455,6 +480,14 @@
         else:
             state.avoid = run.target_id
 
+    def _text_ended(self, progress: LotProgress, state: SampleState) -> None:
+        """Take the result of a whole text, or have it scored first."""
+        if state.sample.reward_call is None:
+            self._finish(progress, completed(state), "completed")
+            return
+        state.text_ended(self._clock.monotonic())
+        self.scoring.wake()
+
     def _finish(self, progress: LotProgress, result: SampleResult, reason: str) -> None:
         if not progress.finish(result):
             return
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -17,6 +17,7 @@
     OpenCall,
     TimedOut,
 )
+from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.rollout.events import EventReader, Text
 from wigeonfront.rollout.lot import Lot, Sample
 from wigeonfront.rollout.run_outcomes import (
@@ -53,32 +54,23 @@
         """Return the version at which an answer begins; 0 if it says none."""
 
 
-class RunHandle:
-    """Lets another thread end a run."""
+class RunHandle(CallHandle):
+    """Lets another thread end a run.
+
+    Attributes
+    ----------
+    moved : bool
+        The run was ended in order to go on elsewhere.
+    """
 
     def __init__(self) -> None:
-        self._call: OpenCall | None = None
-        self.cancelled = False
+        super().__init__()
         self.moved = False
 
-    def attach(self, call: OpenCall) -> None:
-        """Take the call that is to be closed; close it if it is too late."""
-        self._call = call
-        if self.cancelled:
-            call.abort()
-
     def move(self) -> None:
         """End the run in order to go on elsewhere."""
         self.moved = True
-        if self._call is not None:
-            self._call.abort()
-
-    def cancel(self) -> None:
-        """End the run: its connection closes, and the engine stops."""
-        self.cancelled = True
-        call = self._call
-        if call is not None:
-            call.abort()
+        self.interrupt()
 
 
 class SampleRunner:
@@ -122,14 +114,15 @@
         request = self._protocol.sample_request(lot, sample, text.last_id)
         first = min(FIRST_EVENT_SECONDS, seconds)
         head_by = self._clock.monotonic() + first
-        call = self._exchange.open(request, target, head_by, run_seconds=seconds)
+        call = self._exchange.open(
+            request, target, head_by, run_seconds=seconds, handle=handle
+        )
         if isinstance(call, NotExecuted):
             return RunRefused(call.reason, call.status != 0, call.replaced)
         if isinstance(call, Broken):
             return RunBroken(call.reason)
         if isinstance(call, TimedOut | CallerGone):
             return RunBroken("no answer")
-        handle.attach(call)
         if call.status != OK:
             call.close()
             return _error(call.status)
--- /dev/null
+++ b/src/wigeonfront/rollout/scoring.py
@@ -0,0 +1,304 @@
+"""Gets the scores of owned Lots' samples whose texts are whole."""
+
+import logging
+import threading
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from wigeonfront.clock import Clock
+from wigeonfront.configuration import Configuration, Route
+from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.logs import event
+from wigeonfront.metrics import Registry
+from wigeonfront.rollout.lot import RewardCall, SampleResult
+from wigeonfront.rollout.progress import LotProgress, SampleState
+from wigeonfront.rollout.reward_call import (
+    CallBroken,
+    CallCancelled,
+    CallFailed,
+    CallOutcome,
+    RewardCaller,
+    Scored,
+)
+from wigeonfront.rollout.reward_order import (
+    DueCall,
+    choose_call_target,
+    due_calls,
+    most_wait,
+    pause_after,
+)
+from wigeonfront.target_table import TargetTable, TargetView
+
+logger = logging.getLogger(__name__)
+
+IDLE_WAIT_SECONDS = 0.5
+"""Longest sleep of the sending thread; a text that ends wakes it."""
+
+PLACE_WAIT_SECONDS = 0.05
+"""Pause of the sending thread while calls wait for a place or for their time."""
+
+NO_ROUTE_PAUSE_SECONDS = 0.5
+"""Pause of a call whose host and path no route serves now: a quarter of the time in
+which a change of the configuration is in force."""
+
+UNFRAMED_TRUSTED = 2
+"""Answers that do not tell their own end from which on one is believed: a service may
+answer so always, and a single one may have been broken off."""
+
+Finish = Callable[[LotProgress, SampleResult, str], None]
+
+
+@dataclass(slots=True)
+class _Call:
+    """A reward call in progress."""
+
+    due: DueCall
+    view: TargetView
+    route: Route
+    handle: CallHandle = field(default_factory=CallHandle)
+
+    @property
+    def target_id(self) -> str:
+        return self.view.target.id
+
+    @property
+    def reward_call(self) -> RewardCall:
+        return _reward_call(self.due.state)
+
+
+class Scoring:
+    """Sends the reward calls of samples whose texts are whole.
+
+    Parameters
+    ----------
+    caller : RewardCaller
+    table : TargetTable
+    lots : callable
+        Returns the owned Lots; called with the lock of `changed` held.
+    finish : callable
+        Takes a sample's result, with the reason; called with the lock held.
+    changed : threading.Condition
+        Guards the progress of Lots, and is notified when a text has ended.
+    configuration : callable
+        Returns the configuration in force, or ``None``.
+    failure_domain : str
+    clock : Clock
+    metrics : wigeonfront.metrics.Registry
+    """
+
+    def __init__(
+        self,
+        caller: RewardCaller,
+        table: TargetTable,
+        lots: Callable[[], list[LotProgress]],
+        finish: Finish,
+        changed: threading.Condition,
+        configuration: Callable[[], Configuration | None],
+        failure_domain: str,
+        clock: Clock,
+        metrics: Registry,
+    ) -> None:
+        self._caller = caller
+        self._table = table
+        self._lots = lots
+        self._finish = finish
+        self._changed = changed
+        self._configuration = configuration
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._calls: dict[str, _Call] = {}
+        self._unrouted: set[str] = set()
+        self._count = metrics.counter(
+            "reward_calls_total", "Sends of reward calls by outcome.", ("outcome",)
+        )
+        self._seconds = metrics.histogram(
+            "reward_call_seconds", "Time of a send of a reward call.", ("outcome",)
+        )
+        self._score_seconds = metrics.histogram(
+            "score_seconds", "Time from a whole text to its score."
+        )
+        metrics.gauge(
+            "reward_calls_running",
+            "Reward calls in progress.",
+            read=lambda: float(len(self._calls)),
+        )
+
+    def run(self, stop: threading.Event) -> None:
+        """Send calls while there is room (a supervisor's task)."""
+        while not stop.is_set():
+            with self._changed:
+                waiting = self._send_due()
+                self._changed.wait(PLACE_WAIT_SECONDS if waiting else IDLE_WAIT_SECONDS)
+
+    def wake(self) -> None:
+        """Look at once whether a call can be sent."""
+        with self._changed:
+            self._changed.notify_all()
+
+    def drop(self, progress: LotProgress) -> int:
+        """End the calls of a Lot that was given up; return how many there were."""
+        with self._changed:
+            calls = [
+                one for one in self._calls.values() if one.due.progress is progress
+            ]
+        for call in calls:
+            call.handle.cancel()
+        return len(calls)
+
+    def _send_due(self) -> bool:
+        """Send what may be sent; return whether a call waits."""
+        configuration = self._configuration()
+        if configuration is None:
+            return False
+        full: set[str] = set()
+        for due in due_calls(self._lots(), self._clock.monotonic()):
+            if due.state.sample.id in self._calls:
+                continue
+            route = self._route(due, configuration)
+            if route is None:
+                continue
+            service = route.shares[0].service
+            if service in full:
+                continue
+            view = self._choose(due.state, service)
+            if view is None:
+                full.add(service)
+                continue
+            self._start(_Call(due, view, route))
+        return any(
+            state.wants_call
+            for progress in self._lots()
+            for state in progress.open.values()
+        )
+
+    def _route(self, due: DueCall, configuration: Configuration) -> Route | None:
+        call = _reward_call(due.state)
+        path = call.path.partition("?")[0]
+        route = configuration.find(call.host.lower(), path)
+        if route is not None:
+            self._unrouted.discard(call.id)
+            return route
+        due.state.call.not_before = self._clock.monotonic() + NO_ROUTE_PAUSE_SECONDS
+        if call.id not in self._unrouted:
+            self._unrouted.add(call.id)
+            event(
+                logger,
+                "reward_call_unrouted",
+                lot=due.progress.lot.id,
+                sample=due.state.sample.id,
+                call=call.id,
+                host=call.host,
+                path=path,
+                version=configuration.version,
+            )
+        return None
+
+    def _choose(self, state: SampleState, service: str) -> TargetView | None:
+        own = Counter(one.target_id for one in self._calls.values())
+        return choose_call_target(
+            self._table.views(service), own, state.call.tried, self._failure_domain
+        )
+
+    def _start(self, call: _Call) -> None:
+        state = call.due.state
+        state.call.running = True
+        self._calls[state.sample.id] = call
+        event(
+            logger,
+            "reward_call_sent",
+            lot=call.due.progress.lot.id,
+            sample=state.sample.id,
+            call=call.reward_call.id,
+            target=call.target_id,
+            load=call.view.in_flight,
+            slots=call.view.target.slots,
+            tries=state.call.tries,
+            text_age=self._clock.monotonic() - state.call.due_since,
+        )
+        threading.Thread(
+            target=self._run, args=(call,), name="reward-call", daemon=True
+        ).start()
+
+    def _run(self, call: _Call) -> None:
+        lot = call.due.progress.lot
+        started = self._clock.monotonic()
+        left = max(1.0, lot.given_up_at - self._clock.time())
+        wait = most_wait(
+            call.view.latency, call.due.state.call.tries, min(call.route.timeout, left)
+        )
+        outcome: CallOutcome = CallBroken("crashed")
+        try:
+            outcome = self._caller.send(
+                call.reward_call, call.view, started + wait, left, call.handle
+            )
+        finally:
+            self._ended(call, outcome, self._clock.monotonic() - started)
+
+    def _ended(self, call: _Call, outcome: CallOutcome, seconds: float) -> None:
+        name = type(outcome).__name__
+        progress, state = call.due.progress, call.due.state
+        self._count.increment(outcome=name)
+        self._seconds.observe(seconds, outcome=name)
+        event(
+            logger,
+            "reward_call",
+            lot=progress.lot.id,
+            sample=state.sample.id,
+            call=call.reward_call.id,
+            target=call.target_id,
+            outcome=name,
+            detail=getattr(outcome, "reason", ""),
+            tries=state.call.tries,
+            failures=state.call.failures,
+            seconds=seconds,
+            text_age=self._clock.monotonic() - state.call.due_since,
+        )
+        with self._changed:
+            if self._calls.get(state.sample.id) is call:
+                del self._calls[state.sample.id]
+            state.call.running = False
+            if not isinstance(outcome, CallCancelled) and not progress.ended:
+                self._settle(call, outcome)
+            self._changed.notify_all()
+
+    def _settle(self, call: _Call, outcome: CallOutcome) -> None:
+        """Decide what becomes of the sample after a send."""
+        progress, state = call.due.progress, call.due.state
+        if isinstance(outcome, Scored):
+            state.call.unframed += not outcome.framed
+            if outcome.framed or state.call.unframed >= UNFRAMED_TRUSTED:
+                waited = self._clock.monotonic() - state.call.due_since
+                self._score_seconds.observe(waited)
+                self._finish(progress, completed(state, outcome.score), "scored")
+                return
+        state.call.tries += 1
+        state.call.tried |= {call.target_id}
+        now = self._clock.monotonic()
+        state.call.not_before = now + pause_after(outcome, state.call.tries)
+        if not isinstance(outcome, CallFailed):
+            return
+        state.call.failures += 1
+        # The platform does not say whose bound counts: past both, it is kept.
+        if state.call.failures >= max(
+            call.route.max_attempts, progress.lot.max_attempts
+        ):
+            result = SampleResult(state.sample.id, completed=False)
+            self._finish(progress, result, "failed reward calls")
+
+
+def completed(state: SampleState, score: str = "") -> SampleResult:
+    """Return the result of a sample whose text is whole."""
+    return SampleResult(
+        state.sample.id,
+        True,
+        state.text.joined(),
+        tuple(sorted(state.text.versions)),
+        score,
+    )
+
+
+def _reward_call(state: SampleState) -> RewardCall:
+    if state.sample.reward_call is None:
+        raise AssertionError("a text waits for a score though its sample has no call")
+    return state.sample.reward_call
--- a/src/wigeonfront/target_table.py
+++ b/src/wigeonfront/target_table.py
@@ -355,11 +355,16 @@
         self._log(change)
 
     def saw_version(self, id: str, model: str, version: int) -> None:
-        """Note the version under which the target answers for `model`."""
+        """Note the version under which the target answers for `model`.
+
+        It may be lower than the one known: an order that is carried out late, after a
+        restart, takes an engine back. Without it such an engine would get the same
+        samples again and again, and could run none.
+        """
         with self._lock:
             state = self._states.get(id)
             if state is not None:
-                state.versions[model] = max(version, state.versions.get(model, 0))
+                state.versions[model] = version
 
     def replaced(self, id: str) -> None:
         """Note that another incarnation answered at the target's address."""
--- a/src/wigeonfront/weights/mover.py
+++ b/src/wigeonfront/weights/mover.py
@@ -26,6 +26,11 @@
 IDLE_PAUSE_SECONDS = 1.0
 """Pause while nothing is to be moved."""
 
+RECHECK_SECONDS = 4.0
+"""Time, about that of a step, after which an engine that has moved is read again: it
+may have started anew, or carried out an earlier order late. A reading is a call on the
+same machine."""
+
 
 class Engine(Protocol):
     """The engine beside this process; the platform's adapter gives it."""
@@ -69,6 +74,7 @@
         self._clock = clock
         self._wake = threading.Event()
         self._versions: dict[str, int] = {}
+        self._read_at = -RECHECK_SECONDS
         self._orders = metrics.counter(
             "weight_orders_total", "Orders to the engine by answer.", ("answer",)
         )
@@ -97,13 +103,15 @@
         named, fence = self._named()
         if not named:
             return IDLE_PAUSE_SECONDS
-        if self._has_moved(named):
+        now = self._clock.monotonic()
+        fresh = now - self._read_at < RECHECK_SECONDS
+        if fresh and self._has_moved(named):
             return IDLE_PAUSE_SECONDS
         report = self._engine.report()
         if isinstance(report, Unavailable):
             return BUSY_PAUSE_SECONDS
+        self._read_at = now
         self._versions = dict(report.versions)
-        now = self._clock.monotonic()
         order = next_move(report, named, now, self._place(), self._keep_runs())
         if order is None:
             return BUSY_PAUSE_SECONDS
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -61,6 +61,10 @@
         wait_for(lambda: entry.ready)
         return entry
 
+    def ended_at(self, sample):
+        """Return the moment at which the last event of a sample was made."""
+        return max(engine.ended_at.get(sample, 0.0) for engine in self.engines)
+
     def close(self):
         servers = (*self.engines, self.plain, self.store)
         closing = [each.close for each in self.entries]
@@ -87,7 +91,13 @@
     return answer
 
 
-def submission(lot_id, samples=SAMPLES, **fields):
+def scorer(sample_id, **changes):
+    body = base64.b64encode(b"score this").decode()
+    path = f"/plain/score%2F{sample_id}?q=1"
+    return {"id": f"c-{sample_id}", "host": HOST, "path": path, "body": body} | changes
+
+
+def submission(lot_id, samples=SAMPLES, scored=False, **fields):
     items = [
         {
             "id": f"{lot_id}-{number}",
@@ -97,6 +107,7 @@
             "tokens": 100,
             "group": f"g{number // 2}",
         }
+        | ({"scorer": scorer(f"{lot_id}-{number}")} if scored else {})
         for number in range(samples)
     ]
     body = {"step": 0, "model": MODEL, "minVersion": 1, "items": items}
@@ -221,6 +232,111 @@
     check(deployed, read_all(entry, "l1"))
 
 
+def test_a_sample_is_listed_with_its_score_at_every_entry(deployed):
+    first, second = deployed.add_entry("n1"), deployed.add_entry("n2")
+    assert submit(first, "l1", scored=True).status == 202
+    page = read_all(first, "l1")
+    check(deployed, page)
+    assert read_all(second, "l1") == page
+    for result in page["results"]:
+        call = f"c-{result['id']}"
+        assert deployed.plain.marks[call] == [result["score"]]
+        assert deployed.plain.arrived[call][0] >= deployed.ended_at(result["id"])
+        sent = ("POST", f"/plain/score%2F{result['id']}?q=1", b"score this")
+        assert sent in deployed.plain.seen
+
+
+def test_a_sample_whose_reward_call_always_fails_is_given_up(deployed):
+    entry = deployed.add_entry("n1")
+    deployed.plain.statuses["c-l1-2"] = 500
+    submit(entry, "l1", scored=True)
+    page = read_all(entry, "l1")
+    states = {one["id"]: one["state"] for one in page["results"]}
+    assert states.pop("l1-2") == "terminated"
+    assert set(states.values()) == {"completed"}
+    assert len(deployed.plain.arrived["c-l1-2"]) == 3
+
+
+def test_an_owner_lost_between_text_and_score_generates_nothing_again(deployed):
+    first, second = deployed.add_entry("n1"), deployed.add_entry("n2")
+    deployed.plain.refuse = True
+    submit(first, "l1", scored=True)
+    wait_for(lambda: not any(engine.running for engine in deployed.engines))
+    time.sleep(1.5)
+    first._supervisor._tell()
+    first._runner.stop_lot("l1", "killed by the test")
+    deployed.plain.refuse = False
+    page = read_all(second, "l1")
+    check(deployed, page)
+    ran = deployed.engines[0].ran + deployed.engines[1].ran
+    assert set(ran.values()) == {1}
+    marks = {one["score"] for one in page["results"]}
+    assert marks == {mark for marks in deployed.plain.marks.values() for mark in marks}
+
+
+def test_an_ended_lot_calls_no_scoring_service_afterwards(deployed):
+    first, second = deployed.add_entry("n1"), deployed.add_entry("n2")
+    deployed.plain.pause = 0.4
+    submit(first, "l1", samples=12, scored=True)
+    wait_for(lambda: deployed.plain.arrived)
+    assert call(second, "DELETE", "/lots/l1").status == 200
+    assert call(first, "DELETE", "/lots/l1").status == 200
+    time.sleep(0.2)
+    before = len(deployed.plain.seen)
+    time.sleep(0.8)
+    assert len(deployed.plain.seen) == before
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"id": ""},
+        {"id": 3},
+        {"host": ""},
+        {"path": "score"},
+        {"path": ""},
+        {"path": "/a b"},
+        {"path": "/a\r\nX: y"},
+        {"body": "%"},
+        {"body": 3},
+    ],
+)
+def test_a_bad_reward_call_makes_a_lot_a_clear_mistake(deployed, changes):
+    entry = deployed.add_entry("n1")
+    good = submission("l1", scored=True)
+    items = msgspec.json.decode(good)
+    items["items"][3]["scorer"] = scorer("l1-3", **changes)
+    body = msgspec.json.encode(items)
+    answer = call(entry, "POST", "/lots-in/x", body, Wigeonfront_Attempt_Id="l1")
+    assert answer.status == 400
+    assert read(entry, "l1")[0] == 404
+    assert not deployed.engines[0].ran and not deployed.engines[1].ran
+
+
+def test_runs_go_on_elsewhere_as_soon_as_an_engine_has_started_again(deployed):
+    entry = deployed.add_entry("n1")
+    silent, other = deployed.engines
+    deployment.register(
+        deployed.rows, silent.id, ENGINES, silent.address, born=1_000_000
+    )
+    wait_for(lambda: entry._table.get(f"{silent.id}@1000000"))
+    silent.faults.hang = other.faults.hang = True
+    submit(entry, "l1")
+    wait_for(lambda: silent.running)
+    began = time.monotonic()
+    silent.faults.hang = other.faults.hang = False
+    deployment.register(
+        deployed.rows, silent.id, ENGINES, silent.address, born=2_000_000
+    )
+    first = [id for id in silent.ran if id not in other.ran]
+    wait_for(lambda: all((silent.ran + other.ran)[id] >= 2 for id in first))
+    # Well within the time for which a first event is waited for.
+    assert time.monotonic() - began < 1.5
+    for engine in (silent, other):
+        engine.release.set()
+    check(deployed, read_all(entry, "l1"))
+
+
 def test_a_silent_engine_is_left(deployed):
     entry = deployed.add_entry("n1")
     deployed.engines[0].faults.silent = True
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -331,3 +331,18 @@
     assert available == {"i-gone": False, "i-1": True}
     refused = 'sends_total{service="s",outcome="NotExecuted"} 1'
     assert refused in registry.render_text()
+
+
+def test_calls_to_a_target_that_runs_no_more_end_at_once():
+    raw, other = RawTarget(WHOLE, b""), RawTarget(WHOLE, (b"", b""), WHOLE)
+    connections, exchange = make_exchange()
+    gone, stays = target(raw.address, "i-1@1"), target(other.address, "i-2")
+    for one in (gone, stays):
+        assert isinstance(exchange.send(request(), one, time.monotonic() + 1), Answered)
+    threading.Timer(0.2, connections.cut, args=("i-1@1",)).start()
+    started = time.monotonic()
+    outcome = exchange.send(request(False), gone, time.monotonic() + 3)
+    assert isinstance(outcome, Broken)
+    assert time.monotonic() - started < 1.0
+    assert connections._pop("i-1@1") is None
+    assert connections._pop("i-2") is not None
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -61,7 +61,7 @@
         return outcome
 
 
-def make_runner(samples, versions):
+def make_runner(samples, versions, caller=None):
     clock = ManualClock(100.0)
     table = TargetTable(clock, random.Random(1))
     table.replace(
@@ -71,7 +71,9 @@
     route = Route("r", "h", "/", RouteKind.LOTS, (ServiceShare("s", 1.0),), 1.0, 0.4, 3)
     services = {"s": Service("s", "/health", 100, 2, (MODEL,))}
     configuration = Configuration(1, (route,), services)
-    return LotRunner(None, table, samples, lambda: configuration, clock, Registry())
+    return LotRunner(
+        None, table, samples, caller, lambda: configuration, "z", clock, Registry()
+    )
 
 
 @pytest.fixture
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -249,7 +249,7 @@
         self.script = list(script)
         self.sent = []
 
-    def send(self, request, target, deadline, caller):
+    def send(self, request, target, deadline, caller, run_seconds=None, handle=None):
         outcome, share = self.script.pop(0)
         left = max(0.0, deadline - self.clock.monotonic())
         used = left if isinstance(outcome, TimedOut) else left * share
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -1,10 +1,17 @@
+import json
+
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from platform_standins import deployment
 from wigeonfront.configuration import RouteKind
+from wigeonfront.membership import decode_member
 from wigeonfront.platform import records
 from wigeonfront.platform.boot import read_boot
+from wigeonfront.rollout.repository import decode_head
+from wigeonfront.rows import Row
 
 BOOT = """
 node = "edge-1"
@@ -55,19 +62,165 @@
 
 @pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version":"x"}', b"\xff\xfe"])
 def test_a_malformed_row_is_no_configuration(value):
-    assert records.decode_configuration(value) is None
-    assert records.decode_target("i-1", value) is None
-    assert records.decode_version(value) is None
+    for found in (
+        records.decode_configuration(value),
+        records.decode_target("i-1", value),
+        records.decode_version(value),
+    ):
+        assert isinstance(found, records.BadRow)
+        assert found.reason
+
+
+def row(**changes):
+    fields = deployment.registration("s", "1.2.3.4:5") | changes
+    return msgspec.json.encode(
+        {name: value for name, value in fields.items() if value != MISSING}
+    )
+
+
+MISSING = "(missing)"
+
+
+@pytest.mark.parametrize(("state", "draining"), [("ready", False), ("draining", True)])
+def test_a_target_takes_work_only_while_it_says_ready(state, draining):
+    assert records.decode_target("i-1", row(state=state)).draining is draining
+
+
+def test_a_start_is_part_of_a_targets_identity():
+    first = records.decode_target("i-1", row(born=1_700_000_000_000))
+    second = records.decode_target("i-1", row(born=1_700_000_000_001))
+    assert first.id != second.id
+    assert first.name == second.name == "i-1"
+    assert first.started_ms == 1_700_000_000_000
+    assert records.decode_target("i-1", row()).id == "i-1"
+
+
+BAD_FIELDS = [
+    *({name: MISSING} for name in deployment.registration("s", "1.2.3.4:5")),
+    {"service": ""},
+    {"service": 3},
+    {"address": "1.2.3.4"},
+    {"address": "1.2.3.4:"},
+    {"address": "1.2.3.4:0"},
+    {"address": "1.2.3.4:65536"},
+    {"address": "1.2.3.4:99999999999999999999"},
+    {"address": "1.2.3.4:+5"},
+    {"address": "1.2.3.4:\u0663"},
+    {"address": "1.2.3.400:5"},
+    {"address": "host.example:5"},
+    {"address": ["1.2.3.4:5"]},
+    {"zone": None},
+    {"version": 1},
+    {"slotCount": 0},
+    {"slotCount": -1},
+    {"slotCount": 10**9},
+    {"slotCount": "4"},
+    {"slotCount": 4.5},
+    {"slotCount": True},
+    {"state": "other"},
+    {"state": None},
+    {"coldLeftMs": -1},
+    {"coldLeftMs": 1e300},
+    {"coldLeftMs": "0"},
+    {"seq": "1"},
+    {"seq": None},
+    {"models": {}},
+    {"models": [3]},
+    {"models": [{"name": "m", "version": "1"}]},
+    {"born": "1700000000000"},
+    {"born": 1.5},
+    {"born": -1},
+    {"born": None},
+    {"born": {}},
+]
+
+
+@pytest.mark.parametrize("changes", BAD_FIELDS, ids=repr)
+def test_a_registration_of_another_writer_names_no_target(changes):
+    assert isinstance(records.decode_target("i-1", row(**changes)), records.BadRow)
+
+
+@pytest.mark.parametrize("id", ["", "a/b", "/a", "a/"])
+def test_a_registration_under_a_key_of_another_form_names_no_target(id):
+    assert isinstance(records.decode_target(id, row()), records.BadRow)
+
+
+DEEP = b"[" * 100_000
 
 
 @pytest.mark.parametrize(
-    ("state", "draining"), [("ready", False), ("draining", True), ("other", True)]
+    "value",
+    [
+        b"",
+        b"\xff\xfe\x00",
+        b"nul",
+        b"null",
+        b"3",
+        b'"text"',
+        b"[]",
+        b"{",
+        DEEP,
+        b'{"service":' + DEEP,
+        b'{"coldLeftMs":1e999}',
+        b'{"slotCount":' + b"9" * 400 + b"}",
+    ],
 )
-def test_a_target_takes_work_only_while_it_says_ready(state, draining):
-    value = msgspec.json.encode(
-        {"service": "s", "address": "1.2.3.4:5", "state": state, "models": []}
-    )
-    assert records.decode_target("i-1", value).draining is draining
+@pytest.mark.parametrize(
+    "decode",
+    [
+        records.decode_configuration,
+        lambda value: records.decode_target("i-1", value),
+        records.decode_version,
+        lambda value: decode_member(Row("live/entry/n", value, 1)),
+        lambda value: decode_head(Row("live/lot/l", value, 1)),
+    ],
+)
+def test_bytes_that_cannot_be_read_are_told_from_a_row(decode, value):
+    found = decode(value)
+    assert found is None or isinstance(found, records.BadRow)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                [*deployment.registration("s", "a"), "models", "born", "routes"]
+            ),
+            inner,
+            max_size=6,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.one_of(
+        st.binary(max_size=60),
+        JSON.map(lambda value: json.dumps(value).encode()),
+        st.dictionaries(
+            st.sampled_from([*deployment.registration("s", "a"), "models", "born"]),
+            JSON,
+            max_size=3,
+        ).map(lambda changes: json.dumps(changes | {}).encode()),
+    ),
+    st.text(max_size=5),
+)
+def test_any_row_is_decoded_or_told_why_not(value, id):
+    target = records.decode_target(id, value)
+    if not isinstance(target, records.BadRow):
+        assert target.service and target.slots > 0
+    found = records.decode_configuration(value)
+    assert isinstance(found, records.BadRow) or found.version is not None
+    version = records.decode_version(value)
+    assert isinstance(version, records.BadRow) or version >= 1
+    within = records.decode_retire(value)
+    assert isinstance(within, records.BadRow) or within >= 0
+    decode_member(Row("live/entry/n", value, 1))
+    decode_head(Row("live/lot/l", value, 1))
 
 
 def test_the_settings_file_is_decoded_and_unknown_fields_are_ignored(tmp_path):
--- /dev/null
+++ b/tests/test_reward_call.py
@@ -0,0 +1,149 @@
+"""Answers to a reward call over real sockets: what is a score, and what is none."""
+
+import threading
+import time
+
+import pytest
+
+from platform_standins.engine import PlainService
+from rows_fakes import free_address, make_forwarder_by
+from test_forwarding import RawTarget, make_exchange
+from wigeonfront.clock import SystemClock
+from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.platform.lot_calls import PlatformSamples
+from wigeonfront.rollout.lot import RewardCall
+from wigeonfront.rollout.reward_call import (
+    CallBroken,
+    CallCancelled,
+    CallFailed,
+    CallRefused,
+    RewardCaller,
+    Scored,
+)
+from wigeonfront.targets import Target
+
+CALL = RewardCall("c1", "h.example", "/score/a%2Fb?q=1", b"in")
+
+
+def answer(
+    status="200 OK", id="c1", seal="m1", framing="Content-Length: 2", body="ok", more=""
+):
+    lines = [f"HTTP/1.1 {status}", f"Wigeonfront-Attempt-Id: {id}"]
+    lines += [f"Wigeonfront-Server-Seal: {seal}"] if seal else []
+    lines += [line for line in (framing, more) if line]
+    return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+
+
+WHOLE = answer()
+
+
+def make_caller(address):
+    _, exchange = make_exchange()
+    targets = [Target("i-1", "s", address, "z", 4)]
+    forwarder, table, registry = make_forwarder_by(
+        exchange, SystemClock(), targets, "z"
+    )
+    return RewardCaller(forwarder, PlatformSamples()), table, registry
+
+
+def send(caller, table, seconds=0.4, handle=None, call=CALL):
+    (view,) = table.views("s")
+    deadline = time.monotonic() + seconds
+    return caller.send(call, view, deadline, 20.0, handle or CallHandle())
+
+
+@pytest.mark.parametrize(
+    ("script", "expected"),
+    [
+        (WHOLE, Scored("m1")),
+        (answer("201 Created"), Scored("m1")),
+        (
+            answer(framing="Transfer-Encoding: chunked", body="2\r\nok\r\n0\r\n\r\n"),
+            Scored("m1"),
+        ),
+        ((answer(framing="Connection: close"), "close"), Scored("m1", framed=False)),
+        ((answer(framing="Connection: close"), "reset"), CallBroken),
+        (answer(seal=""), CallBroken),
+        (answer(id="c2"), CallBroken),
+        (answer(more="Content-Encoding: gzip"), CallBroken),
+        (answer(more="Wigeonfront-Server-Seal: m2"), CallBroken),
+        ((answer(framing="Content-Length: 9"), "close"), CallBroken),
+        ((answer(framing="Content-Length: 9"), "reset"), CallBroken),
+        (answer(framing="Content-Length: 9"), CallBroken),
+        (b"\x00\xff nothing in the protocol\r\n\r\n", CallBroken),
+        ((b"HTTP/1.1 200 OK\r\nWigeonfront-At", "close"), CallBroken),
+        (answer("500 Internal Server Error"), CallFailed),
+        (answer("500 Internal Server Error", seal=""), CallBroken),
+        (answer("404 Not Found"), CallBroken),
+        (answer("302 Found"), CallBroken),
+        (answer("504 Gateway Timeout"), CallBroken),
+        (answer("503 Busy", more="Wigeonfront-Not-Executed: 1"), CallRefused),
+        (answer("429 Busy", more="Wigeonfront-Not-Executed: 1"), CallRefused),
+        (answer("421 Misdirected Request"), CallRefused),
+    ],
+)
+def test_a_score_comes_from_a_whole_answer_to_the_call(script, expected):
+    caller, table, _ = make_caller(RawTarget(script).address)
+    outcome = send(caller, table)
+    if isinstance(expected, type):
+        assert isinstance(outcome, expected)
+    else:
+        assert outcome == expected
+
+
+def test_bytes_behind_an_answer_belong_to_no_other_call():
+    extra = answer(id="c1", seal="stray")
+    target = RawTarget((WHOLE, extra), answer(seal="m2"))
+    caller, table, _ = make_caller(target.address)
+    assert send(caller, table) == Scored("m1")
+    time.sleep(0.15)
+    assert send(caller, table) == Scored("m2")
+
+
+def test_a_call_reaches_its_target_unchanged():
+    service = PlainService(free_address(), "i-1")
+    service.start()
+    try:
+        caller, table, registry = make_caller(service.address)
+        outcome = send(caller, table)
+        assert isinstance(outcome, Scored)
+        assert service.seen == [("POST", "/score/a%2Fb?q=1", b"in")]
+        assert service.marks["c1"] == [outcome.score]
+    finally:
+        service.stop()
+    assert "sends_total" in registry.render_text()
+
+
+def test_a_target_that_is_not_there_has_run_nothing():
+    caller, table, _ = make_caller(free_address())
+    assert isinstance(send(caller, table), CallRefused)
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.1])
+def test_a_cancelled_call_ends_at_once_and_reaches_no_target_afterwards(pause):
+    target = RawTarget((b"", "keep"))
+    caller, table, _ = make_caller(target.address)
+    handle = CallHandle()
+    if pause:
+        threading.Timer(pause, handle.cancel).start()
+    else:
+        handle.cancel()
+    started = time.monotonic()
+    assert send(caller, table, 2.0, handle) == CallCancelled()
+    assert time.monotonic() - started < 1.0
+    assert target.requests == (1 if pause else 0)
+
+
+def test_a_late_cancellation_harms_no_other_call():
+    service = PlainService(free_address(), "i-1")
+    service.start()
+    try:
+        caller, table, _ = make_caller(service.address)
+        handle = CallHandle()
+        send(caller, table, handle=handle)
+        service.pause = 0.2
+        threading.Timer(0.1, handle.cancel).start()
+        other = RewardCall("c2", "h.example", "/score/b", b"")
+        assert isinstance(send(caller, table, 1.0, call=other), Scored)
+    finally:
+        service.stop()
--- /dev/null
+++ b/tests/test_reward_order.py
@@ -0,0 +1,142 @@
+"""Which reward call goes first, where, and when again."""
+
+import pytest
+
+from wigeonfront.rollout.events import Text
+from wigeonfront.rollout.lot import Lot, RewardCall, Sample, SampleResult
+from wigeonfront.rollout.progress import LotProgress
+from wigeonfront.rollout.reward_call import (
+    CallBroken,
+    CallFailed,
+    CallRefused,
+)
+from wigeonfront.rollout.reward_order import (
+    LEAST_WAIT_SECONDS,
+    MOST_PAUSE_SECONDS,
+    choose_call_target,
+    due_calls,
+    most_own_calls,
+    most_wait,
+    pause_after,
+)
+from wigeonfront.target_table import TargetView
+from wigeonfront.targets import Target
+
+
+def sample(id, group):
+    return Sample(id, "/x", (), b"", group, reward_call=RewardCall(f"c-{id}", "h", "/"))
+
+
+def progress_of(**groups):
+    """Return a Lot whose samples, by group, have whole texts since a moment.
+
+    A moment of ``None`` stands for a sample that still runs, "done" for a result.
+    """
+    samples = [
+        (sample(f"{group}{number}", group), since)
+        for group, moments in groups.items()
+        for number, since in enumerate(moments)
+    ]
+    progress = LotProgress(Lot("l", "h", "/", tuple(s for s, _ in samples)), 1, [])
+    for made, since in samples:
+        state = progress.open[made.id]
+        if since == "done":
+            progress.finish(SampleResult(made.id, True))
+        elif since is not None:
+            state.text = Text([b"x"], {1})
+            state.text_ended(since)
+    return progress
+
+
+def due_ids(progress, now=10.0):
+    return [due.state.sample.id for due in due_calls([progress], now)]
+
+
+@pytest.mark.parametrize(
+    ("groups", "expected"),
+    [
+        # The call that makes a group whole goes first, however late its text was.
+        ({"a": [1, 1], "b": [5, "done"]}, ["b0", "a0", "a1"]),
+        # Of equals, the one that has waited longest.
+        ({"a": [3], "b": [2]}, ["b0", "a0"]),
+        # A text that still grows has no call.
+        ({"a": [None, 1]}, ["a1"]),
+        ({"a": [None]}, []),
+    ],
+)
+def test_the_call_that_makes_a_group_whole_goes_first(groups, expected):
+    assert due_ids(progress_of(**groups)) == expected
+
+
+def test_calls_in_progress_or_resting_or_of_an_ended_lot_are_not_due():
+    progress = progress_of(a=[1, 1, 1])
+    progress.open["a0"].call.running = True
+    progress.open["a1"].call.not_before = 10.5
+    assert due_ids(progress) == ["a2"]
+    assert due_ids(progress, 10.6) == ["a1", "a2"]
+    progress.ended = True
+    assert due_ids(progress) == []
+
+
+def view(id, in_flight=0, slots=6, draining=False, available=True):
+    target = Target(id, "s", "h:1", "z", slots)
+    return TargetView(target, in_flight, 0.2, available, draining, {}, {})
+
+
+@pytest.mark.parametrize(
+    ("views", "own", "tried", "expected"),
+    [
+        ([view("a", 1), view("b")], {}, (), "b"),
+        ([view("a"), view("b", 3)], {"a": 3}, (), "b"),
+        ([view("a"), view("b", 3)], {}, {"a"}, "b"),
+        # Once every target has been tried, any will do.
+        ([view("a"), view("b", 3)], {}, {"a", "b"}, "a"),
+        # A target with room that was tried goes before waiting.
+        ([view("a"), view("b")], {"b": 3}, {"a"}, "a"),
+        ([view("a"), view("b")], {"a": 3, "b": 3}, (), None),
+        ([view("a", draining=True)], {}, (), None),
+        ([view("a", available=False), view("b", 5)], {}, (), "b"),
+        ([], {}, (), None),
+    ],
+)
+def test_a_call_goes_where_there_is_room_and_it_has_not_been(
+    views, own, tried, expected
+):
+    chosen = choose_call_target(views, own, tried, "z")
+    assert (chosen and chosen.target.id) == expected
+
+
+@pytest.mark.parametrize(("slots", "most"), [(0, 1), (1, 1), (2, 1), (6, 3), (12, 6)])
+def test_places_are_left_for_callers(slots, most):
+    assert most_own_calls(slots) == most
+
+
+@pytest.mark.parametrize(
+    ("latency", "tries", "longest", "expected"),
+    [
+        (0.0, 0, 3.0, LEAST_WAIT_SECONDS),
+        (0.4, 0, 3.0, 2.0),
+        (0.0, 1, 3.0, 2 * LEAST_WAIT_SECONDS),
+        (0.0, 5, 3.0, 3.0),
+        (0.0, 2000, 30.0, 30.0),
+        (0.4, 0, 0.7, 0.7),
+    ],
+)
+def test_each_try_waits_longer_up_to_the_routes_time(latency, tries, longest, expected):
+    assert most_wait(latency, tries, longest) == expected
+
+
+@pytest.mark.parametrize(
+    ("outcome", "tries", "least", "most"),
+    [
+        (CallFailed("status 500"), 1, 0.05, 0.2),
+        (CallBroken("reset"), 1, 0.0, 0.0),
+        (CallBroken("reset"), 2, 0.1, 0.3),
+        (CallRefused("full"), 1, 0.05, 0.2),
+        (CallRefused("full"), 4, 0.5, 1.0),
+        (CallRefused("full"), 500, MOST_PAUSE_SECONDS, MOST_PAUSE_SECONDS),
+        (CallBroken("reset"), 500, MOST_PAUSE_SECONDS, MOST_PAUSE_SECONDS),
+    ],
+)
+def test_tries_are_paced(outcome, tries, least, most):
+    assert least <= pause_after(outcome, tries) <= most
--- /dev/null
+++ b/tests/test_scoring.py
@@ -0,0 +1,329 @@
+"""Samples whose texts are whole get their scores, with scripted runs and calls."""
+
+import random
+import threading
+from dataclasses import replace
+
+import pytest
+
+from rows_fakes import make_store, wait_for
+from wigeonfront.clock import SystemClock
+from wigeonfront.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from wigeonfront.metrics import Registry
+from wigeonfront.rollout.events import StreamEvent, Text
+from wigeonfront.rollout.lot import Lot, RewardCall, Sample
+from wigeonfront.rollout.order import texts_due
+from wigeonfront.rollout.repository import LotRepository
+from wigeonfront.rollout.reward_call import (
+    CallBroken,
+    CallCancelled,
+    CallFailed,
+    CallRefused,
+    Scored,
+)
+from wigeonfront.rollout.run_outcomes import RunCompleted
+from wigeonfront.rollout.runner import LotRunner
+from wigeonfront.target_table import TargetTable
+from wigeonfront.targets import Target
+
+SCORE = Scored("mark")
+CALL = RewardCall("call-s1", "Scores.example", "/score/1?x=2", b"in")
+SAMPLE = Sample("s1", "/lots/1", (), b"", "g", reward_call=CALL)
+LOTS_ROUTE = Route(
+    "lots", "h", "/lots/", RouteKind.LOTS, (ServiceShare("engines", 1.0),), 9, 0.4, 2
+)
+SCORE_ROUTE = Route(
+    "score",
+    "scores.example",
+    "/score/",
+    RouteKind.IDEMPOTENT,
+    (ServiceShare("scorers", 1.0),),
+    3.0,
+    0.8,
+    3,
+)
+
+
+def make_lot(id="l1", *samples, **fields):
+    times = {"submitted_at": SystemClock().time(), "give_up_seconds": 40.0}
+    terms = {"max_attempts": 2} | times | fields
+    return Lot(id, "h", "/lots/", samples or (SAMPLE,), **terms)
+
+
+class Runs:
+    """Runs that generate two events at once."""
+
+    def __init__(self):
+        self.began = []
+
+    def run(self, lot, sample, text, target, seconds, handle, on_event):
+        self.began.append((lot.id, sample.id, text.last_id))
+        for number in (1, 2):
+            text.add(StreamEvent(number, b"e%d" % number), 4)
+            on_event(4)
+        return RunCompleted()
+
+
+class Calls:
+    """Reward calls that end as told; the last outcome is given again and again."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes) or [SCORE]
+        self.sent = []
+        self.held = threading.Event()
+        self.held.set()
+
+    def send(self, call, view, deadline, run_seconds, handle):
+        self.sent.append((call, view.target.id, run_seconds))
+        while not self.held.wait(0.01):
+            if handle.cancelled:
+                return CallCancelled()
+        return self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+
+
+class Owner:
+    """A `LotRunner` on two engines and three scoring targets."""
+
+    def __init__(self, calls, routes=(LOTS_ROUTE, SCORE_ROUTE), repository=None):
+        self.calls = calls
+        self.runs = Runs()
+        self.routes = routes
+        clock = SystemClock()
+        table = TargetTable(clock, random.Random(1))
+        table.replace(
+            [Target(f"e{n}", "engines", f"h:{n}", "z", 4) for n in range(2)]
+            + [Target(f"p{n}", "scorers", f"h:1{n}", "z", 4) for n in range(3)]
+        )
+        services = {"engines": Service("engines", "/health", 9, 4)}
+        self.metrics = Registry()
+        self.runner = LotRunner(
+            repository,
+            table,
+            self.runs,
+            calls,
+            lambda: Configuration(1, self.routes, services),
+            "z",
+            clock,
+            self.metrics,
+        )
+        self.stop = threading.Event()
+        loops = (self.runner.send_loop, self.runner.scoring.run)
+        self.threads = [
+            threading.Thread(target=loop, args=(self.stop,), daemon=True)
+            for loop in loops
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def adopt(self, lot, texts=None):
+        self.runner.adopt(lot, 1, [], texts or {})
+        return self.runner.owned(lot.id)
+
+    def close(self):
+        self.stop.set()
+        self.runner.wake()
+        for thread in self.threads:
+            thread.join()
+
+
+@pytest.fixture
+def owners():
+    made = []
+
+    def make(*outcomes, **options):
+        made.append(Owner(Calls(*outcomes), **options))
+        return made[-1]
+
+    yield make
+    for owner in made:
+        owner.calls.held.set()
+        owner.close()
+
+
+def result_of(progress):
+    wait_for(lambda: not progress.open)
+    (result,) = progress.unkept
+    return result
+
+
+def test_a_sample_is_completed_with_its_score_only(owners):
+    owner = owners()
+    owner.calls.held.clear()
+    progress = owner.adopt(make_lot())
+    wait_for(lambda: owner.calls.sent)
+    assert progress.unkept == [] and "s1" in progress.open
+    owner.calls.held.set()
+    result = result_of(progress)
+    assert (result.completed, result.text, result.score) == (True, b"e1\ne2", "mark")
+    assert result.versions == (4,)
+
+
+def test_a_sample_without_a_reward_call_has_no_score(owners):
+    owner = owners()
+    result = result_of(owner.adopt(make_lot("l1", replace(SAMPLE, reward_call=None))))
+    assert (result.completed, result.score) == (True, "")
+    assert owner.calls.sent == []
+
+
+def test_a_whole_text_is_never_generated_again(owners):
+    owner = owners()
+    whole = Text([b"a", b"b"], {4}, whole=True)
+    result = result_of(owner.adopt(make_lot(), {"s1": whole}))
+    assert (result.text, result.score) == (b"a\nb", "mark")
+    assert owner.runs.began == []
+
+
+def test_a_whole_text_under_the_bound_is_generated_again(owners):
+    owner = owners()
+    whole = Text([b"a", b"b"], {3}, whole=True)
+    result = result_of(owner.adopt(make_lot(min_version=4), {"s1": whole}))
+    assert result.text == b"e1\ne2"
+
+
+def test_a_whole_text_without_a_reward_call_is_a_result_at_once(owners):
+    owner = owners()
+    lot = make_lot("l1", replace(SAMPLE, reward_call=None))
+    result = result_of(owner.adopt(lot, {"s1": Text([b"a"], {4}, whole=True)}))
+    assert (result.text, owner.runs.began) == (b"a", [])
+
+
+def test_a_whole_text_outlives_its_owner(owners):
+    repository = LotRepository(make_store(), 100_000)
+    lot = make_lot()
+    revision = repository.accept(lot, "e1").revision
+    first = owners()
+    first.calls.held.clear()
+    progress = first.adopt(lot)
+    wait_for(lambda: first.calls.sent)
+    assert texts_due(progress, progress.flushed_at + 2.0)
+    repository.append(lot.id, revision, 0, [], progress.snapshots())
+    progress.batch_kept(progress.snapshots())
+    assert not texts_due(progress, progress.flushed_at + 2.0)
+    second = owners()
+    assert result_of(second.adopt(lot, repository.texts(lot.id))).score == "mark"
+    assert second.runs.began == []
+
+
+def test_each_lot_asks_for_its_own_score(owners):
+    """The trainer ends the Lot before the score, and the sample comes again."""
+    owner = owners()
+    owner.calls.held.clear()
+    owner.adopt(make_lot("l1"))
+    wait_for(lambda: owner.calls.sent)
+    owner.runner.stop_lot("l1", "ended")
+    owner.calls.held.set()
+    again = replace(SAMPLE, reward_call=replace(CALL, id="call-2"))
+    assert result_of(owner.adopt(make_lot("l2", again))).score == "mark"
+    assert [call.id for call, _, _ in owner.calls.sent] == ["call-s1", "call-2"]
+    assert [lot for lot, _, _ in owner.runs.began] == ["l1"]
+
+
+@pytest.mark.parametrize(
+    ("lot_bound", "route_bound", "sends"), [(2, 3, 3), (5, 3, 5), (1, 1, 1)]
+)
+def test_only_the_targets_own_failures_count_past_both_bounds(
+    owners, lot_bound, route_bound, sends
+):
+    route = replace(SCORE_ROUTE, max_attempts=route_bound)
+    failures = [CallFailed("status 500")] * (sends - 1)
+    others = [CallRefused("full"), CallBroken("reset"), CallBroken("timeout")]
+    owner = owners(
+        *others, *failures, CallFailed("status 500"), routes=(LOTS_ROUTE, route)
+    )
+    result = result_of(owner.adopt(make_lot(max_attempts=lot_bound)))
+    assert not result.completed
+    assert len(owner.calls.sent) == len(others) + sends
+
+
+def test_a_try_that_gave_nothing_goes_to_another_target(owners):
+    owner = owners(CallBroken("reset"), CallBroken("reset"), SCORE)
+    result_of(owner.adopt(make_lot()))
+    assert len({target for _, target, _ in owner.calls.sent}) == 3
+
+
+def test_every_send_may_work_until_the_same_moment(owners):
+    """A target must not be handed more time by a later try than by the first."""
+    owner = owners(CallBroken("reset"), CallFailed("status 500"), SCORE)
+    result_of(owner.adopt(make_lot()))
+    given = [seconds for _, _, seconds in owner.calls.sent]
+    assert given == sorted(given, reverse=True)
+    assert given[0] <= 40.0
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "sends"),
+    [
+        ([Scored("m1", framed=False), Scored("m2", framed=False)], 2),
+        ([Scored("m1", framed=False), Scored("m2")], 2),
+        ([Scored("m2")], 1),
+    ],
+)
+def test_an_answer_that_does_not_tell_its_end_is_asked_for_again(
+    owners, outcomes, sends
+):
+    owner = owners(*outcomes)
+    assert result_of(owner.adopt(make_lot())).score == "m2"
+    assert len(owner.calls.sent) == sends
+
+
+def test_an_ended_lot_sends_no_more_calls(owners):
+    owner = owners(CallRefused("full"))
+    samples = [
+        replace(SAMPLE, id=f"s{n}", reward_call=replace(CALL, id=f"c{n}"))
+        for n in range(12)
+    ]
+    owner.calls.held.clear()
+    owner.adopt(make_lot("l1", *samples))
+    wait_for(lambda: owner.calls.sent)
+    owner.runner.stop_lot("l1", "ended")
+    wait_for(lambda: not owner.runner.scoring._calls)
+    sent = len(owner.calls.sent)
+    owner.calls.held.set()
+    assert not wait_no_more(owner, sent)
+
+
+def wait_no_more(owner, sent, seconds=0.4):
+    """Return whether more calls were sent within some time."""
+    threading.Event().wait(seconds)
+    return len(owner.calls.sent) > sent
+
+
+def test_a_call_that_no_route_serves_waits(owners, caplog):
+    owner = owners(routes=(LOTS_ROUTE,))
+    with caplog.at_level("INFO"):
+        progress = owner.adopt(make_lot())
+        wait_for(lambda: "reward_call_unrouted" in caplog.text)
+        assert not wait_no_more(owner, 0, 0.7)
+        assert caplog.text.count("reward_call_unrouted") == 1
+        owner.routes = (LOTS_ROUTE, SCORE_ROUTE)
+        assert result_of(progress).completed
+
+
+def test_a_sample_without_a_score_is_given_up_in_time(owners):
+    owner = owners(CallRefused("full"))
+    progress = owner.adopt(make_lot(give_up_seconds=0.5))
+    result = result_of(progress)
+    assert not result.completed
+    assert owner.runner._clock.time() >= progress.lot.given_up_at
+
+
+def test_calls_of_one_process_leave_places_for_callers(owners):
+    owner = owners()
+    samples = [
+        replace(SAMPLE, id=f"s{n}", reward_call=replace(CALL, id=f"c{n}"))
+        for n in range(20)
+    ]
+    owner.calls.held.clear()
+    progress = owner.adopt(make_lot("l1", *samples))
+    wait_for(lambda: not any(state.wants_run for state in progress.open.values()))
+    wait_for(lambda: len(owner.calls.sent) >= 6)
+    assert not wait_no_more(owner, 6, 0.2)
+    owner.calls.held.set()
+    wait_for(lambda: not progress.open)
+    assert len({one.id for one in progress.unkept}) == 20
--- /dev/null
+++ b/tests/test_target_follower.py
@@ -0,0 +1,169 @@
+"""Targets that start again under their ids, and rows of other writers."""
+
+import random
+
+import msgspec
+import pytest
+
+from platform_standins import deployment
+from rows_fakes import make_store
+from wigeonfront.clock import ManualClock
+from wigeonfront.mirror import Mirror
+from wigeonfront.node.following import (
+    ConfigurationFollower,
+    TargetFollower,
+    replaced_targets,
+)
+from wigeonfront.platform import records
+from wigeonfront.row_feed import DirectRows
+from wigeonfront.target_table import TargetTable
+from wigeonfront.targets import Target
+
+SERVICE = "s"
+
+
+class Followed:
+    """A follower of the rows of a store, told of each change by hand."""
+
+    def __init__(self):
+        self.rows = make_store()
+        self.clock = ManualClock(100.0)
+        self.table = TargetTable(self.clock, random.Random(1))
+        self.gone = []
+        self.follower = TargetFollower(
+            self.table, self.clock, lambda: None, self.gone.append
+        )
+        self.mirror = Mirror(
+            DirectRows(self.rows), records.TARGET_PREFIX, self.clock, self.follower.take
+        )
+
+    def register(self, id, port=5, **changes):
+        address = f"1.2.3.4:{port}"
+        deployment.register(self.rows, id, SERVICE, address, **changes)
+        self.look()
+
+    def look(self):
+        assert self.mirror._list()
+
+    @property
+    def ids(self):
+        return {view.target.id for view in self.table.views(SERVICE)}
+
+
+@pytest.fixture
+def followed():
+    return Followed()
+
+
+def test_nothing_that_is_believed_of_a_target_outlives_its_restart(followed):
+    followed.register("i-1", born=1)
+    followed.table.started("i-1@1", "m")
+    followed.table.refused("i-1@1", "m")
+    followed.table.paced("i-1@1", 9.0)
+    followed.table.saw_version("i-1@1", "m", 7)
+    followed.table.replaced("i-1@1")
+    followed.register("i-1", born=2)
+    (view,) = followed.table.views(SERVICE)
+    assert view.target.id == "i-1@2"
+    assert (view.in_flight, view.latency, view.available) == (0, 0.0, True)
+    assert (dict(view.versions), dict(view.refused_until)) == ({}, {})
+    assert followed.gone == ["i-1@1"]
+    # Ends of its runs come late, and say nothing of the new incarnation.
+    followed.table.ended("i-1@1", "failure")
+    (view,) = followed.table.views(SERVICE)
+    assert (view.in_flight, view.available) == (0, True)
+
+
+def test_words_of_an_earlier_start_replace_nothing(followed, caplog):
+    followed.register("i-1", born=2)
+    with caplog.at_level("INFO"):
+        followed.register("i-1", born=1, state="draining")
+        followed.look()
+    (view,) = followed.table.views(SERVICE)
+    assert (view.target.id, view.draining) == ("i-1@2", False)
+    assert followed.gone == []
+    assert caplog.text.count("bad_row") == 1
+    followed.register("i-1", born=2, state="draining")
+    assert followed.table.views(SERVICE)[0].draining
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b'{"service":"s"}',
+        msgspec.json.encode(deployment.registration(SERVICE, "nowhere")),
+        msgspec.json.encode(deployment.registration(SERVICE, "1.2.3.4:5", seq="1")),
+        msgspec.json.encode(deployment.registration(SERVICE, "1.2.3.4:5", state="up")),
+    ],
+)
+def test_a_row_of_another_writer_names_no_target_and_the_others_hold(
+    followed, value, caplog
+):
+    followed.register("i-1", 5)
+    followed.register("i-2", 6)
+    with caplog.at_level("INFO"):
+        followed.rows.put("servers/i-1", value)
+        followed.rows.put("servers/i-3/x", value)
+        followed.look()
+        followed.look()
+        assert followed.ids == {"i-2"}
+        assert caplog.text.count("event=bad_row key=servers/i-1 ") == 1
+        followed.rows.put("servers/i-1", value)
+        followed.look()
+        assert caplog.text.count("event=bad_row key=servers/i-1 ") == 2
+    assert followed.gone == []
+    followed.register("i-1", 5)
+    assert followed.ids == {"i-1", "i-2"}
+
+
+def test_a_service_that_is_not_configured_gets_nothing(followed):
+    deployment.register(followed.rows, "i-1", "unknown", "1.2.3.4:5")
+    followed.look()
+    assert followed.ids == set()
+
+
+def target(id, address="h:1", name=""):
+    return Target(id, "s", address, "z", 4, registered_id=name)
+
+
+@pytest.mark.parametrize(
+    ("known", "registered", "gone"),
+    [
+        ([target("a@1", name="a")], [target("a@2", name="a")], ["a@1"]),
+        # It starts again elsewhere.
+        ([target("a@1", "h:1", "a")], [target("a@2", "h:2", "a")], ["a@1"]),
+        # Another one has its address.
+        ([target("a")], [target("b")], ["a"]),
+        # It is the same, or only its registration is gone.
+        ([target("a")], [target("a")], []),
+        ([target("a")], [target("b", "h:2")], []),
+        ([target("a")], [], []),
+    ],
+)
+def test_only_what_is_replaced_for_certain_counts_as_gone(known, registered, gone):
+    assert replaced_targets(known, registered) == gone
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{}", b'{"version":"9"}', b'{"version":9,"routes":[{}]}', b"\xff"]
+)
+def test_the_last_good_configuration_stays_in_force(value, caplog):
+    rows = make_store()
+    rows.put("op/config", deployment.configuration(5))
+    rows.put("op/version/m", b'{"model":"m","version":3}')
+    follower = ConfigurationFollower(ManualClock())
+    mirror = Mirror(
+        DirectRows(rows), records.OPERATOR_PREFIX, ManualClock(), follower.take
+    )
+    assert mirror._list()
+    rows.put("op/config", value)
+    rows.put("op/version/m", value)
+    with caplog.at_level("INFO"):
+        for _ in range(3):
+            assert mirror._list()
+    assert follower.current.version == 5
+    named, _ = follower.versions()
+    assert [(one.model, one.version) for one in named] == [("m", 3)]
+    assert caplog.text.count("event=bad_row") == 2
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -159,3 +159,21 @@
     assert not table.views("s")[0].available
     table.accepted("e", MODEL)
     assert table.views("s")[0].available
+
+
+@pytest.mark.parametrize(("seen", "registered", "known"), [(5, 1, 5), (3, 1, 3)])
+def test_answers_tell_an_engines_version_sooner_than_registrations(
+    table, seen, registered, known
+):
+    table.saw_version("e", MODEL, seen)
+    table.replace([Target("e", "s", "h:1", "z", 6, versions={MODEL: registered})])
+    (view,) = table.views("s")
+    assert view.versions[MODEL] == known
+
+
+def test_an_engine_that_went_back_is_known_as_such(table):
+    """An order carried out late, after a restart, takes an engine back."""
+    table.saw_version("e", MODEL, 5)
+    table.saw_version("e", MODEL, 3)
+    (view,) = table.views("s")
+    assert view.versions[MODEL] == 3
