--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -6,6 +6,7 @@
 import pytest
 
 from benchmarks.rounds.__main__ import FIRST_SEED, chosen_plays
+from benchmarks.rounds.ablation import MECHANISMS, PACKAGE, copy_without
 from benchmarks.rounds.pairs import Pair, compare, part_differences, table
 from benchmarks.rounds.plays import Figures, Play, read_report
 
@@ -75,3 +76,10 @@
     ]
     assert len(chosen_plays([path], [], 3, vary=False)) == 6
     assert found[0].name == "s/trouble-1#7001"
+
+
+@pytest.mark.parametrize("mechanism", MECHANISMS, ids=lambda one: one.name)
+def test_each_mechanism_has_a_neutral_form_that_still_compiles(mechanism, tmp_path):
+    copy = copy_without(mechanism, Path(__file__).parents[1], tmp_path)
+    changed = copy / PACKAGE / mechanism.file
+    compile(changed.read_text(), str(changed), "exec")
