--- a/benchmarks/soak/trainer.py
+++ b/benchmarks/soak/trainer.py
@@ -9,19 +9,29 @@
 import msgspec
 
 from benchmarks.soak.cluster import Cluster
-from platform_standins.deployment import HOST, LOT_PREFIX, MODEL
+from platform_standins.deployment import HOST, LOT_PREFIX, MODEL, PLAIN_PREFIX
 from wigeonfront.http.client import Answer, Pool
 
 CALL_SECONDS = 3.0
 SAMPLES = 8
+FAILURES = 2
+"""Answers of 500 from which a reward call may be given up: the least that a route of
+the soak allows."""
+
 PAUSE_SECONDS = 0.25
 
 
+def call_id(sample: str) -> str:
+    """Return the id of a sample's reward call."""
+    return f"call-{sample}"
+
+
 class _Result(msgspec.Struct, frozen=True):
     id: str
     state: str
     output: str
     versions: tuple[int, ...]
+    score: str = ""
 
 
 class _Page(msgspec.Struct):
@@ -103,6 +113,7 @@
                 "body": base64.b64encode(b"in").decode(),
                 "group": f"g{number // 2}",
             }
+            | self._scorer(f"{lot.id}-{number}")
             for number in range(SAMPLES)
         ]
         body = {"step": 0, "model": MODEL, "minVersion": 1, "items": items}
@@ -116,6 +127,14 @@
             if not isinstance(answer, Answer) or answer.status not in (429, 503):
                 lot.only_refused = False
 
+    def _scorer(self, sample: str) -> dict[str, object]:
+        if not self._cluster.scored:
+            return {}
+        path = f"{PLAIN_PREFIX}{sample}"
+        body = base64.b64encode(b"in").decode()
+        call = {"id": call_id(sample), "host": HOST, "path": path, "body": body}
+        return {"scorer": call}
+
     def _read(self, lot: SentLot, front: str = "") -> None:
         after = self._random.randint(0, len(lot.results))
         answer = self._call("GET", f"/lots/{lot.id}?after={after}", front=front)
@@ -134,6 +153,8 @@
 
     def _check(self, lot: SentLot, result: _Result) -> None:
         engine = self._cluster.engines[0]
+        if self._cluster.scored and not self._check_score(lot, result):
+            return
         if result.state != "completed" or result.output != engine.text(result.id):
             self._violate(lot, f"{result.id} is {result.state} with a wrong text")
         if any(version < 1 for version in result.versions) or not result.versions:
@@ -148,6 +169,23 @@
         if any(result.id == other.id for other in lot.results):
             self._violate(lot, f"{result.id} stands twice")
 
+    def _check_score(self, lot: SentLot, result: _Result) -> bool:
+        """Check a score; return whether there must be a text."""
+        scorers = self._cluster.scorers
+        call = call_id(result.id)
+        if result.state != "completed":
+            if sum(scorer.failed[call] for scorer in scorers) < FAILURES:
+                self._violate(lot, f"{result.id} given up too soon")
+            return False
+        marks = [mark for scorer in scorers for mark in scorer.marks.get(call, ())]
+        if result.score not in marks:
+            self._violate(lot, f"{result.id} has score {result.score!r} of {marks}")
+        ends = [one.ended_at.get(result.id) for one in self._cluster.engines]
+        first = min(at for one in scorers for at in one.arrived.get(call, (0.0,)) if at)
+        if first < min(at for at in ends if at):
+            self._violate(lot, f"{result.id} was scored before its text was whole")
+        return True
+
     def _made(self, sample: str, number: int) -> set[int]:
         """Return the versions under which engines made an event of a sample."""
         engines = self._cluster.engines
--- a/examples/platform_standins/engine.py
+++ b/examples/platform_standins/engine.py
@@ -93,7 +93,7 @@
         self.made: dict[tuple[str, int], set[int]] = {}
         # Event behind which each sample's last run began.
         self.began_after: dict[str, int] = {}
-        # Monotonic time at which each sample's last event was made.
+        # Monotonic time at which each sample's last event was first made.
         self.ended_at: dict[str, float] = {}
         self.release = threading.Event()
         self.orders: list[_Order] = []
@@ -189,7 +189,7 @@
             time.sleep(self.faults.event_seconds)
             self.made.setdefault((id, number), set()).add(version)
             if number == self.events:
-                self.ended_at[id] = time.monotonic()
+                self.ended_at.setdefault(id, time.monotonic())
             call.write(f"id: {number}\ndata: {self.data(id, number)}\n\n".encode())
             if self.faults.cuts and number - after == self.faults.cut_after:
                 self.faults.cuts -= 1
@@ -214,6 +214,8 @@
         Marks of its successful answers, by the request's id.
     arrived : dict of str to list of float
         Monotonic times at which requests began to run, by id.
+    failed : Counter of str
+        Answers of 500, by the request's id.
     statuses : dict of str to int
         Status that a request gets, by its id.
     """
@@ -227,6 +229,7 @@
         self.seen: list[tuple[str, str, bytes]] = []
         self.marks: dict[str, list[str]] = {}
         self.arrived: dict[str, list[float]] = {}
+        self.failed: Counter[str] = Counter()
         self.statuses: dict[str, int] = {}
         self._numbers = itertools.count(1)
         super().__init__(address, self._answer, threads=50)
@@ -250,4 +253,5 @@
         mark = f"{self.id}.{next(self._numbers)}"
         if status == 200:
             self.marks.setdefault(id, []).append(mark)
+        self.failed[id] += status == 500
         call.reply(status, body, ((names.ATTEMPT_ID, id), (names.SEAL, mark)))
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -92,7 +92,10 @@
         sends_left = max(1, route.max_attempts)
         while True:
             view = choose_target(
-                self._table.views(service), tried, self._failure_domain
+                self._table.views(service),
+                tried,
+                self._failure_domain,
+                self._exchange.connected(),
             )
             if view is None:
                 return refusal("no target", may_have_run)
--- a/src/wigeonfront/membership.py
+++ b/src/wigeonfront/membership.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -69,11 +70,20 @@
     term : float
         Of the lease, in seconds.
     clock : Clock
+    on_registered : callable
+        Called after each registration.
     """
 
     def __init__(
-        self, store: RowStore, name: str, address: str, term: float, clock: Clock
+        self,
+        store: RowStore,
+        name: str,
+        address: str,
+        term: float,
+        clock: Clock,
+        on_registered: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_registered = on_registered
         self._store = store
         self._clock = clock
         self._term = term
@@ -116,6 +126,7 @@
             incarnation=self.member.incarnation,
             lease=lease.lease,
         )
+        self._on_registered()
         return True
 
     def _write(self, lease: int) -> bool:
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -118,6 +118,7 @@
             settings.peer_address,
             settings.bounds.lease_seconds,
             clock,
+            lambda: self._lots.owners_changed(),
         )
         self._configuration = ConfigurationFollower(
             clock, self._on_configuration, self._on_version
@@ -294,12 +295,17 @@
 
     def _members(self) -> list[Member]:
         rows = self._live_mirror.state().rows
-        found = [
-            decode_member(row)
+        found = {
+            member.name: member
             for key, row in rows.items()
             if key.startswith(ENTRY_PREFIX)
-        ]
-        return [member for member in found if member is not None]
+            and (member := decode_member(row)) is not None
+        }
+        # The mirror tells of it up to 0.3 s later, in which Lots would wait.
+        if self._registration.registered:
+            me = self._registration.member
+            found[me.name] = me
+        return list(found.values())
 
     def _on_configuration(self, new: Configuration) -> None:
         limits = new.limits
@@ -320,11 +326,15 @@
                 self._table.expect_load(ids[address], named.model, named.version)
 
     def _on_live(self, mirror: Mirror) -> None:
-        me = self._registration.member.incarnation
-        known = {member.incarnation for member in self._members()}
-        if self._registration.registered and me not in known:
-            event(logger, "registration_missing", incarnation=me)
+        me = self._registration.member
+        row = mirror.get(ENTRY_PREFIX + me.name)
+        known = row and decode_member(row)
+        if self._registration.registered and (
+            known is None or known.incarnation != me.incarnation
+        ):
+            event(logger, "registration_missing", incarnation=me.incarnation)
             self._registration.restore()
+        self._lots.owners_changed()
 
     def _upkeep(self, stop: threading.Event) -> None:
         """Close idle connections and drop lapsed registrations."""
--- a/src/wigeonfront/rollout/keeping.py
+++ b/src/wigeonfront/rollout/keeping.py
@@ -25,8 +25,8 @@
 IDLE_WAIT_SECONDS = 0.5
 """Longest sleep of the keeping thread; a finished sample wakes it."""
 
-STORE_RETRY_SECONDS = 0.3
-"""Pause after the store did not take a batch."""
+STORE_RETRY_SECONDS = 0.15
+"""Pause after the store did not take a batch; one Lot asks, whatever the number."""
 
 BATCH_BYTES = 500_000
 """Text in one row of results: under the store's limit for a value, also as base64."""
@@ -66,12 +66,12 @@
         self._changed = changed
         self._clock = clock
         self._batches = batches
+        self._failed = ""
 
     def run(self, stop: threading.Event) -> None:
         """Keep what is due (a supervisor's task)."""
         while not stop.is_set():
-            outcomes = [self._keep(progress) for progress in self._due()]
-            if any(isinstance(one, NotKept | InDoubt) for one in outcomes):
+            if not self._keep_due():
                 stop.wait(STORE_RETRY_SECONDS)
                 continue
             with self._changed:
@@ -90,6 +90,21 @@
                 return outcome
         return Kept(progress.head_revision)
 
+    def _keep_due(self) -> bool:
+        """Keep what is due; return ``False`` once the store takes no part.
+
+        One Lot finds out whether the store is back: each call that is not answered
+        takes a second, and with three Lots one after the other a store that was back
+        kept nothing for up to 3 s, which a loss of power then took.
+        """
+        # The one that failed last goes last, so that it can't hold up the others.
+        due = sorted(self._due(), key=lambda one: one.lot.id == self._failed)
+        for progress in due:
+            if isinstance(self._keep(progress), NotKept | InDoubt):
+                self._failed = progress.lot.id
+                return False
+        return True
+
     def _due(self) -> list[LotProgress]:
         now = self._clock.monotonic()
         with self._changed:
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -155,6 +155,7 @@
         self._lock = threading.Lock()
         self._known: dict[str, _Known] = {}
         self._missing_since: dict[str, float] = {}
+        self._changed = threading.Event()
 
     # --- calls ---------------------------------------------------------------
 
@@ -304,9 +305,15 @@
         }
         return {lot_id: head for lot_id, head in heads.items() if head is not None}
 
+    def owners_changed(self) -> None:
+        """Look at once whether a Lot is to be taken over."""
+        self._changed.set()
+
     def own_loop(self, stop: threading.Event) -> None:
         """Take over Lots whose owner is gone (a supervisor's task)."""
-        while not stop.wait(CLAIM_PAUSE_SECONDS):
+        while not stop.is_set():
+            self._changed.wait(CLAIM_PAUSE_SECONDS)
+            self._changed.clear()
             if not self._mirror.ready or self._mirror.failing or self._leaving:
                 continue
             heads = self.heads()
--- a/src/wigeonfront/rollout/order.py
+++ b/src/wigeonfront/rollout/order.py
@@ -32,7 +32,7 @@
 """Events after which the text of a run in progress is copied for the store: about 0.3 s
 of generation. Half of all samples end sooner and cost no bytes."""
 
-TEXT_SECONDS = 1.0
+TEXT_SECONDS = 0.5
 """Time between two writes that hold texts alone. An owner that is lost without notice
 takes with it what was generated since; without texts that is the whole of the longest
 runs, 4 to 5 s, on which a step waits."""
--- a/src/wigeonfront/rollout/ownership.py
+++ b/src/wigeonfront/rollout/ownership.py
@@ -21,10 +21,11 @@
 ) -> list[str]:
     """Return the open Lots that this process should claim, oldest first.
 
-    A Lot whose owner is gone goes to one live member, chosen by a hash, so that they
-    do not all try at once. A member whose row is missing may only have lost its lease:
-    it counts as gone after `grace` seconds, or once its machine has registered another
-    incarnation.
+    A Lot whose owner has started again goes to the new incarnation, which need not have
+    heard of any other member; after a loss of power all come back within 0.3 s, and
+    half of it went by until they knew each other. A Lot whose owner is gone goes to one
+    live member, chosen by a hash, so that they do not all try at once. A member whose
+    row is missing may only have lost its lease: it counts as gone after `grace`.
 
     Parameters
     ----------
@@ -37,9 +38,10 @@
     owned : collection of str
         Lots that it runs already.
     """
-    live = sorted(member.incarnation for member in members)
-    replaced = {_machine(incarnation) for incarnation in live}
+    live = {member.incarnation for member in members}
     staying = sorted(one.incarnation for one in members if not one.leaving)
+    successors = {_machine(incarnation): incarnation for incarnation in staying}
+    replaced = {_machine(incarnation) for incarnation in live}
     claims = []
     for lot_id, head in heads.items():
         if head.state is not LotState.OPEN:
@@ -50,9 +52,12 @@
             continue
         if head.owner in live:
             continue
-        restarted = head.owner == NO_OWNER or _machine(head.owner) in replaced
+        machine = _machine(head.owner)
+        restarted = head.owner == NO_OWNER or machine in replaced
         waited = now - missing_since.get(head.owner, now)
-        if (restarted or waited >= grace) and me == chosen_member(lot_id, staying):
+        if not restarted and waited < grace:
+            continue
+        if me == successors.get(machine, chosen_member(lot_id, staying)):
             claims.append(lot_id)
     return sorted(claims, key=lambda lot_id: heads[lot_id].submitted_at)
 
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -7,6 +7,10 @@
 from wigeonfront.rollout.events import Text
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 
+MOST_SENDS = 2
+"""Sends of one reward call at a time: a target may be silent, or ten times slower than
+the others, and the call of the last sample holds up its whole step."""
+
 
 @dataclass(slots=True)
 class CallState:
@@ -14,8 +18,12 @@
 
     Attributes
     ----------
-    running : bool
-        A send is in progress.
+    sends : int
+        Sends in progress: a second one while the first takes long.
+    sent_at : float
+        Monotonic time of the last send.
+    slow_after : float
+        Seconds after its send from which the present one takes long.
     tries : int
         Sends that have ended without a score.
     failures : int
@@ -30,7 +38,9 @@
         Monotonic time at which the text was known to be whole.
     """
 
-    running: bool = False
+    sends: int = 0
+    sent_at: float = 0.0
+    slow_after: float = 0.0
     tries: int = 0
     failures: int = 0
     unframed: int = 0
@@ -101,10 +111,12 @@
         """Whether it waits to be run."""
         return not self.running and not self.text.whole
 
-    @property
-    def wants_call(self) -> bool:
-        """Whether it waits for its reward call to be sent."""
-        return self.text.whole and not self.call.running
+    def wants_call(self, now: float) -> bool:
+        """Tell whether its reward call is to be sent, for the first time or again."""
+        call = self.call
+        if not self.text.whole or call.not_before > now or call.sends >= MOST_SENDS:
+            return False
+        return call.sends == 0 or now - call.sent_at >= call.slow_after
 
     def forget_text(self) -> None:
         """Begin anew: what was generated may not be used."""
--- a/src/wigeonfront/rollout/reward_order.py
+++ b/src/wigeonfront/rollout/reward_order.py
@@ -36,8 +36,18 @@
 """Multiple of a target's usual time for which it is waited for: the longest calls take
 five times the mean."""
 
-FAILED_PAUSE_SECONDS = 0.1
-"""Pause after a failure of the target's own; the next send goes to another target."""
+FAILED_PAUSE_SECONDS = 0.0
+"""Pause after a failure of the target's own: the next send goes to another target. One
+call in a hundred fails everywhere, which a step of 40 waits for one time in three."""
+
+SLOW_SECONDS = 0.5
+"""Time from which a send takes long: one in thirty does in the users' sheets (200 ms,
+spread by half), so a second send then costs little and saves what the first still has.
+"""
+
+SLOW_FACTOR = 2.5
+"""Multiple of a target's usual time from which a send takes long: where all targets are
+slow, second sends would only double their work."""
 
 REFUSED_PAUSE_SECONDS = 0.1
 """Pause after a first refusal, in which a target ends half of a call; it doubles."""
@@ -73,7 +83,7 @@
         for progress in lots
         if not progress.ended
         for state in progress.open.values()
-        if state.wants_call and state.call.not_before <= now
+        if state.wants_call(now)
     ]
     due.sort(key=_urgency)
     return due
@@ -146,6 +156,17 @@
     return min(base * 2 ** min(tries, MOST_DOUBLINGS), longest)
 
 
+def slow_after(latency: float) -> float:
+    """Return the seconds from which a send takes long, and a second one goes out.
+
+    Parameters
+    ----------
+    latency : float
+        Smoothed seconds that the target takes for an answer; 0 if unknown.
+    """
+    return max(SLOW_SECONDS, SLOW_FACTOR * latency)
+
+
 @singledispatch
 def pause_after(outcome: CallOutcome, tries: int) -> float:
     """Return the seconds until a call without a score is sent again."""
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -354,7 +354,7 @@
             if now < progress.lot.given_up_at or not progress.open:
                 continue
             for state in list(progress.open.values()):
-                if not state.running and not state.call.running:
+                if not state.running and not state.call.sends:
                     self._finish(progress, _terminated(state), "too late")
 
     # --- one run -------------------------------------------------------------
--- a/src/wigeonfront/rollout/scoring.py
+++ b/src/wigeonfront/rollout/scoring.py
@@ -27,6 +27,7 @@
     due_calls,
     most_wait,
     pause_after,
+    slow_after,
 )
 from wigeonfront.target_table import TargetTable, TargetView
 
@@ -107,7 +108,7 @@
         self._configuration = configuration
         self._failure_domain = failure_domain
         self._clock = clock
-        self._calls: dict[str, _Call] = {}
+        self._calls: list[_Call] = []
         self._unrouted: set[str] = set()
         self._count = metrics.counter(
             "reward_calls_total", "Sends of reward calls by outcome.", ("outcome",)
@@ -139,9 +140,7 @@
     def drop(self, progress: LotProgress) -> int:
         """End the calls of a Lot that was given up; return how many there were."""
         with self._changed:
-            calls = [
-                one for one in self._calls.values() if one.due.progress is progress
-            ]
+            calls = [one for one in self._calls if one.due.progress is progress]
         for call in calls:
             call.handle.cancel()
         return len(calls)
@@ -153,8 +152,6 @@
             return False
         full: set[str] = set()
         for due in due_calls(self._lots(), self._clock.monotonic()):
-            if due.state.sample.id in self._calls:
-                continue
             route = self._route(due, configuration)
             if route is None:
                 continue
@@ -167,7 +164,7 @@
                 continue
             self._start(_Call(due, view, route))
         return any(
-            state.wants_call
+            state.text.whole
             for progress in self._lots()
             for state in progress.open.values()
         )
@@ -195,9 +192,13 @@
         return None
 
     def _choose(self, state: SampleState, service: str) -> TargetView | None:
-        own = Counter(one.target_id for one in self._calls.values())
+        own = Counter(one.target_id for one in self._calls)
+        asked = {one.target_id for one in self._calls if one.due.state is state}
+        others = [
+            view for view in self._table.views(service) if view.target.id not in asked
+        ]
         return choose_call_target(
-            self._table.views(service),
+            others,
             own,
             state.call.tried,
             self._failure_domain,
@@ -206,8 +207,10 @@
 
     def _start(self, call: _Call) -> None:
         state = call.due.state
-        state.call.running = True
-        self._calls[state.sample.id] = call
+        state.call.sends += 1
+        state.call.sent_at = self._clock.monotonic()
+        state.call.slow_after = slow_after(call.view.latency)
+        self._calls.append(call)
         event(
             logger,
             "reward_call_sent",
@@ -218,6 +221,7 @@
             load=call.view.in_flight,
             slots=call.view.target.slots,
             tries=state.call.tries,
+            sends=state.call.sends,
             text_age=self._clock.monotonic() - state.call.due_since,
         )
         threading.Thread(
@@ -259,22 +263,24 @@
             text_age=self._clock.monotonic() - state.call.due_since,
         )
         with self._changed:
-            if self._calls.get(state.sample.id) is call:
-                del self._calls[state.sample.id]
-            state.call.running = False
-            if not isinstance(outcome, CallCancelled) and not progress.ended:
+            self._calls.remove(call)
+            state.call.sends -= 1
+            if state.sample.id in progress.open and not progress.ended:
                 self._settle(call, outcome)
             self._changed.notify_all()
 
     def _settle(self, call: _Call, outcome: CallOutcome) -> None:
         """Decide what becomes of the sample after a send."""
         progress, state = call.due.progress, call.due.state
+        if isinstance(outcome, CallCancelled):
+            return
         if isinstance(outcome, Scored):
             state.call.unframed += not outcome.framed
             if outcome.framed or state.call.unframed >= UNFRAMED_TRUSTED:
                 waited = self._clock.monotonic() - state.call.due_since
                 self._score_seconds.observe(waited)
                 self._finish(progress, completed(state, outcome.score), "scored")
+                self._end_others(state)
                 return
         state.call.tries += 1
         state.call.tried |= {call.target_id}
@@ -289,6 +295,13 @@
         ):
             result = SampleResult(state.sample.id, completed=False)
             self._finish(progress, result, "failed reward calls")
+            self._end_others(state)
+
+    def _end_others(self, state: SampleState) -> None:
+        """End the other send of a sample that has its result."""
+        for call in self._calls:
+            if call.due.state is state:
+                call.handle.cancel()
 
 
 def completed(state: SampleState, score: str = "") -> SampleResult:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,12 @@
     assert played.accepted > 0
 
 
+def test_scores_are_true_under_faults():
+    played = play(5, seconds=4.0, scored=True)
+    assert played.violations == []
+    assert played.accepted > 0
+
+
 def test_the_ports_of_a_process_differ():
     ports = free_ports(loopback_host(), 500)
     assert len(set(ports)) == len(ports)
