--- a/src/wigeonfront/rollout/order.py
+++ b/src/wigeonfront/rollout/order.py
@@ -113,10 +113,10 @@
     def fit(self, view: TargetView) -> bool:
         """Tell whether the weights of an engine fit, as far as they are known."""
         version = view.versions.get(self.model)
-        if self.single_version and self.model in view.closing:
-            return self.text_version != 0 and version == self.text_version
         if self.text_version:
             return version == self.text_version
+        if self.single_version and self.model in view.closing:
+            return False
         return version is None or version >= self.min_version
 
 
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -422,7 +422,7 @@
         elif run.handle.moved and isinstance(outcome, RunBroken):
             outcome = RunMoved()
         name = type(outcome).__name__
-        self._table.ended(run.target_id, evidence(outcome), reason=name)
+        self._table.ended(run.target_id, evidence(outcome))
         self._run_count.increment(outcome=name)
         self._run_seconds.observe(seconds, outcome=name)
         event(
--- a/src/wigeonfront/target_table.py
+++ b/src/wigeonfront/target_table.py
@@ -246,9 +246,7 @@
             change = self._circuits_of(state.target.service).sent(id)
         self._log(change)
 
-    def ended(
-        self, id: str, found: Evidence, latency: float = 0.0, reason: str = ""
-    ) -> None:
+    def ended(self, id: str, found: Evidence, latency: float = 0.0) -> None:
         """Note how a request to the target ended.
 
         Parameters
@@ -301,12 +299,8 @@
             ]
         return [state for state in found if state.runs or state.pace]
 
-    def learn(self, others: OthersEngines) -> int:
-        """Take what other owners know; return how many newer paces there were.
-
-        It replaces what was told before.
-        """
-        taken = 0
+    def learn(self, others: OthersEngines) -> None:
+        """Take what other owners know, in place of what they told before."""
         with self._lock:
             now = self._clock.monotonic()
             self._other_owners = others.owners
@@ -322,8 +316,6 @@
                     state.latency = told.pace
                     state.measured_at = now - told.age
                     state.paced = True
-                    taken += 1
-        return taken
 
     def refused(self, id: str, model: str) -> None:
         """Note that the target takes no work for `model` now."""
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -42,6 +42,13 @@
         self.entries = []
 
     def add_entry(self, name, seeds=(), store=None):
+        entry = self.make_entry(name, seeds, store)
+        entry.start()
+        self.entries.append(entry)
+        wait_for(lambda: entry.ready)
+        return entry
+
+    def make_entry(self, name, seeds=(), store=None):
         host = loopback_host()
         front, ready, peer = free_ports(host, 3)
         settings = NodeSettings(
@@ -55,11 +62,7 @@
             seed_addresses=tuple(seeds),
             bounds=Bounds(stop_seconds=6.0, lease_seconds=1.0),
         )
-        entry = EntryNode(settings, SystemClock())
-        entry.start()
-        self.entries.append(entry)
-        wait_for(lambda: entry.ready)
-        return entry
+        return EntryNode(settings, SystemClock())
 
     def ended_at(self, sample):
         """Return the moment at which the last event of a sample was made."""
@@ -366,6 +369,16 @@
     assert all(one["versions"] == [5] for one in page["results"])
 
 
+def test_an_entry_counts_as_a_member_as_soon_as_it_is_registered(deployed):
+    """Its own Lots wait for it after a restart, not for what its mirror tells."""
+    entry = deployed.make_entry("n1")
+    looked = []
+    entry._lots.owners_changed = lambda: looked.append(entry._members())
+    assert entry._members() == []
+    assert entry._registration._register()
+    assert looked == [[entry._registration.member]]
+
+
 def test_an_owner_that_is_gone_is_replaced(deployed):
     first = deployed.add_entry("n1")
     second = deployed.add_entry("n2")
--- a/tests/test_target_table.py
+++ b/tests/test_target_table.py
@@ -112,7 +112,7 @@
     table.paced("e", 0.04)
     clock.advance(3.0)
     told = [EngineState("e", 0, 0.06, age), EngineState("gone", 0, 0.05, 0.0)]
-    assert table.learn(OthersEngines(1, told)) == taken
+    table.learn(OthersEngines(1, told))
     assert latency(table) == (0.06 if taken else 0.04)
     (state,) = table.engine_states()
     assert state == EngineState("e", 0, latency(table), age if taken else 3.0)
