An engine with a free place that never begins is left after a second

A run waits 1 s for its first event where the engine had a free place, twice as long each further time, and 3 s where it had none; then silence is no evidence against it.

The test of restarts under one id holds the wait for a first event at 10 s, so that it still shows the cut alone.

--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -140,11 +140,6 @@
         for connection in idle:
             connection.close()
 
-    def kept(self) -> set[str]:
-        """Return the ids of the targets to which an idle connection is kept."""
-        with self._lock:
-            return {id for id, idle in self._idle.items() if idle}
-
     def cut(self, target_id: str) -> None:
         """Break off all calls to a target that runs no more.
 
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -231,10 +231,6 @@
         self._protocol = protocol
         self._clock = clock
 
-    def connected(self) -> set[str]:
-        """Return the ids of the targets to which a connection is kept."""
-        return self._connections.kept()
-
     def send(
         self,
         request: ForwardRequest,
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -92,10 +92,7 @@
         sends_left = max(1, route.max_attempts)
         while True:
             view = choose_target(
-                self._table.views(service),
-                tried,
-                self._failure_domain,
-                self._exchange.connected(),
+                self._table.views(service), tried, self._failure_domain
             )
             if view is None:
                 return refusal("no target", may_have_run)
--- a/src/wigeonfront/forwarding/placement.py
+++ b/src/wigeonfront/forwarding/placement.py
@@ -8,21 +8,12 @@
 """Cost of a target in another failure domain, against one in the own: it breaks ties,
 as the way there takes 1.4 ms where the work takes 25 ms, and its bytes are priced."""
 
-CONNECT_SECONDS = 0.004
-"""Time that a new connection takes: a round trip of 2.8 ms between failure domains and
-1 ms at the target. On a site with many entries and targets each request opened one, as
-the next came to the same target only after the last connection had been idle for 8 s.
-"""
-
 UNKNOWN_LATENCY = 0.03
 """Seconds assumed for a target that has not answered: the mean work of a request."""
 
 
 def choose_target(
-    views: Sequence[TargetView],
-    excluded: Collection[str],
-    failure_domain: str,
-    connected: Collection[str] = (),
+    views: Sequence[TargetView], excluded: Collection[str], failure_domain: str
 ) -> TargetView | None:
     """Return the target that should answer soonest.
 
@@ -35,8 +26,6 @@
         Ids of targets that this request was sent to.
     failure_domain : str
         Where the request is now.
-    connected : collection of str
-        Ids of targets to which a connection is kept.
     """
     usable = [
         view for view in views if not view.draining and view.target.id not in excluded
@@ -44,10 +33,7 @@
     healthy = [view for view in usable if view.available]
     return min(
         healthy or usable,
-        key=lambda view: (
-            expected_wait(view, failure_domain)
-            + (0.0 if view.target.id in connected else CONNECT_SECONDS)
-        ),
+        key=lambda view: expected_wait(view, failure_domain),
         default=None,
     )
 
--- a/src/wigeonfront/rollout/keeping.py
+++ b/src/wigeonfront/rollout/keeping.py
@@ -25,7 +25,7 @@
 IDLE_WAIT_SECONDS = 0.5
 """Longest sleep of the keeping thread; a finished sample wakes it."""
 
-STORE_RETRY_SECONDS = 0.15
+STORE_RETRY_SECONDS = 0.3
 """Pause after the store did not take a batch; one Lot asks, whatever the number."""
 
 BATCH_BYTES = 500_000
--- a/src/wigeonfront/rollout/order.py
+++ b/src/wigeonfront/rollout/order.py
@@ -32,7 +32,7 @@
 """Events after which the text of a run in progress is copied for the store: about 0.3 s
 of generation. Half of all samples end sooner and cost no bytes."""
 
-TEXT_SECONDS = 0.5
+TEXT_SECONDS = 1.0
 """Time between two writes that hold texts alone. An owner that is lost without notice
 takes with it what was generated since; without texts that is the whole of the longest
 runs, 4 to 5 s, on which a step waits."""
@@ -54,6 +54,15 @@
 """Multiple of another engine's time for an event from which it counts as quicker:
 between the noise of six events and the difference of engines."""
 
+FIRST_EVENT_SECONDS = 1.0
+"""Wait for the first event of a run on an engine with a free place, which begins within
+0.1 s: an engine that fell silent held each sample for 3 s, and took more meanwhile."""
+
+MOST_FIRST_EVENT_SECONDS = 3.0
+"""Wait for the first event on a full engine, where a run waits for a place, and the
+longest wait to which those for one sample double: where all are slow, leaving them
+would only cost places in their queues."""
+
 CROWDING = 0.25
 """Share by which an event takes longer on an engine with all places taken, from the
 step times that the users gave."""
@@ -277,6 +286,21 @@
     return pace >= QUICKER_FACTOR * quickest and saved >= LEAST_GAIN_SECONDS
 
 
+def first_event_wait(view: TargetView, silent_runs: int) -> float:
+    """Return the seconds for which a run's first event is waited for.
+
+    Parameters
+    ----------
+    view : TargetView
+        The engine as it was when the run was sent there.
+    silent_runs : int
+        Runs of the sample that ended so before.
+    """
+    if view.load >= view.target.slots:
+        return MOST_FIRST_EVENT_SECONDS
+    return min(FIRST_EVENT_SECONDS * 2**silent_runs, MOST_FIRST_EVENT_SECONDS)
+
+
 def engine_priority(expected_tokens: int) -> int:
     """Return the priority of a sample at its engine, where 0 is the most urgent."""
     for step, least in enumerate(URGENT_TOKENS):
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -68,6 +68,8 @@
         Target that broke off its last run, or from which it was moved.
     moves : int
         Times that it was moved off a slow target.
+    silent_runs : int
+        Runs that ended as no event came.
     not_before : float
         Monotonic time before which it is not sent again.
     waits_since : float
@@ -85,6 +87,7 @@
     running: bool = False
     avoid: str = ""
     moves: int = 0
+    silent_runs: int = 0
     not_before: float = 0.0
     waits_since: float = 0.0
     snapshot: Text | None = None
--- a/src/wigeonfront/rollout/run_outcomes.py
+++ b/src/wigeonfront/rollout/run_outcomes.py
@@ -36,6 +36,19 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RunSilent:
+    """No event came in time.
+
+    Attributes
+    ----------
+    full : bool
+        All places of the engine were taken, so the run may only have waited.
+    """
+
+    full: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RunFailed:
     """The engine answered with an error, which counts as an attempt."""
@@ -69,6 +82,7 @@
     RunCompleted
     | RunRefused
     | RunBroken
+    | RunSilent
     | RunFailed
     | RunImpossible
     | RunTooOld
@@ -93,6 +107,11 @@
     return "failure"
 
 
+@evidence.register
+def _(outcome: RunSilent) -> Evidence:
+    return "none" if outcome.full else "failure"
+
+
 @evidence.register
 def _(outcome: RunFailed) -> Evidence:
     return "failure"
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -9,7 +9,7 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from types import MappingProxyType
 
 from wigeonfront.clock import Clock
@@ -24,6 +24,7 @@
     SNAPSHOT_EVENTS,
     Needs,
     Waiting,
+    first_event_wait,
     waiting_samples,
 )
 from wigeonfront.rollout.placing import SamplePlacer
@@ -39,6 +40,7 @@
     RunMoved,
     RunOutcome,
     RunRefused,
+    RunSilent,
     RunTooOld,
     detail,
     evidence,
@@ -69,7 +71,7 @@
     progress: LotProgress
     state: SampleState
     view: TargetView
-    handle: RunHandle = field(default_factory=RunHandle)
+    handle: RunHandle
     paced_at: float = 0.0
     paced_events: int = 0
 
@@ -327,7 +329,8 @@
     def _start(self, waiting: Waiting, view: TargetView) -> None:
         state = waiting.state
         state.running = True
-        run = _Run(waiting.progress, state, view)
+        patience = first_event_wait(view, state.silent_runs)
+        run = _Run(waiting.progress, state, view, RunHandle(patience))
         self._runs[state.sample.id] = run
         self._table.started(view.target.id, state.sample.model)
         event(
@@ -421,6 +424,9 @@
             outcome = RunCancelled()
         elif run.handle.moved and isinstance(outcome, RunBroken):
             outcome = RunMoved()
+        elif isinstance(outcome, RunSilent):
+            outcome = RunSilent(full=run.view.load >= run.view.target.slots)
+            state.silent_runs += 1
         name = type(outcome).__name__
         self._table.ended(run.target_id, evidence(outcome))
         self._run_count.increment(outcome=name)
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -27,13 +27,11 @@
     RunImpossible,
     RunOutcome,
     RunRefused,
+    RunSilent,
     RunTooOld,
 )
 from wigeonfront.targets import Target
 
-FIRST_EVENT_SECONDS = 3.0
-"""Longest wait for a run's first event: three changes of weights."""
-
 EVENT_SECONDS = 1.0
 """Longest silence between events: over ten times what a full and slow engine takes."""
 
@@ -57,14 +55,20 @@
 class RunHandle(CallHandle):
     """Lets another thread end a run.
 
+    Parameters
+    ----------
+    patience : float
+        Seconds for which the run's first event is waited for.
+
     Attributes
     ----------
     moved : bool
         The run was ended in order to go on elsewhere.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, patience: float) -> None:
         super().__init__()
+        self.patience = patience
         self.moved = False
 
     def move(self) -> None:
@@ -112,7 +116,7 @@
             Called with the version of each event.
         """
         request = self._protocol.sample_request(lot, sample, text.last_id)
-        first = min(FIRST_EVENT_SECONDS, seconds)
+        first = min(handle.patience, seconds)
         head_by = self._clock.monotonic() + first
         call = self._exchange.open(
             request, target, head_by, run_seconds=seconds, handle=handle
@@ -121,8 +125,10 @@
             return RunRefused(call.reason, call.status != 0, call.replaced)
         if isinstance(call, Broken):
             return RunBroken(call.reason)
-        if isinstance(call, TimedOut | CallerGone):
-            return RunBroken("no answer")
+        if isinstance(call, TimedOut):
+            return RunSilent()
+        if isinstance(call, CallerGone):
+            return RunBroken("closed")
         if call.status != OK:
             call.close()
             return _error(call.status)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -18,6 +18,7 @@
 from wigeonfront.http.client import Answer, Pool
 from wigeonfront.node.entry import EntryNode
 from wigeonfront.node.settings import Bounds, NodeSettings
+from wigeonfront.rollout import runner
 
 SAMPLES = 6
 
@@ -316,7 +317,11 @@
     assert not deployed.engines[0].ran and not deployed.engines[1].ran
 
 
-def test_runs_go_on_elsewhere_as_soon_as_an_engine_has_started_again(deployed):
+def test_runs_go_on_elsewhere_as_soon_as_an_engine_has_started_again(
+    deployed, monkeypatch
+):
+    # Silence alone would end the runs too.
+    monkeypatch.setattr(runner, "first_event_wait", lambda view, silent_runs: 10.0)
     entry = deployed.add_entry("n1")
     silent, other = deployed.engines
     deployment.register(
@@ -333,13 +338,23 @@
     )
     first = [id for id in silent.ran if id not in other.ran]
     wait_for(lambda: all((silent.ran + other.ran)[id] >= 2 for id in first))
-    # Well within the time for which a first event is waited for.
     assert time.monotonic() - began < 1.5
     for engine in (silent, other):
         engine.release.set()
     check(deployed, read_all(entry, "l1"))
 
 
+def test_an_engine_that_never_begins_is_left_within_a_second(deployed):
+    entry = deployed.add_entry("n1")
+    deployed.engines[0].faults.hang = True
+    started = time.monotonic()
+    submit(entry, "l1", samples=4)
+    check(deployed, read_all(entry, "l1", 4))
+    # It was waited for once, by samples side by side.
+    assert time.monotonic() - started < 2.9
+    deployed.engines[0].release.set()
+
+
 def test_a_silent_engine_is_left(deployed):
     entry = deployed.add_entry("n1")
     deployed.engines[0].faults.silent = True
--- a/tests/test_forwarding_steps.py
+++ b/tests/test_forwarding_steps.py
@@ -122,22 +122,3 @@
 def test_the_target_that_should_answer_soonest_is_chosen(views, excluded, chosen):
     found = choose_target(views, excluded, "here")
     assert (found.target.id if found else None) == chosen
-
-
-@pytest.mark.parametrize(
-    ("connected", "in_flight", "expected"),
-    [
-        # A kept connection goes before one that has to be made, also to a near target.
-        ({"far"}, 0, "far"),
-        ({"near", "far"}, 0, "near"),
-        ((), 0, "near"),
-        # It is not worth waiting behind others for it.
-        ({"far"}, 8, "near"),
-    ],
-)
-def test_a_kept_connection_saves_the_making_of_one(connected, in_flight, expected):
-    views = [
-        TargetView(Target(id, "s", "h:1", domain, 4), load, 0.03, True, False, {}, {})
-        for id, domain, load in (("near", "here", 0), ("far", "there", in_flight))
-    ]
-    assert choose_target(views, (), "here", connected).target.id == expected
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from dataclasses import replace
 
 import pytest
 
@@ -24,10 +25,16 @@
     RunBroken,
     RunCompleted,
     RunRefused,
+    RunSilent,
     RunTooOld,
 )
 from wigeonfront.rollout.runner import LotRunner
-from wigeonfront.target_table import PROBE_SECONDS, TargetTable
+from wigeonfront.target_table import (
+    PROBE_SECONDS,
+    EngineState,
+    OthersEngines,
+    TargetTable,
+)
 from wigeonfront.targets import Target
 
 MODEL = "m"
@@ -167,6 +174,28 @@
     assert result.text.count(b"x") == 5
 
 
+@pytest.mark.parametrize(
+    ("others", "open"), [(0, True), (2, False)], ids=["free", "full"]
+)
+def test_silence_speaks_against_an_engine_only_if_it_had_a_place(sending, others, open):
+    runs = ScriptedRuns(
+        (0, 4, RunSilent()), (0, 4, RunSilent()), (2, 4, RunCompleted())
+    )
+    runner = make_runner(runs, {"a": 4, "b": 4, "c": 4})
+    table = runner._table
+    told = [EngineState(id, others, 0.0, 0.0) for id in "abc"]
+    table.learn(OthersEngines(1, told))
+    lot = replace(LOT, single_version=False)
+    runner.adopt(lot, 1, [])
+    sending(runner)
+    progress = runner.owned("l")
+    wait_for(lambda: not progress.open)
+    assert len({target for target, _ in runs.began}) >= 2
+    failed = [view for view in table.views("s") if view.target.id == runs.began[0][0]]
+    circuits = table._circuits_of("s")._circuits
+    assert (circuits[failed[0].target.id].consecutive > 0) is open
+
+
 def test_refusals_do_not_begin_the_wait_anew(sending):
     """The engine with the text's version lets its runs end and refuses."""
     refused = (0, 4, RunRefused("status 503", True))
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -249,9 +249,6 @@
         self.script = list(script)
         self.sent = []
 
-    def connected(self):
-        return set()
-
     def send(self, request, target, deadline, caller, run_seconds=None, handle=None):
         outcome, share = self.script.pop(0)
         left = max(0.0, deadline - self.clock.monotonic())
--- a/tests/test_rollout_order.py
+++ b/tests/test_rollout_order.py
@@ -4,12 +4,15 @@
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 from wigeonfront.rollout.order import (
     BATCH_SECONDS,
+    FIRST_EVENT_SECONDS,
+    MOST_FIRST_EVENT_SECONDS,
     TEXT_SECONDS,
     Needs,
     Waiting,
     batch_due,
     choose_engine,
     engine_priority,
+    first_event_wait,
     should_move,
     texts_due,
     waiting_samples,
@@ -249,3 +252,22 @@
     finish(lot, "a")
     assert not lot.finish(SampleResult("a", False))
     assert not lot.finish(SampleResult("unknown", False))
+
+
+@pytest.mark.parametrize(
+    ("in_flight", "others", "silent_runs", "expected"),
+    [
+        (0, 0, 0, FIRST_EVENT_SECONDS),
+        (3, 0, 1, 2 * FIRST_EVENT_SECONDS),
+        (0, 0, 9, MOST_FIRST_EVENT_SECONDS),
+        # What is full may only let the run wait.
+        (4, 0, 0, MOST_FIRST_EVENT_SECONDS),
+        (2, 2, 0, MOST_FIRST_EVENT_SECONDS),
+    ],
+)
+def test_an_engine_with_a_free_place_is_left_soon_if_it_is_silent(
+    in_flight, others, silent_runs, expected
+):
+    target = Target("e", "s", "h:1", "z", 4)
+    view = TargetView(target, in_flight, 0.0, True, False, {}, {}, others=others)
+    assert first_event_wait(view, silent_runs) == expected
