A second send without a target holds up no first one; split routes of reward calls

Traced: a second send may not go to its first one's target; where only that had room, the whole service counted as full, and calls of lower urgency waited. Shown by a test that failed each time before. Calls follow the shares of a split route; a call without a route is noted at its sample.

--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -137,6 +137,7 @@
             RewardCaller(forwarder, samples),
             lambda: self._configuration.current,
             domain,
+            rng,
             clock,
             metrics,
         )
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -30,6 +30,8 @@
         Sends that the target itself answered with a failure.
     unframed : int
         Scores that came with an answer that did not tell its own end.
+    routed : bool
+        A route served its host and path when it was last looked for.
     tried : frozenset of str
         Targets that have given no score.
     not_before : float
@@ -44,6 +46,7 @@
     tries: int = 0
     failures: int = 0
     unframed: int = 0
+    routed: bool = True
     tried: frozenset[str] = frozenset()
     not_before: float = 0.0
     due_since: float = 0.0
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -10,6 +10,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from random import Random
 from types import MappingProxyType
 
 from wigeonfront.clock import Clock
@@ -94,6 +95,8 @@
         Returns the configuration in force, or ``None``.
     failure_domain : str
         Where this process is.
+    random : random.Random
+        Draws the services of split routes.
     clock : Clock
     metrics : wigeonfront.metrics.Registry
 
@@ -113,6 +116,7 @@
         reward_caller: RewardCaller,
         configuration: Callable[[], Configuration | None],
         failure_domain: str,
+        random: Random,
         clock: Clock,
         metrics: Registry,
     ) -> None:
@@ -148,6 +152,7 @@
             threading.Condition(self._lock),
             configuration,
             failure_domain,
+            random,
             clock,
             metrics,
         )
--- a/src/wigeonfront/rollout/scoring.py
+++ b/src/wigeonfront/rollout/scoring.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration, Route
@@ -84,6 +85,8 @@
     configuration : callable
         Returns the configuration in force, or ``None``.
     failure_domain : str
+    random : random.Random
+        Draws the service of a split route.
     clock : Clock
     metrics : wigeonfront.metrics.Registry
     """
@@ -97,6 +100,7 @@
         changed: threading.Condition,
         configuration: Callable[[], Configuration | None],
         failure_domain: str,
+        random: Random,
         clock: Clock,
         metrics: Registry,
     ) -> None:
@@ -108,8 +112,8 @@
         self._configuration = configuration
         self._failure_domain = failure_domain
         self._clock = clock
+        self._random = random
         self._calls: list[_Call] = []
-        self._unrouted: set[str] = set()
         self._count = metrics.counter(
             "reward_calls_total", "Sends of reward calls by outcome.", ("outcome",)
         )
@@ -155,12 +159,14 @@
             route = self._route(due, configuration)
             if route is None:
                 continue
-            service = route.shares[0].service
+            service = route.choose_service(self._random.random())
             if service in full:
                 continue
             view = self._choose(due.state, service)
             if view is None:
-                full.add(service)
+                # A second send may only lack a target other than the first one's.
+                if not due.state.call.sends:
+                    full.add(service)
                 continue
             self._start(_Call(due, view, route))
         return any(
@@ -173,12 +179,11 @@
         call = _reward_call(due.state)
         path = call.path.partition("?")[0]
         route = configuration.find(call.host.lower(), path)
+        due.state.call.routed, was_routed = route is not None, due.state.call.routed
         if route is not None:
-            self._unrouted.discard(call.id)
             return route
         due.state.call.not_before = self._clock.monotonic() + NO_ROUTE_PAUSE_SECONDS
-        if call.id not in self._unrouted:
-            self._unrouted.add(call.id)
+        if was_routed:
             event(
                 logger,
                 "reward_call_unrouted",
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -79,7 +79,15 @@
     services = {"s": Service("s", "/health", 100, 2, (MODEL,))}
     configuration = Configuration(1, (route,), services)
     return LotRunner(
-        None, table, samples, caller, lambda: configuration, "z", clock, Registry()
+        None,
+        table,
+        samples,
+        caller,
+        lambda: configuration,
+        "z",
+        random.Random(1),
+        clock,
+        Registry(),
     )
 
 
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -117,6 +117,7 @@
             calls,
             lambda: Configuration(1, self.routes, services),
             "z",
+            random.Random(1),
             clock,
             self.metrics,
         )
@@ -333,6 +334,19 @@
         assert result_of(progress).completed
 
 
+def test_a_split_route_has_calls_at_each_of_its_services(owners):
+    shares = (ServiceShare("scorers", 1.0), ServiceShare("engines", 1.0))
+    route = replace(SCORE_ROUTE, shares=shares)
+    owner = owners(routes=(LOTS_ROUTE, route))
+    samples = [
+        replace(SAMPLE, id=f"s{n}", reward_call=replace(CALL, id=f"c{n}"))
+        for n in range(24)
+    ]
+    progress = owner.adopt(make_lot("l1", *samples))
+    wait_for(lambda: not progress.open)
+    assert {target[0] for _, target, _ in owner.calls.sent} == {"p", "e"}
+
+
 def test_a_sample_without_a_score_is_given_up_in_time(owners):
     owner = owners(CallRefused("full"))
     progress = owner.adopt(make_lot(give_up_seconds=0.5))
@@ -341,6 +355,33 @@
     assert owner.runner._clock.time() >= progress.lot.given_up_at
 
 
+def scored_samples(name, count, group=""):
+    return [
+        replace(
+            SAMPLE,
+            id=f"{name}{n}",
+            group=group or f"{name}{n}",
+            reward_call=replace(CALL, id=f"c{name}{n}"),
+        )
+        for n in range(count)
+    ]
+
+
+def test_a_second_send_without_a_target_holds_up_no_first_one(owners):
+    """Six places are taken by calls of higher urgency; the last is for the others."""
+    clock = ManualClock(100.0)
+    owner = owners(clock=clock)
+    owner.calls.held.clear()
+    first = scored_samples("a", 3, "a")
+    owner.adopt(make_lot("l1", *first, submitted_at=clock.time()))
+    wait_for(lambda: len(owner.calls.sent) == 3)
+    more = [*scored_samples("b", 6), *scored_samples("c", 5, "c")]
+    progress = owner.adopt(make_lot("l2", *more, submitted_at=clock.time()))
+    wait_for(lambda: all(state.text.whole for state in progress.open.values()))
+    clock.advance(FULL_AFTER_SECONDS)
+    wait_for(lambda: len(owner.calls.sent) == 12)
+
+
 def test_calls_of_one_process_leave_places_for_callers_until_they_have_waited(owners):
     clock = ManualClock(100.0)
     owner = owners(clock=clock)
