Earlier starts replace nothing also once the newer is gone; no needless registrations

- Found by a random walk played by hand: after a target's row was gone, a late row of an earlier start made a target of it.
The newest start that was heard of is kept.
A mirror that is older than the registration says nothing of it.

--- a/src/wigeonfront/membership.py
+++ b/src/wigeonfront/membership.py
@@ -88,6 +88,7 @@
         self._clock = clock
         self._term = term
         self._lease = 0
+        self._revision = 0
         self.member = Member(name, f"{name}.{secrets.token_hex(4)}", address)
 
     @property
@@ -95,6 +96,11 @@
         """Whether the registration was written and not yet seen lost."""
         return self._lease != 0
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store at which the row was last written here."""
+        return self._revision
+
     def run(self, stop: threading.Event) -> None:
         """Register and renew (a supervisor's task)."""
         while not stop.is_set():
@@ -137,6 +143,7 @@
         if not isinstance(outcome, Stored):
             event(logger, "register_failed", outcome=type(outcome).__name__)
             return False
+        self._revision = outcome.revision
         return True
 
     def _renew(self) -> bool:
--- a/src/wigeonfront/mirror.py
+++ b/src/wigeonfront/mirror.py
@@ -109,6 +109,11 @@
         """Monotonic time at which the store last began to answer again."""
         return self._regained_at
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store that the rows are as of."""
+        return self._revision
+
     def state(self) -> MirrorState:
         """Return the rows and the revision that they are as of."""
         with self._lock:
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -327,16 +327,27 @@
                 self._table.expect_load(ids[address], named.model, named.version)
 
     def _on_live(self, mirror: Mirror) -> None:
-        me = self._registration.member
-        row = mirror.get(ENTRY_PREFIX + me.name)
-        known = row and decode_member(row)
-        if self._registration.registered and (
-            known is None or known.incarnation != me.incarnation
-        ):
-            event(logger, "registration_missing", incarnation=me.incarnation)
+        if self._registration_missing(mirror):
+            event(
+                logger,
+                "registration_missing",
+                incarnation=self._registration.member.incarnation,
+            )
             self._registration.restore()
         self._lots.owners_changed()
 
+    def _registration_missing(self, mirror: Mirror) -> bool:
+        """Tell whether the mirror should know this process's registration, and not.
+
+        A mirror that is older than it tells of the last incarnation, or of none.
+        """
+        registration = self._registration
+        if not registration.registered or mirror.revision < registration.revision:
+            return False
+        row = mirror.get(ENTRY_PREFIX + registration.member.name)
+        known = row and decode_member(row)
+        return known is None or known.incarnation != registration.member.incarnation
+
     def _upkeep(self, stop: threading.Event) -> None:
         """Close idle connections and drop lapsed registrations."""
         while not stop.wait(UPKEEP_SECONDS):
--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -149,6 +149,8 @@
         self._lock = threading.Lock()
         self._known: dict[str, Target] = {}
         self._missing_since: dict[str, float] = {}
+        # Newest start that was heard of, in Unix ms, also of targets that are gone.
+        self._starts: dict[str, int] = {}
         self._bad_rows = BadRowLog()
 
     def take(self, mirror: Mirror) -> None:
@@ -170,7 +172,7 @@
     def _registered(self, rows: Mapping[str, Row]) -> dict[str, Target]:
         """Return the targets that the rows name, by their ids."""
         self._bad_rows.keep_only(rows)
-        starts = {one.name: one for one in self._known.values()}
+        known = {one.name: one for one in self._known.values()}
         found: dict[str, Target] = {}
         revisions: dict[str, int] = {}
         for key, row in rows.items():
@@ -180,11 +182,14 @@
             if isinstance(target, records.BadRow):
                 self._bad_rows.note(row, target)
                 continue
-            newest = starts.get(target.name)
-            if newest is not None and target.started_ms < newest.started_ms:
+            if target.started_ms < self._starts.get(target.name, 0):
                 # The last words of an incarnation that has ended, written late.
                 self._bad_rows.note(row, records.BadRow("of an earlier start"))
-                target = newest
+                if target.name not in known:
+                    continue
+                target = known[target.name]
+            elif target.started_ms:
+                self._starts[target.name] = target.started_ms
             found[target.id] = target
             revisions[target.id] = row.revision
         return newest_at_address(found, revisions)
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -9,7 +9,6 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from random import Random
 from types import MappingProxyType
 
@@ -21,7 +20,6 @@
 from wigeonfront.rollout.keeping import ResultKeeper
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.order import (
-    PACE_EVENTS,
     SNAPSHOT_EVENTS,
     Needs,
     Waiting,
@@ -32,6 +30,7 @@
 from wigeonfront.rollout.progress import LotProgress, SampleState
 from wigeonfront.rollout.repository import LotRepository
 from wigeonfront.rollout.reward_call import RewardCaller
+from wigeonfront.rollout.run import Run
 from wigeonfront.rollout.run_outcomes import (
     RunBroken,
     RunCancelled,
@@ -65,23 +64,6 @@
 """Texts of ended Lots that are kept, as their samples may come again in the next."""
 
 
-@dataclass(slots=True)
-class _Run:
-    """A run in progress."""
-
-    progress: LotProgress
-    state: SampleState
-    view: TargetView
-    handle: RunHandle
-    paced_at: float = 0.0
-    paced_events: int = 0
-
-    @property
-    def target_id(self) -> str:
-        """The engine that runs it."""
-        return self.view.target.id
-
-
 class LotRunner:
     """Runs owned Lots.
 
@@ -129,7 +111,7 @@
         self._work = threading.Condition(self._lock)
         self._results = threading.Condition(self._lock)
         self._lots: dict[str, LotProgress] = {}
-        self._runs: dict[str, _Run] = {}
+        self._runs: dict[str, Run] = {}
         self._recent: OrderedDict[str, Text] = OrderedDict()
         self._run_count = metrics.counter(
             "sample_runs_total", "Runs of samples by how they ended.", ("outcome",)
@@ -335,7 +317,7 @@
         state = waiting.state
         state.running = True
         patience = first_event_wait(view, state.silent_runs)
-        run = _Run(waiting.progress, state, view, RunHandle(patience))
+        run = Run(waiting.progress, state, view, RunHandle(patience))
         self._runs[state.sample.id] = run
         self._table.started(view.target.id, state.sample.model)
         event(
@@ -367,7 +349,7 @@
 
     # --- one run -------------------------------------------------------------
 
-    def _run(self, run: _Run) -> None:
+    def _run(self, run: Run) -> None:
         lot = run.progress.lot
         state = run.state
         started = self._clock.monotonic()
@@ -388,22 +370,18 @@
             events = state.text.last_id - events_before
             self._ended(run, outcome, seconds, events)
 
-    def _on_event(self, run: _Run, version: int) -> None:
+    def _on_event(self, run: Run, version: int) -> None:
         """Note an event; now and then take the run's pace and move it if it is slow."""
         now = self._clock.monotonic()
         state = run.state
         if state.text.last_id - state.snapshot_id >= SNAPSHOT_EVENTS:
             state.snapshot = state.text.copy()
-        if not run.paced_events:
+        if not run.events:
             self._table.accepted(run.target_id, state.sample.model)
             self._table.saw_version(run.target_id, state.sample.model, version)
-            run.paced_at = now
-        run.paced_events += 1
-        if run.paced_events <= PACE_EVENTS:
+        pace = run.note_event(now)
+        if pace is None:
             return
-        pace = (now - run.paced_at) / (run.paced_events - 1)
-        run.paced_at = now
-        run.paced_events = 1
         self._table.paced(run.target_id, pace)
         running = Waiting(run.progress, run.state)
         if run.handle.moved or not self._placer.should_move(running, run.view, pace):
@@ -422,7 +400,7 @@
         run.handle.move()
 
     def _ended(
-        self, run: _Run, outcome: RunOutcome, seconds: float, events: int
+        self, run: Run, outcome: RunOutcome, seconds: float, events: int
     ) -> None:
         state = run.state
         if run.handle.cancelled:
@@ -459,7 +437,7 @@
                 self._settle(run, outcome)
             self._work.notify_all()
 
-    def _settle(self, run: _Run, outcome: RunOutcome) -> None:
+    def _settle(self, run: Run, outcome: RunOutcome) -> None:
         """Decide what becomes of the sample after its run."""
         state, progress = run.state, run.progress
         lot = progress.lot
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -394,6 +394,21 @@
     assert looked == [[entry._registration.member]]
 
 
+def test_a_mirror_that_is_older_misses_no_registration(deployed):
+    """After a restart it still tells the last incarnation."""
+    entry = deployed.make_entry("n1")
+    registration, mirror = entry._registration, entry._live_mirror
+    assert mirror._list()
+    assert registration._register()
+    entry._on_live(mirror)
+    assert registration.registered
+    assert mirror._list()
+    assert registration.registered
+    deployed.rows.remove("live/entry/n1")
+    assert mirror._list()
+    assert not registration.registered
+
+
 def test_an_owner_that_is_gone_is_replaced(deployed):
     first = deployed.add_entry("n1")
     second = deployed.add_entry("n2")
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -87,6 +87,16 @@
     assert followed.table.views(SERVICE)[0].draining
 
 
+def test_words_of_an_earlier_start_are_none_of_a_target_that_is_gone(followed):
+    followed.register("i-1", born=2)
+    followed.rows.remove("servers/i-1")
+    followed.look()
+    followed.register("i-1", born=1)
+    assert followed.ids == set()
+    followed.register("i-1", born=2)
+    assert followed.ids == {"i-1@2"}
+
+
 @pytest.mark.parametrize(
     "value",
     [
--- /dev/null
+++ b/tests/test_target_follower_machine.py
@@ -0,0 +1,114 @@
+"""Random walks over registrations: restarts, late words, other writers, outages."""
+
+import random
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from platform_standins import deployment
+from rows_fakes import make_store
+from wigeonfront.clock import ManualClock
+from wigeonfront.mirror import Mirror
+from wigeonfront.node.following import RETURN_SECONDS, TargetFollower
+from wigeonfront.platform import records
+from wigeonfront.row_feed import DirectRows
+from wigeonfront.target_table import TargetTable
+
+SERVICE = "s"
+IDS = ("i-0", "i-1", "i-2")
+GARBAGE = (b"", b"\xff", b"[]", b'{"service":"s"}', b'{"slotCount":"4"}')
+
+
+class FollowerWalk(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.rows = make_store()
+        self.clock = ManualClock(100.0)
+        self.table = TargetTable(self.clock, random.Random(1))
+        self.gone = []
+        follower = TargetFollower(
+            self.table, self.clock, lambda: None, self.gone.append
+        )
+        self.follower = follower
+        self.mirror = Mirror(
+            DirectRows(self.rows), records.TARGET_PREFIX, self.clock, follower.take
+        )
+        # What each target last was, as the test knows it; 0 for none.
+        self.starts = dict.fromkeys(IDS, 0)
+        self.written = dict.fromkeys(IDS, 0)
+        self.seen = set()
+        self.down = False
+
+    def _write(self, id, start):
+        address = f"1.2.3.{IDS.index(id)}:5"
+        entry = deployment.registration(SERVICE, address, born=start)
+        self.rows.put(f"servers/{id}", msgspec.json.encode(entry))
+        self.written[id] = start
+
+    def _look(self):
+        if not self.down:
+            assert self.mirror._list()
+        found = {view.target.id for view in self.table.views(SERVICE)}
+        # What was replaced for certain never comes back.
+        assert not found & set(self.gone)
+        self.seen |= found
+
+    @rule(id=st.sampled_from(IDS))
+    def a_target_starts(self, id):
+        self.starts[id] += 1
+        self._write(id, self.starts[id])
+        self._look()
+
+    @rule(id=st.sampled_from(IDS), back=st.integers(1, 3))
+    def an_earlier_start_is_heard_of_late(self, id, back):
+        if self.starts[id] > back:
+            self._write(id, self.starts[id] - back)
+            self._look()
+
+    @rule(id=st.sampled_from(IDS))
+    def it_writes_again(self, id):
+        if self.starts[id]:
+            self._write(id, self.starts[id])
+            self._look()
+
+    @rule(id=st.sampled_from(IDS), value=st.sampled_from(GARBAGE))
+    def another_writer_spoils_its_row(self, id, value):
+        self.rows.put(f"servers/{id}", value)
+        self.written[id] = 0
+        self._look()
+
+    @rule(id=st.sampled_from(IDS))
+    def its_row_goes(self, id):
+        self.rows.remove(f"servers/{id}")
+        self.written[id] = 0
+        self._look()
+
+    @rule(seconds=st.sampled_from([0.4, RETURN_SECONDS + 0.1]))
+    def time_passes(self, seconds):
+        self.clock.advance(seconds)
+        self.follower.expire(self.mirror)
+
+    @invariant()
+    def at_most_one_incarnation_of_each_target_is_used(self):
+        names = [view.target.name for view in self.table.views(SERVICE)]
+        assert len(names) == len(set(names))
+
+    @invariant()
+    def the_newest_start_that_was_heard_of_is_the_one_in_use(self):
+        for view in self.table.views(SERVICE):
+            assert view.target.started_ms == self.starts[view.target.name]
+
+    @invariant()
+    def a_target_whose_row_is_good_is_used(self):
+        names = {view.target.name for view in self.table.views(SERVICE)}
+        for id, start in self.written.items():
+            if start and start == self.starts[id]:
+                assert id in names
+
+
+TestFollowerWalk = FollowerWalk.TestCase
+TestFollowerWalk.settings = settings(
+    max_examples=80, stateful_step_count=30, deadline=None
+)
