--- a/src/wigeonfront/rollout/order.py
+++ b/src/wigeonfront/rollout/order.py
@@ -56,7 +56,8 @@
 
 FIRST_EVENT_SECONDS = 1.0
 """Wait for the first event of a run on an engine with a free place, which begins within
-0.1 s: an engine that fell silent held each sample for 3 s, and took more meanwhile."""
+0.1 s. With 3 s, 6 of 30 samples that decided a step lost 3 s to engines that took them
+and never began."""
 
 MOST_FIRST_EVENT_SECONDS = 3.0
 """Wait for the first event on a full engine, where a run waits for a place, and the
--- a/src/wigeonfront/rollout/ownership.py
+++ b/src/wigeonfront/rollout/ownership.py
@@ -22,10 +22,10 @@
     """Return the open Lots that this process should claim, oldest first.
 
     A Lot whose owner has started again goes to the new incarnation, which need not have
-    heard of any other member; after a loss of power all come back within 0.3 s, and
-    half of it went by until they knew each other. A Lot whose owner is gone goes to one
-    live member, chosen by a hash, so that they do not all try at once. A member whose
-    row is missing may only have lost its lease: it counts as gone after `grace`.
+    heard of any other member: it claims 0.02 s after its registration, and would know
+    the others 0.35 to 0.45 s after it. A Lot whose owner is gone goes to one live
+    member, chosen by a hash, so that they do not all try at once. A member whose row is
+    missing may only have lost its lease: it counts as gone after `grace`.
 
     Parameters
     ----------
