--- a/benchmarks/rounds/ablation.py
+++ b/benchmarks/rounds/ablation.py
@@ -20,6 +20,11 @@
 
 PACKAGE = Path("src/wigeonfront")
 
+BUILT_FROM = ("src", "deploy", "pyproject.toml", "README.md")
+"""What the users' program builds and plays: the rest may change while it is copied."""
+
+LEFT_OUT = shutil.ignore_patterns("__pycache__", "*.egg-info")
+
 
 @dataclass(frozen=True, slots=True)
 class Mechanism:
@@ -169,10 +174,12 @@
     """Return a copy of `checkout` in which a mechanism is neutral."""
     copy = folder / mechanism.name.replace(" ", "-")
     shutil.rmtree(copy, ignore_errors=True)
-    left_out = shutil.ignore_patterns(
-        ".git", ".venv", "target", "journal", "__pycache__", "build", "*.egg-info"
-    )
-    shutil.copytree(checkout, copy, ignore=left_out)
+    for name in BUILT_FROM:
+        part = checkout / name
+        if part.is_dir():
+            shutil.copytree(part, copy / name, ignore=LEFT_OUT)
+        else:
+            shutil.copy(part, copy / name)
     # Plays leave their entries in the journal of the checkout.
     (copy / "journal").mkdir()
     mechanism.take_out(copy)
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -6,11 +6,17 @@
 import pytest
 
 from benchmarks.rounds.__main__ import FIRST_SEED, chosen_plays
-from benchmarks.rounds.ablation import MECHANISMS, PACKAGE, copy_without
+from benchmarks.rounds.ablation import (
+    BUILT_FROM,
+    MECHANISMS,
+    PACKAGE,
+    copy_without,
+)
 from benchmarks.rounds.pairs import Pair, compare, part_differences, table
 from benchmarks.rounds.plays import Figures, Play, read_report
 
 SITE = Path("site.toml")
+ROOT = Path(__file__).parents[1]
 
 REPORT = {
     "G": 0.68,
@@ -80,6 +86,15 @@
 
 @pytest.mark.parametrize("mechanism", MECHANISMS, ids=lambda one: one.name)
 def test_each_mechanism_has_a_neutral_form_that_still_compiles(mechanism, tmp_path):
-    copy = copy_without(mechanism, Path(__file__).parents[1], tmp_path)
+    copy = copy_without(mechanism, ROOT, tmp_path)
     changed = copy / PACKAGE / mechanism.file
     compile(changed.read_text(), str(changed), "exec")
+
+
+def test_a_copy_takes_only_what_is_built(tmp_path):
+    """Caches of tools change while a checkout is copied; here one is broken."""
+    checkout = copy_without(MECHANISMS[0], ROOT, tmp_path)
+    (checkout / ".hypothesis").symlink_to("nowhere")
+    copy = copy_without(MECHANISMS[1], checkout, tmp_path)
+    found = {path.name for path in copy.iterdir()}
+    assert found == {*BUILT_FROM, "journal"}
