--- a/src/wigeonfront/node/loading.py
+++ b/src/wigeonfront/node/loading.py
@@ -3,8 +3,8 @@
 from dataclasses import fields, replace
 
 from wigeonfront.node.settings import Bounds, NodeSettings
+from wigeonfront.setting_values import Address
 from wigeonfront.settings import (
-    Address,
     BadSetting,
     EntrySettings,
     ProcessSettings,
--- a/src/wigeonfront/rollout/known_lots.py
+++ b/src/wigeonfront/rollout/known_lots.py
@@ -6,19 +6,12 @@
 
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
+from wigeonfront.rollout.head import HEAD_PREFIX, Head, LotState, decode_head
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.lot_answers import LotPage, LotUnavailable, LotUnknown
 from wigeonfront.rollout.owner_calls import OwnerClient
 from wigeonfront.rollout.progress import LotProgress
-from wigeonfront.rollout.repository import (
-    HEAD_PREFIX,
-    Head,
-    LotRepository,
-    LotState,
-    NoLot,
-    NotKept,
-    decode_head,
-)
+from wigeonfront.rollout.repository import LotRepository, NoLot, NotKept
 
 
 @dataclass(slots=True)
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -9,6 +9,8 @@
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.observability.logs import event
+from wigeonfront.rollout.head import Head, LotState
+from wigeonfront.rollout.inheritance import Inheritance
 from wigeonfront.rollout.known_lots import KnownLot, KnownLots
 from wigeonfront.rollout.lot import Lot
 from wigeonfront.rollout.lot_answers import (
@@ -24,11 +26,9 @@
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import (
     AlreadyKept,
-    Head,
     InDoubt,
     Kept,
     LotRepository,
-    LotState,
     NoLot,
     NotKept,
     OwnerReplaced,
@@ -149,7 +149,8 @@
         if isinstance(outcome, Kept):
             if owner != NO_OWNER:
                 self._on_start()
-                self._runner.adopt(lot, outcome.revision, [], spools=spools)
+                left = Inheritance(spools=spools)
+                self._runner.adopt(lot, outcome.revision, left)
             return Accepted()
         if isinstance(outcome, AlreadyKept):
             return Accepted(again=True)
--- a/src/wigeonfront/rollout/ownership.py
+++ b/src/wigeonfront/rollout/ownership.py
@@ -6,8 +6,8 @@
 
 from wigeonfront.coordination import rendezvous
 from wigeonfront.coordination.membership import Member
+from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.lot import Lot
-from wigeonfront.rollout.repository import Head, LotState
 
 NO_OWNER = ""
 """Owner of a Lot that its last owner handed over."""
--- a/src/wigeonfront/rollout/repository.py
+++ b/src/wigeonfront/rollout/repository.py
@@ -7,7 +7,6 @@
 first result and expects that row's absence, so positions never change.
 """
 
-import enum
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from types import MappingProxyType
@@ -26,10 +25,16 @@
     Unavailable,
 )
 from wigeonfront.rollout.events import Text
+from wigeonfront.rollout.head import (
+    Head,
+    LotState,
+    decode_head,
+    encode_head,
+    head_key,
+)
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.spool import SpoolMember
 
-HEAD_PREFIX = "live/lot/"
 DATA_PREFIX = "lot-data/"
 RESULT_PREFIX = "lot-results/"
 TEXT_PREFIX = "lot-texts/"
@@ -47,43 +52,6 @@
 _encode = msgspec.msgpack.encode
 
 
-class LotState(enum.Enum):
-    """Whether a Lot still runs."""
-
-    OPEN = "open"
-    ENDED = "ended"
-
-
-@dataclass(frozen=True, slots=True)
-class Head:
-    """The head row of a Lot.
-
-    Attributes
-    ----------
-    owner : str
-        Incarnation of the entry that runs it.
-    state : LotState
-    total : int
-        Number of samples.
-    parts : int
-        Rows that hold the samples.
-    submitted_at : float
-        Unix time in seconds.
-    revision : int
-        Of the row; not stored in it.
-    spools : tuple of SpoolMember
-        Disks that may hold results which the store did not take.
-    """
-
-    owner: str
-    state: LotState
-    total: int
-    parts: int = 1
-    submitted_at: float = 0.0
-    revision: int = 0
-    spools: tuple[SpoolMember, ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class Kept:
     """The write holds; the head row is at `revision`."""
@@ -120,48 +88,6 @@
     """There is no such Lot."""
 
 
-def encode_head(head: Head) -> bytes:
-    """Return the value of a head row."""
-    return msgspec.json.encode(_HeadRow.of(head))
-
-
-def decode_head(row: Row) -> Head | None:
-    """Return the head that a row holds, or ``None`` where it is malformed."""
-    try:
-        wire = msgspec.json.decode(row.value, type=_HeadRow)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-        return None
-    return Head(
-        wire.owner,
-        wire.state,
-        wire.total,
-        wire.parts,
-        wire.submitted_at,
-        row.revision,
-        wire.spools,
-    )
-
-
-class _HeadRow(msgspec.Struct):
-    owner: str
-    state: LotState
-    total: int
-    parts: int
-    submitted_at: float
-    spools: tuple[SpoolMember, ...] = ()
-
-    @classmethod
-    def of(cls, head: Head) -> "_HeadRow":
-        return cls(
-            head.owner,
-            head.state,
-            head.total,
-            head.parts,
-            head.submitted_at,
-            head.spools,
-        )
-
-
 class LotRepository:
     """Lots as rows of a `RowStore`.
 
@@ -385,11 +311,6 @@
     return kept
 
 
-def head_key(lot_id: str) -> str:
-    """Return the key of a Lot's head row."""
-    return HEAD_PREFIX + lot_id
-
-
 def _part_key(lot_id: str, number: int) -> str:
     return f"{DATA_PREFIX}{lot_id}/{number:04d}"
 
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -8,9 +8,8 @@
 
 import logging
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable
 from random import Random
-from types import MappingProxyType
 
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
@@ -18,6 +17,7 @@
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.after_run import GiveUp, TextWhole, outcome_of, settle
 from wigeonfront.rollout.events import Text
+from wigeonfront.rollout.inheritance import NOTHING, Inheritance, begin_progress
 from wigeonfront.rollout.keeping import ResultKeeper
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.order import (
@@ -29,7 +29,7 @@
 from wigeonfront.rollout.owner_calls import OwnedResults
 from wigeonfront.rollout.picking import Picker
 from wigeonfront.rollout.placing import OverloadWatch, SamplePlacer
-from wigeonfront.rollout.progress import LotProgress, SampleState, times_of
+from wigeonfront.rollout.progress import LotProgress, SampleState
 from wigeonfront.rollout.recent_texts import RecentTexts
 from wigeonfront.rollout.repository import LotRepository
 from wigeonfront.rollout.reward_call import RewardCaller
@@ -46,7 +46,7 @@
 from wigeonfront.rollout.sample_run import RunHandle, SampleRunner
 from wigeonfront.rollout.scoring import Scoring, completed
 from wigeonfront.rollout.spooling import ResultSpooler
-from wigeonfront.spool import SpoolClient, SpoolMember
+from wigeonfront.spool import SpoolClient
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.views import TargetView
 
@@ -151,44 +151,16 @@
 
     # --- Lots come and go ----------------------------------------------------
 
-    def adopt(
-        self,
-        lot: Lot,
-        head_revision: int,
-        results: list[SampleResult],
-        texts: Mapping[str, Text] = MappingProxyType({}),
-        known_for: float = 0.0,
-        spools: tuple[SpoolMember, ...] = (),
-        spooled: Sequence[SampleResult] = (),
-    ) -> None:
-        """Begin to run a Lot that this process owns; a second time changes nothing.
-
-        Parameters
-        ----------
-        texts : mapping of str to Text
-            What earlier owners have of unfinished samples.
-        known_for : float
-            Seconds for which this process has known of the Lot.
-        spools : tuple of SpoolMember
-            Disks for results that the store does not take.
-        spooled : sequence of SampleResult
-            Results that such a disk had for the positions behind `results`.
-        """
+    def adopt(self, lot: Lot, head_revision: int, left: Inheritance = NOTHING) -> None:
+        """Begin to run a Lot that this process owns; a second time changes nothing."""
         now = self._clock.monotonic()
-        times = times_of(lot, known_for, now, self._clock.time())
         with self._lock:
             known = self._lots.get(lot.id)
             if known is not None and known.head_revision >= head_revision:
                 return
-            progress = LotProgress(lot, head_revision, results, times, spools)
-            for result in spooled:
-                progress.finish(result)
-            progress.owed = len(progress.results)
-            for id, state in progress.open.items():
-                text = self._recent.take(id) or texts.get(id)
-                state.waits_since = now
-                if text is not None and text.fits(lot.min_version, lot.single_version):
-                    state.text = text
+            progress = begin_progress(
+                lot, head_revision, left, self._recent, now, self._clock.time()
+            )
             self._lots[lot.id] = progress
             self._run_revisions[lot.id] = head_revision
             whole = [state for state in progress.open.values() if state.text.whole]
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -9,10 +9,12 @@
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.observability.logs import event
+from wigeonfront.rollout.head import Head, LotState
+from wigeonfront.rollout.inheritance import Inheritance
 from wigeonfront.rollout.known_lots import KnownLots
 from wigeonfront.rollout.lot import Lot
 from wigeonfront.rollout.ownership import claimable_lots
-from wigeonfront.rollout.repository import Head, Kept, LotRepository, LotState
+from wigeonfront.rollout.repository import Kept, LotRepository
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.spooling import LotSpools
 from wigeonfront.spool import Unreached
@@ -167,7 +169,6 @@
         now = self._clock.monotonic()
         known_for = now - self._heard_at.get(lot_id, now)
         self._on_start()
-        self._runner.adopt(
-            lot, head.revision, results, texts, known_for, head.spools, spooled
-        )
+        left = Inheritance(results, spooled, head.spools, texts, known_for)
+        self._runner.adopt(lot, head.revision, left)
         return True
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -8,34 +8,27 @@
 """
 
 import argparse
-import re
 from collections.abc import Callable, Mapping
 from dataclasses import MISSING, Field, dataclass, field, fields
-from pathlib import PurePath
 from typing import Any, TypeVar
 
+from wigeonfront.setting_values import (
+    MOST_PORT,
+    Address,
+    decimal,
+    integer,
+    one_of,
+    parse_address,
+    parse_addresses,
+    parse_folder,
+    parse_name,
+)
+
 ENVIRONMENT_PREFIX = "WIGEONFRONT_"
 PLATFORM_FILE_VARIABLE = "WIGEONFRONT_BOOT"
 """Where a platform names the file of settings that it lays down."""
 
 
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-_HOST = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]*|\[[0-9A-Fa-f:.]+\]")
-_MAX_PORT = 65_535
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """A TCP address; `host` is an IP number or a host name, without brackets."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        host = f"[{self.host}]" if ":" in self.host else self.host
-        return f"{host}:{self.port}"
-
-
 @dataclass(frozen=True, slots=True)
 class BadSetting:
     """A setting whose value is missing or not accepted.
@@ -72,74 +65,6 @@
     errors: tuple[BadSetting, ...]
 
 
-# --- parsers: text to value, ValueError when not accepted --------------------
-
-
-def parse_name(text: str) -> str:
-    """Return `text` if it is a name of the system."""
-    if not _NAME.fullmatch(text):
-        raise ValueError(text)
-    return text
-
-
-def parse_folder(text: str) -> str:
-    """Return `text` if it is an absolute path."""
-    if not PurePath(text).is_absolute():
-        raise ValueError(text)
-    return text
-
-
-def parse_address(text: str) -> Address:
-    """Return the address that ``host:port`` names."""
-    host, _, port = text.rpartition(":")
-    if not _HOST.fullmatch(host) or not (port.isascii() and port.isdigit()):
-        raise ValueError(text)
-    number = int(port)
-    if not 1 <= number <= _MAX_PORT:
-        raise ValueError(text)
-    return Address(host.strip("[]"), number)
-
-
-def parse_addresses(text: str) -> tuple[Address, ...]:
-    """Return the addresses of a comma-separated list, at least one."""
-    return tuple(parse_address(part.strip()) for part in text.split(","))
-
-
-def one_of(*choices: str) -> Callable[[str], str]:
-    """Return a parser that accepts just `choices`."""
-
-    def parse(text: str) -> str:
-        if text not in choices:
-            raise ValueError(text)
-        return text
-
-    return parse
-
-
-def integer(low: int, high: int) -> Callable[[str], int]:
-    """Return a parser for whole numbers from `low` to `high`."""
-
-    def parse(text: str) -> int:
-        number = int(text)
-        if not low <= number <= high:
-            raise ValueError(text)
-        return number
-
-    return parse
-
-
-def decimal(low: float, high: float) -> Callable[[str], float]:
-    """Return a parser for numbers from `low` to `high`."""
-
-    def parse(text: str) -> float:
-        number = float(text)
-        if not low <= number <= high:
-            raise ValueError(text)
-        return number
-
-    return parse
-
-
 # --- declarations ------------------------------------------------------------
 
 
@@ -164,15 +89,10 @@
 
 
 def _address(help: str, default: Any = MISSING) -> Any:
-    accepted = f"host:port with a port from 1 to {_MAX_PORT}"
+    accepted = f"host:port with a port from 1 to {MOST_PORT}"
     return _setting(parse_address, accepted, help, default)
 
 
-def _integer(low: int, high: int, default: int, help: str) -> Any:
-    accepted = f"a whole number from {low} to {high}"
-    return _setting(integer(low, high), accepted, help, default)
-
-
 def _decimal(low: float, high: float, default: float, help: str) -> Any:
     accepted = f"a number from {low:g} to {high:g}"
     return _setting(decimal(low, high), accepted, help, default)
--- a/tests/test_entry_node.py
+++ b/tests/test_entry_node.py
@@ -14,7 +14,7 @@
 from rows_fakes import free_address, wait_for
 from wigeonfront.http.client import Answer, Pool
 from wigeonfront.rollout import owner_calls, runner
-from wigeonfront.rollout.repository import LotState
+from wigeonfront.rollout.head import LotState
 
 SAMPLES = 6
 
--- a/tests/test_lot_ownership.py
+++ b/tests/test_lot_ownership.py
@@ -4,6 +4,7 @@
 
 from rows_fakes import make_lot
 from wigeonfront.coordination.membership import Member
+from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.ownership import (
     CLAIM_STEP_SECONDS,
     NO_OWNER,
@@ -11,7 +12,6 @@
     claimable_lots,
     owner_for,
 )
-from wigeonfront.rollout.repository import Head, LotState
 
 ME = Member("n1", "n1.aa", "10.0.0.1:1")
 OTHER = Member("n2", "n2.bb", "10.0.0.2:1")
--- a/tests/test_lot_repository.py
+++ b/tests/test_lot_repository.py
@@ -4,14 +4,13 @@
 
 from rows_fakes import make_lot, make_store
 from wigeonfront.rollout.events import Text
+from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.lot import SampleResult
 from wigeonfront.rollout.repository import (
     AlreadyKept,
-    Head,
     InDoubt,
     Kept,
     LotRepository,
-    LotState,
     NoLot,
     NotKept,
     OwnerReplaced,
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -172,7 +172,7 @@
 ):
     runs = ScriptedRuns(*steps)
     runner = make_runner(runs, versions)
-    runner.adopt(LOT, 1, [])
+    runner.adopt(LOT, 1)
     sending(runner)
     progress = runner.owned("l")
     wait_for(lambda: not progress.open)
@@ -194,7 +194,7 @@
     told = [EngineState(id, others, 0.0, 0.0) for id in "abc"]
     table.learn(OthersEngines(1, told))
     lot = replace(LOT, single_version=False)
-    runner.adopt(lot, 1, [])
+    runner.adopt(lot, 1)
     sending(runner)
     progress = runner.owned("l")
     wait_for(lambda: not progress.open)
@@ -211,7 +211,7 @@
         (5, 4, RunBroken("x")), refused, refused, (5, 5, RunCompleted())
     )
     runner = make_runner(runs, {"a": 4, "b": 5})
-    runner.adopt(LOT, 1, [])
+    runner.adopt(LOT, 1)
     sending(runner)
     for began in range(2, 4):
         wait_for(lambda began=began: len(runs.began) >= began)
@@ -225,7 +225,7 @@
 def test_a_whole_text_of_weights_that_are_too_old_is_no_result(sending):
     runs = ScriptedRuns((5, 3, RunCompleted()), (5, 4, RunCompleted()))
     runner = make_runner(runs, {"a": 4, "b": 4})
-    runner.adopt(LOT, 1, [])
+    runner.adopt(LOT, 1)
     sending(runner)
     progress = runner.owned("l")
     wait_for(lambda: not progress.open)
@@ -251,7 +251,7 @@
     runs = SlowRuns(broken, broken, (1, 4, RunCompleted()))
     runner = make_runner(runs, {"a": 4, "b": 4, "c": 4})
     runs.clock, runs.takes = runner._clock, (60.0, 39.8, 0.1)
-    runner.adopt(LOT, 1, [])
+    runner.adopt(LOT, 1)
     sending(runner)
     wait_for(lambda: len(runs.began) == 3)
     assert runs.seconds == pytest.approx([100.0, 40.0, LEAST_RUN_SECONDS])
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -25,9 +25,10 @@
 from wigeonfront.forwarding.steps import DropRequest, Fail, ReturnAnswer
 from wigeonfront.node.following import ConfigurationFollower
 from wigeonfront.platform import records
+from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.lot import SampleResult
 from wigeonfront.rollout.ownership import NO_OWNER, claimable_lots
-from wigeonfront.rollout.repository import Head, Kept, LotRepository, LotState
+from wigeonfront.rollout.repository import Kept, LotRepository
 from wigeonfront.targets.target import Target
 
 MACHINES = ("n1", "n2", "n3")
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -11,7 +11,7 @@
 from wigeonfront.coordination.rows import Row
 from wigeonfront.platform import records
 from wigeonfront.platform.boot import read_boot
-from wigeonfront.rollout.repository import decode_head
+from wigeonfront.rollout.head import decode_head
 
 BOOT = """
 node = "edge-1"
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -18,6 +18,7 @@
 )
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.events import StreamEvent, Text
+from wigeonfront.rollout.inheritance import Inheritance
 from wigeonfront.rollout.lot import Lot, RewardCall, Sample
 from wigeonfront.rollout.order import texts_due
 from wigeonfront.rollout.repository import LotRepository
@@ -133,7 +134,7 @@
             thread.start()
 
     def adopt(self, lot, texts=None):
-        self.runner.adopt(lot, 1, [], texts or {})
+        self.runner.adopt(lot, 1, Inheritance(texts=texts or {}))
         return self.runner.owned(lot.id)
 
     def close(self):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,9 +6,9 @@
 
 from wigeonfront.node.loading import node_settings
 from wigeonfront.node.settings import NodeSettings
+from wigeonfront.setting_values import Address
 from wigeonfront.settings import (
     ROLES,
-    Address,
     EntrySettings,
     OperatorSettings,
     Rejected,
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -11,9 +11,9 @@
 from test_entry_node import SAMPLES, call, check, read, read_all, submit
 from wigeonfront.coordination.membership import Member
 from wigeonfront.platform import records
+from wigeonfront.rollout.head import LotState
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 from wigeonfront.rollout.progress import LotProgress
-from wigeonfront.rollout.repository import LotState
 from wigeonfront.rollout.spooling import (
     PART_PAUSE_SECONDS,
     SPOOL_AFTER_SECONDS,
