--- a/examples/platform_standins/deployment.py
+++ b/examples/platform_standins/deployment.py
@@ -15,7 +15,10 @@
 
 
 def configuration(
-    version: int = 1, one_version: bool = False, **changes: object
+    version: int = 1,
+    one_version: bool = False,
+    accounts: dict[str, list[str]] | None = None,
+    **changes: object,
 ) -> bytes:
     """Return a configuration.
 
@@ -23,6 +26,8 @@
     ----------
     one_version : bool
         Each sample of a Lot must come from one version of the weights.
+    accounts : dict, optional
+        API keys of each client account; without it calls need none.
     **changes
         They replace fields of the plain route.
     """
@@ -71,6 +76,10 @@
         },
     ]
     document = {"version": version, "routes": routes, "services": services}
+    if accounts is not None:
+        document["tenants"] = [
+            {"name": name, "apiKeys": keys} for name, keys in accounts.items()
+        ]
     return msgspec.json.encode(document | {"limits": {"maxBodyBytes": 100_000}})
 
 
--- a/examples/platform_standins/engine.py
+++ b/examples/platform_standins/engine.py
@@ -47,6 +47,11 @@
     hang: bool = False
 
 
+def lower_headers(call: RawCall) -> dict[str, str]:
+    """Return the headers of a call by their lower-case names."""
+    return {name.lower(): value for name, value in call.headers}
+
+
 RUNS_PAUSE_SECONDS = 0.005
 """Pause between two looks whether the runs have ended."""
 
@@ -99,6 +104,8 @@
         self.began_after: dict[str, int] = {}
         # Monotonic time at which each sample's last event was first made.
         self.ended_at: dict[str, float] = {}
+        # Headers with which each sample or request came last, by lower-case name.
+        self.headers: dict[str, dict[str, str]] = {}
         self.release = threading.Event()
         self.orders: list[_Order] = []
         self.running = 0
@@ -175,6 +182,7 @@
             return
         with self._lock:
             self.ran[id] += 1
+        self.headers[id] = lower_headers(call)
         status = self.faults.statuses.get(id)
         seal = ((names.ATTEMPT_ID, id), (names.SEAL, "s"))
         if status:
@@ -228,6 +236,8 @@
         Answers of 500, by the request's id.
     statuses : dict of str to int
         Status that a request gets, by its id.
+    headers : dict of str to dict
+        Headers with which each request came last, by lower-case name.
     """
 
     def __init__(self, address: str, id: str) -> None:
@@ -241,6 +251,7 @@
         self.arrived: dict[str, list[float]] = {}
         self.failed: Counter[str] = Counter()
         self.statuses: dict[str, int] = {}
+        self.headers: dict[str, dict[str, str]] = {}
         self._numbers = itertools.count(1)
         super().__init__(address, self._answer, threads=50)
 
@@ -253,6 +264,7 @@
         if self.refuse:
             call.reply(503, headers=((names.NOT_EXECUTED, "1"),))
             return
+        self.headers[id] = lower_headers(call)
         self.seen.append((call.method, call.target, body))
         self.arrived.setdefault(id, []).append(time.monotonic())
         time.sleep(self.pause)
--- /dev/null
+++ b/src/wigeonfront/accounts/directory.py
@@ -0,0 +1,123 @@
+"""The client accounts of a configuration, found by their API keys.
+
+Keys are held as digests only: a directory that is logged or dumped shows none, and a
+lookup takes the same time whichever part of a key is wrong.
+
+Examples
+--------
+>>> account = ClientAccount("studio", priority=1)
+>>> directory = make_directory([(account, ["k-1", "k-2"])])
+>>> directory.find("k-2").name
+'studio'
+>>> directory.find("k-3") is None
+True
+>>> make_directory([(account, ["k-1"]), (ClientAccount("other"), ["k-1"])])
+BadAccounts(reason='accounts studio and other share the key be98cc81')
+"""
+
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+
+DIGEST_BYTES = 16
+FINGERPRINT_BYTES = 4
+
+MOST_KEY_LENGTH = 1_024
+"""Characters of a key: a quarter of what many servers take as one header."""
+
+MOST_NAME_LENGTH = 64
+"""Characters of an account's name, which is part of the store's keys."""
+
+KEY_PATTERN = re.compile(r"[A-Za-z0-9._~+/-]+=*")
+"""What can stand in a header as a bearer token (RFC 6750, section 2.1)."""
+
+NAME_PATTERN = re.compile(r"[!-~]+")
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """An account that calls are made for.
+
+    Attributes
+    ----------
+    name : str
+    priority : int or None
+        0 is the most urgent; it goes before that of a route. ``None`` for the route's.
+    """
+
+    name: str
+    priority: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class BadAccounts:
+    """Accounts that contradict each other, or that no call can use."""
+
+    reason: str
+
+
+class AccountDirectory:
+    """Accounts by their keys; use `make_directory`.
+
+    Parameters
+    ----------
+    by_digest : mapping of bytes to ClientAccount
+    """
+
+    def __init__(self, by_digest: Mapping[bytes, ClientAccount]) -> None:
+        self._by_digest = by_digest
+
+    def __len__(self) -> int:
+        return len(self._by_digest)
+
+    def find(self, key: str) -> ClientAccount | None:
+        """Return the account that holds `key`."""
+        return self._by_digest.get(_digest(key))
+
+
+def make_directory(
+    accounts: Iterable[tuple[ClientAccount, Iterable[str]]],
+) -> AccountDirectory | BadAccounts:
+    """Return the directory of accounts with their keys, or what is wrong with them."""
+    by_digest: dict[bytes, ClientAccount] = {}
+    names: set[str] = set()
+    for account, keys in accounts:
+        reason = _name_fault(account.name, names)
+        if reason:
+            return BadAccounts(reason)
+        names.add(account.name)
+        for key in keys:
+            reason = _key_fault(account, key, by_digest)
+            if reason:
+                return BadAccounts(reason)
+            by_digest[_digest(key)] = account
+    return AccountDirectory(by_digest)
+
+
+def fingerprint(key: str) -> str:
+    """Return what logs and operators see of a key: eight hexadecimal digits."""
+    return blake2b(key.encode(), digest_size=FINGERPRINT_BYTES).hexdigest()
+
+
+def _name_fault(name: str, names: set[str]) -> str:
+    if not NAME_PATTERN.fullmatch(name) or len(name) > MOST_NAME_LENGTH:
+        return f"account name {name[:MOST_NAME_LENGTH]!r} is empty, too long or unfit"
+    return f"account {name} stands twice" if name in names else ""
+
+
+def _key_fault(
+    account: ClientAccount, key: str, known: Mapping[bytes, ClientAccount]
+) -> str:
+    if not KEY_PATTERN.fullmatch(key) or len(key) > MOST_KEY_LENGTH:
+        return f"account {account.name} has a key that is empty, too long or unfit"
+    other = known.get(_digest(key))
+    if other is None:
+        return ""
+    if other.name == account.name:
+        return f"account {account.name} has the key {fingerprint(key)} twice"
+    return f"accounts {other.name} and {account.name} share the key {fingerprint(key)}"
+
+
+def _digest(key: str) -> bytes:
+    return blake2b(key.encode(), digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/src/wigeonfront/accounts/gate.py
@@ -0,0 +1,93 @@
+"""Checks the keys of calls, and tells operators of those that were refused."""
+
+import logging
+from collections.abc import Callable
+
+from wigeonfront.accounts.admission import (
+    Admission,
+    AdmissionBounds,
+    Admitted,
+    admit,
+)
+from wigeonfront.accounts.directory import AccountDirectory
+from wigeonfront.clock import Clock
+from wigeonfront.observability.logs import event
+from wigeonfront.observability.metrics import Registry
+
+logger = logging.getLogger(__name__)
+
+LOG_PAUSE_SECONDS = 1.0
+"""Least time between two log lines about refused keys: a flood of bad keys must not
+crowd out the other lines."""
+
+
+class AccountGate:
+    """Decides on each call that brings a key, or should.
+
+    Parameters
+    ----------
+    age : callable
+        Returns the seconds by which the configuration may be behind the store.
+    bounds : AdmissionBounds
+    clock : Clock
+    metrics : wigeonfront.observability.metrics.Registry
+    """
+
+    def __init__(
+        self,
+        age: Callable[[], float],
+        bounds: AdmissionBounds,
+        clock: Clock,
+        metrics: Registry,
+    ) -> None:
+        self._age = age
+        self._bounds = bounds
+        self._clock = clock
+        self._refused = metrics.counter(
+            "calls_without_account_total", "Calls whose key was refused.", ("reason",)
+        )
+        self._logged_at = -LOG_PAUSE_SECONDS
+        self._unlogged = 0
+
+    def check(
+        self,
+        directory: AccountDirectory | None,
+        version: int,
+        public: bool,
+        header: str,
+    ) -> Admission:
+        """Return whether a call is taken, and for which account.
+
+        Parameters
+        ----------
+        directory : AccountDirectory or None
+            Of the configuration in force.
+        version : int
+            Of that configuration, for the log.
+        public, header
+            As for `admit`.
+        """
+        age = self._age()
+        admission = admit(directory, public, header, age, self._bounds)
+        if not isinstance(admission, Admitted):
+            self._refused.increment(reason=admission.reason)
+            self._log(admission, version, age)
+        return admission
+
+    def _log(self, admission: Admission, version: int, age: float) -> None:
+        now = self._clock.monotonic()
+        if now - self._logged_at < LOG_PAUSE_SECONDS:
+            self._unlogged += 1
+            return
+        event(
+            logger,
+            "key_refused",
+            outcome=type(admission).__name__,
+            reason=admission.reason,
+            fingerprint=admission.fingerprint,
+            version=version,
+            age=age,
+            unlogged=self._unlogged,
+        )
+        self._logged_at = now
+        self._unlogged = 0
--- a/src/wigeonfront/api/front.py
+++ b/src/wigeonfront/api/front.py
@@ -61,6 +61,7 @@
             ("POST", ACKNOWLEDGE_PATH): lots.acknowledge,
             ("POST", REQUESTS_PATH): requests.answer,
         }
+        self._lot_reads: ConfiguredAnswer = lots.read
         self._plain: dict[tuple[str, str], Answer] = {
             ("GET", CATALOGUE_PATH): catalogue.get,
             ("PUT", CATALOGUE_PATH): catalogue.put,
@@ -72,7 +73,6 @@
             ("GET", "/ready"): self._answer_ready,
         }
         self._below: dict[tuple[str, str], Answer] = {
-            ("GET", LOTS_PATH + "/"): lots.read,
             ("GET", EXPLAIN_PATH): operators.explain,
         }
 
@@ -90,16 +90,22 @@
 
     def _answer(self, call: RawCall) -> None:
         asked = call.method, call.path
-        if asked in self._configured:
+        configured = self._find_configured(call)
+        if configured is not None:
             configuration = self._configuration()
             if configuration is None:
                 raise Refused(503, "not_ready", "", UNREADY_SECONDS)
-            self._configured[asked](call, configuration)
+            configured(call, configuration)
         elif asked in self._plain:
             self._plain[asked](call)
         else:
             self._find_below(call)(call)
 
+    def _find_configured(self, call: RawCall) -> ConfiguredAnswer | None:
+        if call.method == "GET" and call.path.startswith(LOTS_PATH + "/"):
+            return self._lot_reads
+        return self._configured.get((call.method, call.path))
+
     def _find_below(self, call: RawCall) -> Answer:
         for (method, prefix), answer in self._below.items():
             if call.method == method and call.path.startswith(prefix):
--- a/src/wigeonfront/api/lots.py
+++ b/src/wigeonfront/api/lots.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wigeonfront.accounts import Admitted
+from wigeonfront.api.callers import Callers, scoped
 from wigeonfront.api.errors import Refused
 from wigeonfront.api.messages import (
     LotAccepted,
@@ -58,21 +60,27 @@
     ----------
     lots : wigeonfront.rollout.lots.Lots
     engines : EngineHeaders
+    callers : Callers
     clock : Clock
     """
 
-    def __init__(self, lots: Lots, engines: EngineHeaders, clock: Clock) -> None:
+    def __init__(
+        self, lots: Lots, engines: EngineHeaders, callers: Callers, clock: Clock
+    ) -> None:
         self._lots = lots
+        self._callers = callers
         self._engines = engines
         self._clock = clock
 
     def submit(self, call: RawCall, configuration: Configuration) -> None:
         """Keep a Lot and run it; 202 also where it is kept already."""
         body = decode_body(call.body(configuration.limits.body_bytes), LotBody)
-        id = lot_id(body.trainer, body.lot)
+        route = named_route(configuration, body.route, RouteKind.LOTS)
+        admitted = self._callers.admit(call, configuration, [route])
+        id = scoped(admitted, configuration, lot_id(body.trainer, body.lot))
         if self._lots.knows(id) and self._lots.ended(id):
             raise Refused(410, "already_delivered")
-        lot = self._lot(id, body, configuration)
+        lot = self._lot(id, body, route, configuration, admitted)
         outcome = self._lots.submit(lot)
         if outcome == answers.Accepted(again=True) and self._lots.ended(id):
             raise Refused(410, "already_delivered")
@@ -82,9 +90,10 @@
             raise Refused(504, "unknown", outcome.reason, RETRY_SECONDS)
         call.reply_json(ACCEPTED, LotAccepted(body.lot, len(lot.samples)))
 
-    def read(self, call: RawCall) -> None:
+    def read(self, call: RawCall, configuration: Configuration) -> None:
         """Answer with results from a position on, waiting for one if asked to."""
-        id = _id_of(call.path.removeprefix(LOTS_PATH + "/"))
+        name = _id_of(call.path.removeprefix(LOTS_PATH + "/"))
+        id = self._callers.lot_id(call, configuration, name)
         query = parse_qs(call.query)
         after = int(_number(query, "after"))
         wait = min(_number(query, "wait"), MOST_WAIT_SECONDS)
@@ -103,13 +112,20 @@
     def acknowledge(self, call: RawCall, configuration: Configuration) -> None:
         """End a Lot whose results the trainer has."""
         body = decode_body(call.body(configuration.limits.body_bytes), LotName)
-        outcome = self._lots.end(lot_id(body.trainer, body.lot))
+        name = lot_id(body.trainer, body.lot)
+        outcome = self._lots.end(self._callers.lot_id(call, configuration, name))
         if not isinstance(outcome, answers.Accepted):
             raise _unreadable(outcome)
         call.reply_json(200, body)
 
-    def _lot(self, id: str, body: LotBody, configuration: Configuration) -> Lot:
-        route = named_route(configuration, body.route, RouteKind.LOTS)
+    def _lot(
+        self,
+        id: str,
+        body: LotBody,
+        route: Route,
+        configuration: Configuration,
+        admitted: Admitted,
+    ) -> Lot:
         names = {one.sample for one in body.samples}
         if len(names) != len(body.samples):
             raise Refused(422, "bad_field", "a sample's name stands twice")
@@ -130,6 +146,7 @@
             give_up_seconds=body.timeout or route.max_queue,
             max_attempts=route.max_attempts,
             single_version=route.single_version,
+            account=admitted.account,
         )
 
     def _sample(
--- a/src/wigeonfront/api/requests.py
+++ b/src/wigeonfront/api/requests.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from wigeonfront.accounts import Admitted
+from wigeonfront.api.callers import Callers, scoped
 from wigeonfront.api.errors import Refused
 from wigeonfront.api.lots import EngineHeaders, named_route
 from wigeonfront.api.messages import OutcomeBody, RequestBody, RequestReply, decode_body
@@ -50,6 +52,7 @@
     streams : StreamForwarder
     keyed : KeyedRequests
     engines : EngineHeaders
+    callers : Callers
     clock : Clock
     """
 
@@ -59,12 +62,14 @@
         streams: StreamForwarder,
         keyed: KeyedRequests,
         engines: EngineHeaders,
+        callers: Callers,
         clock: Clock,
     ) -> None:
         self._forwarder = forwarder
         self._streams = streams
         self._keyed = keyed
         self._engines = engines
+        self._callers = callers
         self._clock = clock
 
     def answer(self, call: RawCall, configuration: Configuration) -> None:
@@ -79,12 +84,18 @@
             RouteKind.STREAMING,
         )
         id = call.header(REQUEST_HEADER) or secrets.token_hex(8)
-        request = self._forwarded(id, body, route)
+        admitted = self._callers.admit(call, configuration, [route])
+        request = self._forwarded(id, body, route, admitted)
         deadline = started + min(body.timeout, route.timeout)
         if route.kind is RouteKind.STREAMING:
             self._streams.forward(request, route, started, deadline, call)
             return
-        ended = self._run(call, request, route, deadline)
+        key = _key_of(call)
+        if not key or route.repeatable:
+            ended = self._forwarder.forward(request, route, deadline, call.socket)
+        else:
+            scope = scoped(admitted, configuration, key)
+            ended = self._run_once(request, route, deadline, scope)
         if isinstance(ended, DropRequest):
             call.abort()
             return
@@ -93,7 +104,9 @@
         reply = RequestReply(id, _told(outcome))
         call.reply_json(http_status(outcome), reply, headers)
 
-    def _forwarded(self, id: str, body: RequestBody, route: Route) -> ForwardRequest:
+    def _forwarded(
+        self, id: str, body: RequestBody, route: Route, admitted: Admitted
+    ) -> ForwardRequest:
         data = msgspec.json.encode(body.payload)
         headers = [("Host", route.host), ("Content-Type", "application/json")]
         if body.model:
@@ -101,23 +114,37 @@
             headers.extend(more)
         path = route.prefix + quote(body.path, safe="/")
         repeatable = route.repeatable or route.resumable
-        return ForwardRequest(id, "POST", path, tuple(headers), data, repeatable)
+        return ForwardRequest(
+            id,
+            "POST",
+            path,
+            tuple(headers),
+            data,
+            repeatable,
+            admitted.account,
+            route.rank(admitted.priority),
+        )
 
-    def _run(
-        self, call: RawCall, request: ForwardRequest, route: Route, deadline: float
+    def _run_once(
+        self, request: ForwardRequest, route: Route, deadline: float, key: str
     ) -> Ended:
-        key = call.header(IDEMPOTENCY_HEADER)
-        if len(key) > MOST_KEY_LENGTH:
-            raise Refused(400, "bad_key", f"at most {MOST_KEY_LENGTH} characters")
+        """Run a request that others with its key may repeat.
+
+        It goes on without its caller, who may ask for it again.
+        """
+        return self._keyed.run(
+            route.name,
+            key,
+            deadline,
+            lambda: self._forwarder.forward(request, route, deadline, None),
+        )
 
-        def send() -> Ended:
-            # A keyed request goes on without its caller, who may ask for it again.
-            caller = None if key else call.socket
-            return self._forwarder.forward(request, route, deadline, caller)
 
-        if not key or route.repeatable:
-            return send()
-        return self._keyed.run(route.name, quote(key, safe=""), deadline, send)
+def _key_of(call: RawCall) -> str:
+    key = call.header(IDEMPOTENCY_HEADER)
+    if len(key) > MOST_KEY_LENGTH:
+        raise Refused(400, "bad_key", f"at most {MOST_KEY_LENGTH} characters")
+    return quote(key, safe="")
 
 
 @singledispatch
--- a/src/wigeonfront/configuration.py
+++ b/src/wigeonfront/configuration.py
@@ -7,6 +7,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from wigeonfront.accounts import AccountDirectory
+
 
 class RouteKind(enum.Enum):
     """What may be repeated on a route."""
@@ -51,6 +53,8 @@
         Seconds after its submission at which a sample may be given up.
     single_version : bool
         A sample must come from one version of the weights.
+    public : bool
+        Calls need no API key.
     """
 
     name: str
@@ -66,12 +70,25 @@
     lot_deadline: float = 0.0
     max_queue: float = 0.0
     single_version: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
         return self.kind is RouteKind.IDEMPOTENT
 
+    def rank(self, account_priority: int | None) -> int | None:
+        """Return the rank of a stream at its engine; ``None`` for other requests.
+
+        Parameters
+        ----------
+        account_priority : int or None
+            Priority of the client account; it goes before the route's.
+        """
+        if self.kind is not RouteKind.STREAMING:
+            return None
+        return self.priority if account_priority is None else account_priority
+
     def choose_service(self, draw: float) -> str:
         """Return the service for a random `draw` from 0 (included) to 1."""
         total = sum(share.weight for share in self.shares)
@@ -121,12 +138,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """All that is configured, at one version."""
+    """All that is configured, at one version.
+
+    Attributes
+    ----------
+    version : int
+    routes : tuple of Route
+    services : dict of str to Service
+        By their names.
+    limits : CallerLimits
+    accounts : AccountDirectory or None
+        Who may call; ``None`` where calls need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    accounts: AccountDirectory | None = field(default=None, repr=False)
 
     def wants_one_version(self, service: str) -> bool:
         """Tell whether a route wants each sample of `service` from one version."""
--- a/src/wigeonfront/forwarding/attempt.py
+++ b/src/wigeonfront/forwarding/attempt.py
@@ -23,6 +23,10 @@
     body : bytes
     repeatable : bool
         It may run more than once.
+    account : str
+        Client account that it is made for; empty for none.
+    priority : int or None
+        Its rank at an engine, where 0 is first; ``None`` leaves it to the engine.
     """
 
     id: str
@@ -31,6 +35,8 @@
     headers: Headers
     body: bytes = field(repr=False)
     repeatable: bool = False
+    account: str = ""
+    priority: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/http/raw.py
+++ b/src/wigeonfront/http/raw.py
@@ -45,6 +45,35 @@
     """The caller closed, or broke the framing, before the body's end."""
 
 
+class _HeaderReader(cheroot_server.HeaderReader):
+    """Joins a repeated ``Authorization``, of which the library keeps the last one."""
+
+    def __call__(
+        self, rfile: object, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        """Read the headers into `hdict`."""
+        found = _RepeatedHeaders()
+        super().__call__(rfile, found)
+        headers = {} if hdict is None else hdict
+        headers.update(found)
+        return headers
+
+
+class _RepeatedHeaders(dict[bytes, bytes]):
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name == b"Authorization" and name in self:
+            value = b", ".join((self[name], value))
+        super().__setitem__(name, value)
+
+
+class _Request(cheroot_server.HTTPRequest):
+    header_reader = _HeaderReader()
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
 class RawCall:
     """One request on the server and the means to answer it.
 
@@ -61,6 +90,7 @@
         self._request = request
         self._closing = closing
         self._began = False
+        self._read = False
         self.headers: Headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.inheaders.items()
@@ -111,6 +141,7 @@
         BodyCutOff
             When its end never came.
         """
+        self._read = True
         length = int(self.header("Content-Length") or 0)
         if length > most:
             raise BodyTooLarge
@@ -149,7 +180,9 @@
         request.outheaders = [
             (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
         ]
-        if self._closing() or status in (400, 408, 413, 431):
+        unread = self._is_chunked and not self._read
+        # What is left of a body must not be taken for the next request.
+        if self._closing() or unread or status in (400, 408, 413, 431):
             request.close_connection = True
         self._began = True
         request.sent_headers = True
@@ -209,6 +242,7 @@
         self._server = cheroot_server.HTTPServer(
             parse_address(address), gateway=self._make_gateway()
         )
+        self._server.ConnectionClass = _Connection
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.keep_alive_conn_limit = kept
         self._server.timeout = DEFAULT_IDLE_SECONDS
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -10,6 +10,8 @@
 import threading
 from collections.abc import Callable
 
+from wigeonfront.accounts import AdmissionBounds
+from wigeonfront.accounts.gate import AccountGate
 from wigeonfront.api.operations import VersionServer
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.configuration import Configuration
@@ -34,6 +36,7 @@
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.platform.front import Front, FrontMetrics
 from wigeonfront.platform.lot_calls import PlatformSamples
+from wigeonfront.platform.lot_front import LotFront
 from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.platform.target_calls import PlatformTargets
 from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
@@ -137,6 +140,7 @@
         self._loads = LoadFollower(
             self._table, self._lots.recent_owners, self._runner.has_open_lots
         )
+        self._gate = self._make_gate()
         self._servers = self._make_servers()
         self._metrics_page = MetricsPage(settings.host, METRICS_PORT, self._metrics)
 
@@ -227,6 +231,19 @@
             self._clock,
         )
 
+    def _make_gate(self) -> AccountGate:
+        bounds = self._settings.bounds
+        return AccountGate(
+            lambda: self._view.operator.age,
+            AdmissionBounds(
+                bounds.configuration_seconds,
+                bounds.strict_revoke,
+                bounds.revoke_seconds,
+            ),
+            self._clock,
+            self._metrics,
+        )
+
     def _make_servers(self) -> dict[str, RawServer]:
         """Return the servers by their task's name."""
         settings = self._settings
@@ -274,6 +291,7 @@
             forwarder=self._forwarder,
             streams=self._streams,
             lots=self._lots,
+            gate=self._gate,
             clock=self._clock,
         )
 
@@ -286,7 +304,8 @@
             lambda: self._configuration.current,
             self._forwarder,
             self._streams,
-            self._lots,
+            LotFront(self._lots, self._clock),
+            self._gate,
             self._clock,
             metrics,
         )
--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -48,14 +48,25 @@
 
 
 class ConfigurationFollower:
-    """The newest configuration and the named versions; they never go backwards."""
+    """The newest configuration and the named versions; they never go backwards.
+
+    Parameters
+    ----------
+    clock : Clock
+    on_configuration, on_version : callable
+        Called with each newer one.
+    with_accounts : bool
+        Client accounts are wanted, which a process without callers does not need.
+    """
 
     def __init__(
         self,
         clock: Clock,
         on_configuration: Callable[[Configuration], None] = lambda new: None,
         on_version: Callable[[NamedVersion], None] = lambda named: None,
+        with_accounts: bool = True,
     ) -> None:
+        self._with_accounts = with_accounts
         self._clock = clock
         self._on_configuration = on_configuration
         self._on_version = on_version
@@ -92,7 +103,7 @@
                 self._take_version(key.removeprefix(records.VERSION_PREFIX), row)
 
     def _take_configuration(self, row: Row) -> None:
-        new = records.decode_configuration(row.value)
+        new = records.decode_configuration(row.value, self._with_accounts)
         if isinstance(new, records.BadRow):
             self._bad_rows.note(row, new)
             return
--- a/src/wigeonfront/node/interface.py
+++ b/src/wigeonfront/node/interface.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from wigeonfront.accounts.gate import AccountGate
 from wigeonfront.api import ApiFront
+from wigeonfront.api.callers import Callers
 from wigeonfront.api.lots import LotCalls
 from wigeonfront.api.operations import CatalogueCalls, Deployment, OperatorCalls
 from wigeonfront.api.requests import RequestCalls
@@ -51,19 +53,21 @@
     forwarder: Forwarder
     streams: StreamForwarder
     lots: Lots
+    gate: AccountGate
     clock: Clock
 
 
 def make_api(parts: InterfaceParts) -> ApiFront:
     """Return the interface, which remembers the log from now on."""
     samples = PlatformSamples()
+    callers = Callers(parts.gate)
     requests = RequestCalls(
-        parts.forwarder, parts.streams, _keyed(parts), samples, parts.clock
+        parts.forwarder, parts.streams, _keyed(parts), samples, callers, parts.clock
     )
     return ApiFront(
         lambda: parts.configuration.current,
         parts.ready,
-        LotCalls(parts.lots, samples, parts.clock),
+        LotCalls(parts.lots, samples, callers, parts.clock),
         requests,
         _catalogue(parts),
         _operations(parts),
--- a/src/wigeonfront/node/settings.py
+++ b/src/wigeonfront/node/settings.py
@@ -23,6 +23,10 @@
         Term of the lease by which a process is known to live.
     fenced : bool
         Targets check fencing tokens.
+    strict_revoke : bool
+        Calls with an API key are refused by an entry whose configuration has not been
+        confirmed for `revoke_seconds`.
+    revoke_seconds : float
     """
 
     stop_seconds: float = 8.0
@@ -32,6 +36,8 @@
     result_seconds: float = 120.0
     lease_seconds: float = 2.0
     fenced: bool = False
+    strict_revoke: bool = False
+    revoke_seconds: float = 5.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/node/side.py
+++ b/src/wigeonfront/node/side.py
@@ -59,7 +59,9 @@
         self._address = settings.target_address
         self._service = settings.service
         self._place = EnginePlace(self._read_place, clock)
-        self._follower = ConfigurationFollower(clock, on_version=self._on_version)
+        self._follower = ConfigurationFollower(
+            clock, on_version=self._on_version, with_accounts=False
+        )
         sources = rotated(settings.seed_addresses, settings.target_address)
         self._mirror = Mirror(
             FollowedRows(
--- a/src/wigeonfront/observability/explain.py
+++ b/src/wigeonfront/observability/explain.py
@@ -10,6 +10,8 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 
+from wigeonfront.rollout.scope import own_name
+
 NAMING_FIELDS = ("request", "lot", "sample", "key")
 
 REMEMBERED_LINES = 2_000
@@ -58,12 +60,20 @@
     found = [
         event
         for event in _events(read())
-        if any(event.get(field) == id for field in NAMING_FIELDS)
+        if any(_names(event, field, id) for field in NAMING_FIELDS)
         or (event.get("lot") in lots and "sample" not in event)
     ]
     return sorted(found, key=time_of)
 
 
+def _names(event: Pairs, field: str, id: str) -> bool:
+    """Tell whether a field is `id`, or the Lot that an account calls so."""
+    value = event.get(field)
+    if value is None or field != "lot":
+        return value == id
+    return id in (value, own_name(value))
+
+
 def _events(lines: Iterable[str]) -> Iterator[Pairs]:
     return (parse_line(line) for line in lines if "event=" in line)
 
--- a/src/wigeonfront/platform/boot.py
+++ b/src/wigeonfront/platform/boot.py
@@ -37,6 +37,9 @@
     status_ttl_s: float = msgspec.field(name="statusTtlS", default=120)
     cancel_ms: float = 3000
     require_fence: bool = False
+    # Unexplained; taken as in `Bounds`, see docs/design/accounts-and-duties.md.
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
 
 
 class _FaultTolerance(msgspec.Struct, frozen=True):
@@ -106,5 +109,7 @@
             result_seconds=wire.bounds.status_ttl_s,
             lease_seconds=max(2.0, wire.platform.ttl_min_ms / 1000),
             fenced=wire.bounds.require_fence,
+            strict_revoke=wire.bounds.strict_revoke,
+            revoke_seconds=wire.bounds.revoke_ms / 1000,
         ),
     )
--- a/src/wigeonfront/platform/front.py
+++ b/src/wigeonfront/platform/front.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatch
-from urllib.parse import parse_qs
 
+from wigeonfront.accounts import Admission, Admitted, Unauthenticated, Undecided
+from wigeonfront.accounts.gate import AccountGate
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration, Route, RouteKind
 from wigeonfront.forwarding.attempt import ForwardRequest
@@ -20,28 +21,14 @@
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Counter, Histogram
 from wigeonfront.platform import headers as names
-from wigeonfront.platform.lot_calls import BadLot, decode_lot, encode_page
+from wigeonfront.platform.lot_front import LotFront, takes_lots
 from wigeonfront.platform.target_calls import forwarded_headers
-from wigeonfront.rollout.lot_answers import (
-    Accepted,
-    LotPage,
-    LotRefused,
-    LotUnavailable,
-    LotUncertain,
-    LotUnknown,
-)
-from wigeonfront.rollout.lots import Lots
 
 logger = logging.getLogger(__name__)
 
 DEFAULT_DEADLINE_SECONDS = 30.0
-MOST_WAIT_SECONDS = 1.0
-LOT_RETRY_SECONDS = "0.3"
 UNREADY_RETRY_SECONDS = "0.5"
 
-LOT_PATH = "/lots/"
-SAMPLE_PATH = "/items/"
-
 
 @dataclass(frozen=True, slots=True)
 class FrontMetrics:
@@ -60,7 +47,8 @@
         Returns the configuration in force, or ``None`` before the first is known.
     forwarder : Forwarder
     streams : StreamForwarder
-    lots : Lots
+    lots : LotFront
+    gate : AccountGate
     clock : Clock
     metrics : FrontMetrics
     """
@@ -70,7 +58,8 @@
         configuration: Callable[[], Configuration | None],
         forwarder: Forwarder,
         streams: StreamForwarder,
-        lots: Lots,
+        lots: LotFront,
+        gate: AccountGate,
         clock: Clock,
         metrics: FrontMetrics,
     ) -> None:
@@ -78,6 +67,7 @@
         self._forwarder = forwarder
         self._streams = streams
         self._lots = lots
+        self._gate = gate
         self._clock = clock
         self._metrics = metrics
 
@@ -90,23 +80,57 @@
             return
         host = call.header("Host").lower()
         route = configuration.find(host, call.path)
-        if route is not None:
-            self._route(call, route, configuration, started)
-        elif _has_lots(configuration, host) and self._lot_call(call):
-            self._count("lots", started)
+        routes = [route] if route else self._lot_routes(call, configuration, host)
+        if not routes:
+            self._unknown_route(call, configuration, host)
+            return
+        admission = self._admit(call, configuration, routes)
+        if not isinstance(admission, Admitted):
+            _refuse(admission, call)
+        elif route is not None:
+            self._route(call, route, configuration, admission, started)
         else:
-            event(
-                logger,
-                "no_route",
-                request=call.header(names.ATTEMPT_ID),
-                host=host,
-                path=call.path,
-                version=configuration.version,
-            )
-            call.reply(404)
+            self._lots.answer(call, configuration, admission)
+            self._count("lots", started)
+
+    def _lot_routes(
+        self, call: RawCall, configuration: Configuration, host: str
+    ) -> list[Route]:
+        """Return the routes of a Lot that a call may be about; none if it is not."""
+        if not self._lots.takes(call):
+            return []
+        return [one for one in configuration.routes if takes_lots(one, host)]
+
+    def _admit(
+        self, call: RawCall, configuration: Configuration, routes: list[Route]
+    ) -> Admission:
+        return self._gate.check(
+            configuration.accounts,
+            configuration.version,
+            all(route.public for route in routes),
+            call.header(names.AUTHORIZATION),
+        )
+
+    def _unknown_route(
+        self, call: RawCall, configuration: Configuration, host: str
+    ) -> None:
+        event(
+            logger,
+            "no_route",
+            request=call.header(names.ATTEMPT_ID),
+            host=host,
+            path=call.path,
+            version=configuration.version,
+        )
+        call.reply(404)
 
     def _route(
-        self, call: RawCall, route: Route, configuration: Configuration, started: float
+        self,
+        call: RawCall,
+        route: Route,
+        configuration: Configuration,
+        admitted: Admitted,
+        started: float,
     ) -> None:
         try:
             body = call.body(configuration.limits.body_bytes)
@@ -118,14 +142,15 @@
             call.reply(400)
             return
         if route.kind is RouteKind.LOTS:
-            self._submit(call, route, body)
-        elif route.kind is RouteKind.STREAMING:
-            request = self._request(call, route, body)
-            self._streams.forward(
-                request, route, started, self._deadline(call, started), call
-            )
+            self._lots.submit(call, route, body, configuration, admitted)
         else:
-            self._forward(call, route, body, started)
+            keyed = configuration.accounts is not None
+            request = _request(call, route, body, admitted, keyed)
+            deadline = self._deadline(call, started)
+            if route.kind is RouteKind.STREAMING:
+                self._streams.forward(request, route, started, deadline, call)
+            else:
+                self._forward(call, request, route, deadline, started)
         self._count(route.kind.value, started)
 
     def _count(self, kind: str, started: float) -> None:
@@ -133,27 +158,20 @@
 
     # --- plain requests ------------------------------------------------------
 
-    def _request(self, call: RawCall, route: Route, body: bytes) -> ForwardRequest:
-        repeatable = route.repeatable or route.resumable
-        return ForwardRequest(
-            call.header(names.ATTEMPT_ID),
-            call.method,
-            call.target,
-            forwarded_headers(call.headers),
-            body,
-            repeatable,
-        )
-
     def _deadline(self, call: RawCall, started: float) -> float:
         text = call.header(names.DEADLINE_MS)
         seconds = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_SECONDS
         return started + seconds
 
     def _forward(
-        self, call: RawCall, route: Route, body: bytes, started: float
+        self,
+        call: RawCall,
+        request: ForwardRequest,
+        route: Route,
+        deadline: float,
+        started: float,
     ) -> None:
-        request = self._request(call, route, body)
-        deadline = min(self._deadline(call, started), started + route.timeout)
+        deadline = min(deadline, started + route.timeout)
         ended = self._forwarder.forward(request, route, deadline, call.socket)
         status = _answer(ended, call, request.id)
         self._metrics.answers.increment(kind=route.kind.value, status=status)
@@ -162,66 +180,42 @@
             "answer",
             request=request.id,
             route=route.name,
+            account=request.account,
             status=status,
             reason=getattr(ended, "reason", ""),
             seconds=self._clock.monotonic() - started,
         )
 
-    # --- Lots ----------------------------------------------------------------
 
-    def _submit(self, call: RawCall, route: Route, body: bytes) -> None:
-        lot_id = call.header(names.ATTEMPT_ID)
-        lot = decode_lot(lot_id, route, body, self._clock.time())
-        if isinstance(lot, BadLot) or call.method != "POST" or not lot_id:
-            event(logger, "bad_lot", lot=lot_id, reason=getattr(lot, "reason", ""))
-            call.reply(400)
-            return
-        _answer_lot(self._lots.submit(lot), call)
-
-    def _lot_call(self, call: RawCall) -> bool:
-        """Answer a call about a Lot; return whether it was one."""
-        if call.path.startswith(LOT_PATH):
-            lot_id = call.path.removeprefix(LOT_PATH)
-            if call.method == "GET":
-                self._read(call, lot_id)
-                return True
-            if call.method == "DELETE":
-                _answer_lot(self._lots.end(lot_id), call, 200)
-                return True
-        elif call.path.startswith(SAMPLE_PATH) and call.method == "GET":
-            self._body(call, call.path.removeprefix(SAMPLE_PATH))
-            return True
-        return False
-
-    def _read(self, call: RawCall, lot_id: str) -> None:
-        after = int(_query(call, "after") or 0)
-        wait_ms = call.header(names.WAIT_MS)
-        wait = int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
-        page = self._lots.read(lot_id, after, min(wait, MOST_WAIT_SECONDS))
-        if isinstance(page, LotPage):
-            body = encode_page(page.total, after, page.results)
-            call.reply(200, body, (("Content-Type", "application/json"),))
-        else:
-            _answer_lot(page, call)
+def _request(
+    call: RawCall, route: Route, body: bytes, admitted: Admitted, keyed: bool
+) -> ForwardRequest:
+    repeatable = route.repeatable or route.resumable
+    return ForwardRequest(
+        call.header(names.ATTEMPT_ID),
+        call.method,
+        call.target,
+        forwarded_headers(call.headers, keyed),
+        body,
+        repeatable,
+        admitted.account,
+        route.rank(admitted.priority),
+    )
 
-    def _body(self, call: RawCall, lot_id: str) -> None:
-        body = self._lots.body(lot_id, _query(call, "id"))
-        if isinstance(body, bytes):
-            call.reply(200, body)
-        else:
-            _answer_lot(body, call)
 
+@singledispatch
+def _refuse(admission: Admission, call: RawCall) -> None:
+    raise TypeError(f"not a refusal: {admission!r}")
 
-def _has_lots(configuration: Configuration, host: str) -> bool:
-    return any(
-        route.host == host and route.kind is RouteKind.LOTS
-        for route in configuration.routes
-    )
+
+@_refuse.register
+def _(admission: Unauthenticated, call: RawCall) -> None:
+    call.reply(401, headers=(("WWW-Authenticate", "Bearer"),))
 
 
-def _query(call: RawCall, name: str) -> str:
-    values = parse_qs(call.query).get(name)
-    return values[-1] if values else ""
+@_refuse.register
+def _(admission: Undecided, call: RawCall) -> None:
+    call.reply(503, headers=(("Retry-After", f"{admission.retry_after:g}"),))
 
 
 @singledispatch
@@ -249,34 +243,3 @@
 def _(ended: DropRequest, call: RawCall, id: str) -> int:
     call.abort()
     return 0
-
-
-@singledispatch
-def _answer_lot(outcome: object, call: RawCall, accepted: int = 202) -> None:
-    raise TypeError(f"not an outcome: {outcome!r}")
-
-
-@_answer_lot.register
-def _(outcome: Accepted, call: RawCall, accepted: int = 202) -> None:
-    call.reply(accepted)
-
-
-@_answer_lot.register
-def _(outcome: LotRefused, call: RawCall, accepted: int = 202) -> None:
-    call.reply(503, headers=(("Retry-After", LOT_RETRY_SECONDS),))
-
-
-@_answer_lot.register
-def _(outcome: LotUncertain, call: RawCall, accepted: int = 202) -> None:
-    # 503 would promise that nothing of the Lot runs.
-    call.reply(504)
-
-
-@_answer_lot.register
-def _(outcome: LotUnknown, call: RawCall, accepted: int = 202) -> None:
-    call.reply(404)
-
-
-@_answer_lot.register
-def _(outcome: LotUnavailable, call: RawCall, accepted: int = 202) -> None:
-    call.reply(503, headers=(("Retry-After", LOT_RETRY_SECONDS),))
--- a/src/wigeonfront/platform/headers.py
+++ b/src/wigeonfront/platform/headers.py
@@ -18,6 +18,10 @@
 TOKEN_COUNTS = "Wigeonfront-Token-Counts"
 PROMPT_PREFIX = "Wigeonfront-Prompt-Prefix"
 PRIORITY = "Wigeonfront-Request-Priority"
+TENANT = "Wigeonfront-Tenant"
+"""The client account that a request is made for; only the system says it."""
+
+AUTHORIZATION = "Authorization"
 WAIT_MS = "Wigeonfront-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
 
--- a/src/wigeonfront/platform/lot_calls.py
+++ b/src/wigeonfront/platform/lot_calls.py
@@ -88,17 +88,30 @@
 OK = 200
 MULTIPLE_CHOICES = 300
 
+_OWN_SAMPLE_HEADERS = (
+    names.ATTEMPT_ID,
+    names.LAST_EVENT_ID,
+    names.PRIORITY,
+    names.TENANT,
+    "host",
+)
+"""Headers of a sample that are the system's to set, not its trainer's."""
+
 _COMPLETED = "completed"
 _GIVEN_UP = "terminated"
 
 
-def decode_lot(id: str, route: Route, body: bytes, now: float) -> Lot | BadLot:
+def decode_lot(
+    id: str, route: Route, body: bytes, now: float, account: str = ""
+) -> Lot | BadLot:
     """Return the Lot that was submitted as `id`.
 
     Parameters
     ----------
     now : float
         Unix time in seconds.
+    account : str
+        Client account that submits it.
     """
     try:
         wire = msgspec.json.decode(body, type=_Submission)
@@ -120,6 +133,7 @@
         give_up_seconds=route.max_queue,
         max_attempts=route.max_attempts,
         single_version=route.single_version,
+        account=account,
     )
 
 
@@ -175,7 +189,11 @@
 
     def sample_request(self, lot: Lot, sample: Sample, after: int) -> ForwardRequest:
         """Return the request that generates the events after `after`."""
-        own = (names.ATTEMPT_ID, names.LAST_EVENT_ID, names.PRIORITY, "host")
+        own = (
+            (*_OWN_SAMPLE_HEADERS, names.AUTHORIZATION)
+            if lot.account
+            else (_OWN_SAMPLE_HEADERS)
+        )
         skipped = {name.lower() for name in own}
         headers = [
             (name, value)
@@ -189,7 +207,13 @@
         if after:
             headers.append((names.LAST_EVENT_ID, str(after)))
         return ForwardRequest(
-            sample.id, "POST", sample.path, tuple(headers), sample.body, True
+            sample.id,
+            "POST",
+            sample.path,
+            tuple(headers),
+            sample.body,
+            True,
+            lot.account,
         )
 
     def sample_headers(self, model: str, expected_tokens: int, body: bytes) -> Headers:
--- /dev/null
+++ b/src/wigeonfront/platform/lot_front.py
@@ -0,0 +1,174 @@
+"""The platform's calls on an entry about Lots.
+
+A Lot belongs to the client account that submitted it; to other accounts it is unknown.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any
+from urllib.parse import parse_qs
+
+from wigeonfront.accounts import Admitted
+from wigeonfront.clock import Clock
+from wigeonfront.configuration import Configuration, Route, RouteKind
+from wigeonfront.http.raw import RawCall
+from wigeonfront.observability.logs import event
+from wigeonfront.platform import headers as names
+from wigeonfront.platform.lot_calls import BadLot, decode_lot, encode_page
+from wigeonfront.rollout.lot_answers import (
+    Accepted,
+    LotPage,
+    LotRefused,
+    LotUnavailable,
+    LotUncertain,
+    LotUnknown,
+)
+from wigeonfront.rollout.lots import Lots
+from wigeonfront.rollout.scope import SEPARATOR, scoped_name
+
+logger = logging.getLogger(__name__)
+
+MOST_WAIT_SECONDS = 1.0
+RETRY_SECONDS = "0.3"
+
+LOT_PATH = "/lots/"
+SAMPLE_PATH = "/items/"
+
+
+@dataclass(frozen=True, slots=True)
+class _EncodedPage:
+    body: bytes
+
+
+class LotFront:
+    """Answers trainers.
+
+    Parameters
+    ----------
+    lots : Lots
+    clock : Clock
+    """
+
+    def __init__(self, lots: Lots, clock: Clock) -> None:
+        self._lots = lots
+        self._clock = clock
+
+    def takes(self, call: RawCall) -> bool:
+        """Tell whether a call is about a Lot that was submitted before."""
+        if call.path.startswith(LOT_PATH):
+            return call.method in ("GET", "DELETE")
+        return call.path.startswith(SAMPLE_PATH) and call.method == "GET"
+
+    def submit(
+        self,
+        call: RawCall,
+        route: Route,
+        body: bytes,
+        configuration: Configuration,
+        admitted: Admitted,
+    ) -> None:
+        """Keep a Lot and run it."""
+        name = call.header(names.ATTEMPT_ID)
+        lot_id = _id_of(name, configuration, admitted)
+        now = self._clock.time()
+        lot = decode_lot(lot_id, route, body, now, admitted.account)
+        if isinstance(lot, BadLot) or call.method != "POST" or not name:
+            event(logger, "bad_lot", lot=lot_id, reason=getattr(lot, "reason", ""))
+            call.reply(400)
+            return
+        _answer(self._lots.submit(lot), call)
+
+    def answer(
+        self, call: RawCall, configuration: Configuration, admitted: Admitted
+    ) -> None:
+        """Answer a call about a Lot, see `takes`."""
+        if call.path.startswith(SAMPLE_PATH):
+            name, ask = call.path.removeprefix(SAMPLE_PATH), self._body(call)
+        else:
+            name = call.path.removeprefix(LOT_PATH)
+            ask = self._lots.end if call.method == "DELETE" else self._read(call)
+        outcome = ask(_id_of(name, configuration, admitted))
+        if isinstance(outcome, LotUnknown) and _may_be_unscoped(name, configuration):
+            outcome = ask(name)
+        _answer(outcome, call, 200)
+
+    def _read(self, call: RawCall) -> Callable[[str], Any]:
+        after = int(_query(call, "after") or 0)
+        wait_ms = call.header(names.WAIT_MS)
+        wait = int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
+
+        def read(lot_id: str) -> _EncodedPage | LotUnknown | LotUnavailable:
+            page = self._lots.read(lot_id, after, min(wait, MOST_WAIT_SECONDS))
+            if not isinstance(page, LotPage):
+                return page
+            return _EncodedPage(encode_page(page.total, after, page.results))
+
+        return read
+
+    def _body(self, call: RawCall) -> Callable[[str], Any]:
+        sample_id = _query(call, "id")
+        return lambda lot_id: self._lots.body(lot_id, sample_id)
+
+
+def takes_lots(route: Route, host: str) -> bool:
+    """Tell whether Lots of a host come by a route."""
+    return route.host == host and route.kind is RouteKind.LOTS
+
+
+def _id_of(name: str, configuration: Configuration, admitted: Admitted) -> str:
+    if configuration.accounts is None:
+        return name
+    return scoped_name(admitted.account, name)
+
+
+def _may_be_unscoped(name: str, configuration: Configuration) -> bool:
+    """Tell whether a Lot may have been submitted before there were accounts."""
+    return configuration.accounts is not None and SEPARATOR not in name
+
+
+def _query(call: RawCall, name: str) -> str:
+    values = parse_qs(call.query).get(name)
+    return values[-1] if values else ""
+
+
+@singledispatch
+def _answer(outcome: object, call: RawCall, accepted: int = 202) -> None:
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@_answer.register
+def _(outcome: bytes, call: RawCall, accepted: int = 202) -> None:
+    call.reply(accepted, outcome)
+
+
+@_answer.register
+def _(outcome: _EncodedPage, call: RawCall, accepted: int = 202) -> None:
+    call.reply(accepted, outcome.body, (("Content-Type", "application/json"),))
+
+
+@_answer.register
+def _(outcome: Accepted, call: RawCall, accepted: int = 202) -> None:
+    call.reply(accepted)
+
+
+@_answer.register
+def _(outcome: LotRefused, call: RawCall, accepted: int = 202) -> None:
+    call.reply(503, headers=(("Retry-After", RETRY_SECONDS),))
+
+
+@_answer.register
+def _(outcome: LotUncertain, call: RawCall, accepted: int = 202) -> None:
+    # 503 would promise that nothing of the Lot runs.
+    call.reply(504)
+
+
+@_answer.register
+def _(outcome: LotUnknown, call: RawCall, accepted: int = 202) -> None:
+    call.reply(404)
+
+
+@_answer.register
+def _(outcome: LotUnavailable, call: RawCall, accepted: int = 202) -> None:
+    call.reply(503, headers=(("Retry-After", RETRY_SECONDS),))
--- a/src/wigeonfront/platform/records.py
+++ b/src/wigeonfront/platform/records.py
@@ -1,11 +1,19 @@
 """Decodes what the operator and the targets write into the platform's store."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from functools import lru_cache
 from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
+from wigeonfront.accounts import (
+    AccountDirectory,
+    BadAccounts,
+    ClientAccount,
+    make_directory,
+)
 from wigeonfront.configuration import (
     CallerLimits,
     Configuration,
@@ -61,6 +69,7 @@
     target_latency_ms: float = 0.0
     max_attempts: int = 1
     priority: int = 0
+    public: bool = False
     resumable: bool = False
     # For Lots: when all results are due, after the first submission.
     deadline_ms: float = 0.0
@@ -94,11 +103,20 @@
     idle_timeout_ms: float = 15_000
 
 
+class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
+    # A client account.
+    name: str
+    api_keys: list[str] = []
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+
+
 class _Configuration(msgspec.Struct, frozen=True):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    # The client accounts, undecoded: few versions change them.
+    tenants: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Target(msgspec.Struct, frozen=True, rename="camel"):
@@ -137,11 +155,24 @@
     reason: str
 
 
-def decode_configuration(value: bytes) -> Configuration | BadRow:
-    """Return the configuration, or why `value` holds none."""
+def decode_configuration(
+    value: bytes, with_accounts: bool = True
+) -> Configuration | BadRow:
+    """Return the configuration, or why `value` holds none.
+
+    Parameters
+    ----------
+    with_accounts : bool
+        ``False`` leaves the client accounts out, which only callers' calls need.
+    """
     wire = _decode(value, _Configuration)
     if isinstance(wire, BadRow):
         return wire
+    accounts = None
+    if with_accounts and wire.tenants is not msgspec.UNSET:
+        accounts = _directory(bytes(wire.tenants))
+    if isinstance(accounts, BadRow):
+        return accounts
     limits = CallerLimits(
         header_bytes=wire.limits.max_header_bytes,
         body_bytes=wire.limits.max_body_bytes,
@@ -150,10 +181,25 @@
     )
     services = {service.name: _service(service) for service in wire.services}
     return Configuration(
-        wire.version, tuple(map(_route, wire.routes)), services, limits
+        wire.version, tuple(map(_route, wire.routes)), services, limits, accounts
     )
 
 
+@lru_cache(maxsize=1)
+def _directory(tenants: bytes) -> AccountDirectory | BadRow:
+    """Return the client accounts; kept, since most versions share them."""
+    wire = _decode(tenants, list[_Tenant])
+    if isinstance(wire, BadRow):
+        return wire
+    found = make_directory(_accounts(wire))
+    return BadRow(found.reason) if isinstance(found, BadAccounts) else found
+
+
+def _accounts(wire: list[_Tenant]) -> Iterator[tuple[ClientAccount, list[str]]]:
+    for tenant in wire:
+        yield ClientAccount(tenant.name, tenant.priority), tenant.api_keys
+
+
 def decode_target(id: str, value: bytes) -> Target | BadRow:
     """Return the target that registered as `id`, or why the row names none."""
     if not id or "/" in id:
@@ -227,6 +273,7 @@
         objective=wire.target_latency_ms / 1000,
         max_attempts=wire.max_attempts,
         priority=wire.priority,
+        public=wire.public,
         resumable=wire.resumable,
         lot_deadline=wire.deadline_ms / 1000,
         max_queue=wire.max_queue_s,
--- a/src/wigeonfront/platform/target_calls.py
+++ b/src/wigeonfront/platform/target_calls.py
@@ -9,6 +9,7 @@
 from wigeonfront.targets.target import Target
 
 MISDIRECTED = 421
+LOWEST_PRIORITY = 9
 _REFUSALS = frozenset((400, 429, 503))
 
 
@@ -40,6 +41,11 @@
         sent = HTTPHeaderDict()
         for name, value in request.headers:
             sent.add(name, value)
+        sent.discard(names.TENANT)
+        if request.account:
+            sent[names.TENANT] = request.account
+        if request.priority is not None:
+            sent[names.PRIORITY] = str(min(request.priority, LOWEST_PRIORITY))
         if request.id:
             sent[names.ATTEMPT_ID] = request.id
         sent[names.DEADLINE_MS] = str(max(1, int(remaining * 1000)))
@@ -78,9 +84,17 @@
         )
 
 
-def forwarded_headers(headers: Headers) -> Headers:
-    """Return a caller's headers without those that concern one connection."""
+def forwarded_headers(headers: Headers, keyed: bool = False) -> Headers:
+    """Return a caller's headers without those that concern one connection.
+
+    Parameters
+    ----------
+    keyed : bool
+        Calls bring API keys, which targets must not see.
+    """
     dropped = set(names.HOP_BY_HOP) | {"content-length"}
+    if keyed:
+        dropped.add(names.AUTHORIZATION.lower())
     for name, value in headers:
         if name.lower() == "connection":
             dropped.update(token.strip().lower() for token in value.split(","))
--- a/src/wigeonfront/rollout/lot.py
+++ b/src/wigeonfront/rollout/lot.py
@@ -82,6 +82,8 @@
     single_version : bool
         A sample must come from one version.
     samples : tuple of Sample
+    account : str
+        Client account that submitted it; empty for none.
     """
 
     id: str
@@ -96,6 +98,7 @@
     give_up_seconds: float = 0.0
     max_attempts: int = 1
     single_version: bool = False
+    account: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/rollout/run.py
+++ b/src/wigeonfront/rollout/run.py
@@ -32,6 +32,11 @@
     events: int = 0
     paced_at: float = 0.0
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """The client account and the id of the sample."""
+        return self.progress.lot.account, self.state.sample.id
+
     @property
     def target_id(self) -> str:
         """The engine that runs it."""
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -115,7 +115,8 @@
         self._work = threading.Condition(self._lock)
         self._results = threading.Condition(self._lock)
         self._lots: dict[str, LotProgress] = {}
-        self._runs: dict[str, Run] = {}
+        # By the client account and the id of the sample.
+        self._runs: dict[tuple[str, str], Run] = {}
         # Revision of the head row under which each Lot was last run here.
         self._run_revisions: dict[str, int] = {}
         self._recent = RecentTexts()
@@ -198,7 +199,7 @@
             runs = [run for run in self._runs.values() if run.progress is progress]
             for id, state in progress.open.items():
                 if state.text.last_id:
-                    self._recent.keep(id, state.text.copy())
+                    self._recent.keep(progress.lot.account, id, state.text.copy())
             self._results.notify_all()
         for run in runs:
             run.handle.cancel()
@@ -286,7 +287,7 @@
         state.running = True
         patience = first_event_wait(view, state.silent_runs)
         run = Run(waiting.progress, state, view, RunHandle(patience))
-        self._runs[state.sample.id] = run
+        self._runs[run.key] = run
         self._table.started(view.target.id, state.sample.model)
         self._log.sent(run)
         threading.Thread(
@@ -357,8 +358,8 @@
         with self._lock:
             if isinstance(outcome, RunCompleted) and events == state.text.last_id:
                 self._overload.work.note(expected_seconds(state), seconds)
-            if self._runs.get(state.sample.id) is run:
-                del self._runs[state.sample.id]
+            if self._runs.get(run.key) is run:
+                del self._runs[run.key]
             state.running = False
             if events:
                 state.waits_since = self._clock.monotonic()
--- a/src/wigeonfront/setting_values.py
+++ b/src/wigeonfront/setting_values.py
@@ -66,6 +66,11 @@
     return parse
 
 
+def parse_switch(text: str) -> bool:
+    """Return whether `text` says yes."""
+    return one_of("yes", "no")(text) == "yes"
+
+
 def integer(low: int, high: int) -> Callable[[str], int]:
     """Return a parser for whole numbers from `low` to `high`."""
 
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -22,6 +22,7 @@
     parse_addresses,
     parse_folder,
     parse_name,
+    parse_switch,
 )
 
 ENVIRONMENT_PREFIX = "WIGEONFRONT_"
@@ -186,6 +187,16 @@
     peer_address: Address | None = _optional_address(  # noqa: RUF009
         "where the system's other processes connect"
     )
+    strict_revoke: bool | None = _setting(
+        parse_switch,
+        "yes or no",
+        "refuse calls with API keys while the configuration is older than "
+        "--revoke-seconds",
+        None,
+    )
+    revoke_seconds: float | None = _optional_decimal(
+        0.5, 3600, "age of the configuration beyond which --strict-revoke holds"
+    )
     tolerated_losses: int | None = _optional_integer(
         0, 10, "disks that may be lost at the same time"
     )
