--- a/benchmarks/rounds/mechanisms.py
+++ b/benchmarks/rounds/mechanisms.py
@@ -210,7 +210,7 @@
     ),
     Mechanism(
         "orders by entries",
-        "weights/assignment.py",
+        "coordination/assignment.py",
         (("    return min(wanted, entries)", "    return 0"),),
     ),
     Mechanism(
--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -41,6 +41,7 @@
         cluster.start()
         wait_ready(cluster)
         thread.start()
+        wait_accepted(trainer)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             time.sleep(cluster.random.uniform(0.05, 1.2))
@@ -77,6 +78,15 @@
             time.sleep(0.1)
 
 
+def wait_accepted(trainer: Trainer) -> None:
+    """Wait until a Lot is accepted: an outage may last for all of a short play."""
+    deadline = time.monotonic() + READY_SECONDS
+    while time.monotonic() < deadline:
+        if any(lot.accepted for lot in trainer.lots):
+            return
+        time.sleep(0.01)
+
+
 def main() -> int:
     """Play the seeds and print a line for each; return how many broke a promise."""
     parser = argparse.ArgumentParser(prog="benchmarks.soak")
