One agreed row for whatever one machine at a time may act for

weights/assignment.py and rights.py become coordination/assignment.py and rights.py: subjects and holders in place of engines and givers, so that duties at the platform can be held as engines are. node/assigning.py is an entry's part in it, engine_orders.py the fleet alone. No decision changes; the row is live/assignment, the status field order_holders.

--- a/src/wigeonfront/api/messages.py
+++ b/src/wigeonfront/api/messages.py
@@ -224,7 +224,7 @@
     configuration_version: int
     store_reached: bool
     named_versions: dict[str, int]
-    order_givers: list[str]
+    order_holders: list[str]
     members: list[MemberStatus]
     targets: list[TargetStatus]
     lots: list[LotStatus]
--- a/src/wigeonfront/api/operations.py
+++ b/src/wigeonfront/api/operations.py
@@ -219,7 +219,7 @@
         Tells whether the store is reached.
     versions : callable
         Returns the newest named versions.
-    order_givers : callable
+    order_holders : callable
         Returns the machines that order engines.
     services : callable
         Returns the names of the services.
@@ -233,7 +233,7 @@
     members: Callable[[], list[Member]]
     mirror: Mirror
     versions: Callable[[], list[NamedVersion]]
-    order_givers: Callable[[], list[str]]
+    order_holders: Callable[[], list[str]]
     services: Callable[[], list[str]]
     table: TargetTable
     lots: Lots
@@ -246,7 +246,7 @@
             configuration_version=self.version(),
             store_reached=self.mirror.ready and not self.mirror.failing,
             named_versions={one.model: one.version for one in self.versions()},
-            order_givers=self.order_givers(),
+            order_holders=self.order_holders(),
             members=sorted(
                 (
                     MemberStatus(one.name, one.address, one.failure_domain, one.leaving)
--- a/src/wigeonfront/weights/rights.py
+++ b/src/wigeonfront/coordination/rights.py
@@ -1,13 +1,24 @@
-"""The right to order engines, confirmed by reads of the store; who writes its row."""
+"""The right to act for subjects, confirmed by reads; who writes the agreed row.
+
+Examples
+--------
+>>> from platform_standins.rows import MemoryRows
+>>> from wigeonfront.clock import ManualClock
+>>> from wigeonfront.coordination.assignment import Holders
+>>> rows = MemoryRows()
+>>> _ = rows.put(ASSIGNMENT_KEY, encode_assignment(Assignment(Holders(("a",)))))
+>>> Rights(rows, "a", 1.0, ManualClock(10.0)).fence("usage")
+1
+>>> Rights(rows, "b", 1.0, ManualClock(10.0)).fence("usage") is None
+True
+"""
 
 import logging
 import threading
 from collections.abc import Callable
 
 from wigeonfront.clock import Clock
-from wigeonfront.coordination.rows import Expect, Put, Row, RowStore, Stored
-from wigeonfront.observability.logs import event
-from wigeonfront.weights.assignment import (
+from wigeonfront.coordination.assignment import (
     JOIN_SECONDS,
     Assignment,
     Present,
@@ -17,10 +28,12 @@
     settled,
     writer_pause,
 )
+from wigeonfront.coordination.rows import Expect, Put, Row, RowStore, Stored
+from wigeonfront.observability.logs import event
 
 logger = logging.getLogger(__name__)
 
-ASSIGNMENT_KEY = "live/order-givers"
+ASSIGNMENT_KEY = "live/assignment"
 
 RETRY_SECONDS = 0.5
 """Pause until a row that gives no right, or was not to be had, is read again."""
@@ -29,8 +42,8 @@
 """Pause between two looks whether the row is to change."""
 
 
-class OrderRights:
-    """Which engines this machine may order now.
+class Rights:
+    """Which subjects this machine may act for now.
 
     Parameters
     ----------
@@ -71,33 +84,33 @@
             if known is None or assignment.revision > known.revision:
                 self._assignment = assignment
 
-    def fence(self, address: str) -> int | None:
-        """Return the fencing token for an order to the engine at `address`.
+    def fence(self, subject: str) -> int | None:
+        """Return the fencing token for an act for `subject`.
 
-        ``None`` where this machine has no right to give it, as far as is known. The
-        order must be on its way at once, and have arrived within `FLIGHT_SECONDS`.
+        ``None`` where this machine has no right to it, as far as is known. The act must
+        be on its way at once, and have arrived within `FLIGHT_SECONDS`.
         """
         # One read does for all that ask at the same moment.
         with self._reading:
-            if self._should_read(address):
+            if self._should_read(subject):
                 self._read()
         with self._lock:
             assignment = self._assignment
             if assignment is None or not self._confirmed:
                 return None
-            gives = assignment.giver(address) == self._name
-            return assignment.revision if gives else None
+            holds = assignment.holder(subject) == self._name
+            return assignment.revision if holds else None
 
     @property
     def _confirmed(self) -> bool:
         return self._clock.boottime() - self._confirmed_at < self._term
 
-    def _should_read(self, address: str) -> bool:
+    def _should_read(self, subject: str) -> bool:
         with self._lock:
             known = self._assignment
             if self._clock.boottime() - self._asked_at < RETRY_SECONDS:
                 return False
-            if known is not None and known.giver(address) == self._name:
+            if known is not None and known.holder(subject) == self._name:
                 return not self._confirmed
             return known is None or not self._told
 
@@ -117,7 +130,7 @@
 
 
 class AssignmentKeeper:
-    """Writes the row when givers come or go; each entry has one.
+    """Writes the row when holders come or go; each entry has one.
 
     Parameters
     ----------
@@ -126,8 +139,8 @@
         Of the machine.
     present : callable
         Returns what this process sees of the others, or ``None`` while it can't tell.
-    order_seconds : float
-        Time that must lie between the orders of two machines.
+    apart_seconds : float
+        Time that must lie between the acts of two machines.
     clock : Clock
     on_change : callable
         Called with each row that was written here.
@@ -138,14 +151,14 @@
         store: RowStore,
         name: str,
         present: Callable[[], Present | None],
-        order_seconds: float,
+        apart_seconds: float,
         clock: Clock,
         on_change: Callable[[Assignment], None],
     ) -> None:
         self._store = store
         self._name = name
         self._present = present
-        self._order_seconds = order_seconds
+        self._apart_seconds = apart_seconds
         self._clock = clock
         self._on_change = on_change
         self._current: Assignment | None = None
@@ -188,7 +201,7 @@
         if current is None or current.before is None:
             return change_of(current, present)
         waited = self._clock.boottime() - self._seen_at
-        if waited < current.settle_seconds(self._order_seconds):
+        if waited < current.settle_seconds(self._apart_seconds):
             return None
         return settled(current)
 
@@ -198,15 +211,15 @@
         outcome = self._store.write((Expect(ASSIGNMENT_KEY, revision),), (put,))
         event(
             logger,
-            "order_givers_written",
+            "assignment_written",
             outcome=type(outcome).__name__,
             expected=revision,
-            entries=",".join(after.givers.entries),
-            sides=len(after.givers.sides),
+            entries=",".join(after.holders.entries),
+            pinned=len(after.holders.pinned),
             settled=after.before is None,
         )
         self._due_since = None
         if isinstance(outcome, Stored):
-            written = Assignment(after.givers, after.before, outcome.revision)
+            written = Assignment(after.holders, after.before, outcome.revision)
             self.take(written)
             self._on_change(written)
--- a/src/wigeonfront/node/order_giving.py
+++ b/src/wigeonfront/node/assigning.py
@@ -1,8 +1,9 @@
-"""How an entry takes part in ordering engines: the row of givers, and its movers."""
+"""How an entry takes part in agreeing which machine acts for what."""
 
 from collections.abc import Callable
 
 from wigeonfront.clock import Clock
+from wigeonfront.coordination.assignment import Assignment, Present, decode_assignment
 from wigeonfront.coordination.membership import (
     ENTRY_PREFIX,
     SIDE_PREFIX,
@@ -10,21 +11,12 @@
     decode_member,
 )
 from wigeonfront.coordination.mirror import Mirror
+from wigeonfront.coordination.rights import ASSIGNMENT_KEY, AssignmentKeeper
 from wigeonfront.coordination.rows import RowStore
 from wigeonfront.node.following import ConfigurationFollower
 from wigeonfront.node.settings import NodeSettings
-from wigeonfront.observability.metrics import Registry
-from wigeonfront.platform.engine_calls import PlatformEngine
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.targets.table import TargetTable
-from wigeonfront.weights.assignment import (
-    ENTRY_TERM_SECONDS,
-    Assignment,
-    Present,
-    decode_assignment,
-)
-from wigeonfront.weights.fleet import EngineFleet
-from wigeonfront.weights.rights import ASSIGNMENT_KEY, AssignmentKeeper, OrderRights
 
 QUIET_SECONDS = 5.0
 """Time after an outage of the store in which nobody counts as missing: leases may have
@@ -32,7 +24,7 @@
 
 
 class Presence:
-    """Who is registered, and for how long givers have been missing.
+    """Who is registered, and for how long holders have been missing.
 
     Parameters
     ----------
@@ -71,8 +63,8 @@
         return Present(
             entries=frozenset(member.name for member in entries),
             staying=frozenset(one.name for one in entries if not one.leaving),
-            sides={member.address: member.name for member in sides},
-            engines=self._engines(),
+            pinned={member.address: member.name for member in sides},
+            subjects=self._engines(),
             absent={name: now - at for name, at in self._missing_since.items()},
         )
 
@@ -87,8 +79,8 @@
     def _note_missing(
         self, assignment: Assignment | None, registered: set[str], now: float
     ) -> None:
-        givers = assignment.givers if assignment else None
-        names = {*givers.entries, *givers.sides.values()} if givers else set()
+        holders = assignment.holders if assignment else None
+        names = {*holders.entries, *holders.pinned.values()} if holders else set()
         self._missing_since = {
             name: self._missing_since.get(name, now) for name in names - registered
         }
@@ -104,8 +96,8 @@
         )
 
 
-class OrderGiving:
-    """The order-giving part of an entry.
+class Assigning:
+    """The agreed row as this entry knows it, and its part in changing it.
 
     Parameters
     ----------
@@ -115,10 +107,9 @@
         Of the rows of live processes.
     table : TargetTable
     configuration : ConfigurationFollower
-    supervisor : Supervisor
-        Runs its tasks.
     clock : Clock
-    metrics : Registry
+    on_change : callable
+        Called with each newer row.
     """
 
     def __init__(
@@ -128,60 +119,48 @@
         mirror: Mirror,
         table: TargetTable,
         configuration: ConfigurationFollower,
-        supervisor: Supervisor,
         clock: Clock,
-        metrics: Registry,
+        on_change: Callable[[Assignment], None],
     ) -> None:
         self._name = settings.name
         self._mirror = mirror
-        self._supervisor = supervisor
-        self._assignment: Assignment | None = None
-        self._presence = Presence(mirror, table, configuration, clock)
+        self._on_change = on_change
+        self._current: Assignment | None = None
+        presence = Presence(mirror, table, configuration, clock)
         self._keeper = AssignmentKeeper(
             store,
             settings.name,
-            lambda: self._presence.look(self._assignment),
+            lambda: presence.look(self._current),
             settings.bounds.order_seconds,
             clock,
             self._take,
         )
-        self._fleet = EngineFleet(
-            settings.name,
-            supervisor.child("engines"),
-            OrderRights(store, settings.name, ENTRY_TERM_SECONDS, clock),
-            table.all_targets,
-            configuration.versions,
-            lambda: configuration.current,
-            lambda target: PlatformEngine(target.address, settings.name, target.name),
-            clock,
-            metrics,
-        )
-        self.places = self._fleet.places
-        self.targets_changed: Callable[[], None] = self._fleet.update
-        self.version_named: Callable[[], None] = self._fleet.version_named
 
     @property
-    def gives(self) -> bool:
-        """Whether this entry is one of the givers of orders."""
-        assignment = self._assignment
-        return assignment is not None and self._name in assignment.givers.entries
+    def holds(self) -> bool:
+        """Whether this entry is one of those that subjects are divided among."""
+        current = self._current
+        return current is not None and self._name in current.holders.entries
 
     @property
-    def givers(self) -> list[str]:
-        """The machines that order engines."""
-        assignment = self._assignment
-        givers = assignment.givers if assignment else None
-        names = {*givers.entries, *givers.sides.values()} if givers else set()
+    def holders(self) -> list[str]:
+        """The machines that act for anything."""
+        holders = self._current.holders if self._current else None
+        names = {*holders.entries, *holders.pinned.values()} if holders else set()
         return sorted(names)
 
-    def start(self) -> None:
-        """Start the task that keeps the row of givers."""
-        self._supervisor.start("order-givers", self._keeper.run)
+    def holder(self, subject: str) -> str | None:
+        """Return the machine that acts for a subject; ``None`` while it moves."""
+        return self._current.holder(subject) if self._current else None
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Start the task that keeps the row."""
+        supervisor.start("assignment", self._keeper.run)
 
     def on_live(self) -> None:
-        """Take the row of givers that the mirror shows, if it is newer."""
+        """Take the row that the mirror shows, if it is newer."""
         row = self._mirror.get(ASSIGNMENT_KEY)
-        known = self._assignment.revision if self._assignment else 0
+        known = self._current.revision if self._current else 0
         if row is None or row.revision <= known:
             return
         assignment = decode_assignment(row.value, row.revision)
@@ -189,8 +168,8 @@
             self._take(assignment)
 
     def _take(self, assignment: Assignment) -> None:
-        known = self._assignment
+        known = self._current
         if known is None or assignment.revision > known.revision:
-            self._assignment = assignment
+            self._current = assignment
             self._keeper.take(assignment)
-            self._fleet.take(assignment)
+            self._on_change(assignment)
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -24,10 +24,11 @@
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.streams import StreamForwarder
 from wigeonfront.http.raw import RawCall, RawServer, close_all
+from wigeonfront.node.assigning import Assigning
+from wigeonfront.node.engine_orders import make_fleet
 from wigeonfront.node.following import ConfigurationFollower, TargetFollower
 from wigeonfront.node.interface import InterfaceParts, make_api
 from wigeonfront.node.metrics_page import METRICS_PORT, MetricsPage
-from wigeonfront.node.order_giving import OrderGiving
 from wigeonfront.node.peer_calls import PeerCalls
 from wigeonfront.node.process import run_node, stop_this_process
 from wigeonfront.node.settings import NodeSettings
@@ -135,7 +136,24 @@
             self._targets.take,
             self._on_live,
         )
-        self._order_giving = self._make_order_giving()
+        self._fleet = make_fleet(
+            settings,
+            self._store,
+            self._table,
+            self._configuration,
+            self._supervisor,
+            clock,
+            self._metrics,
+        )
+        self._assigning = Assigning(
+            settings,
+            self._store,
+            self._view.live,
+            self._table,
+            self._configuration,
+            clock,
+            self._fleet.take,
+        )
         self._lots = self._make_lots()
         self._loads = LoadFollower(
             self._table, self._lots.recent_owners, self._runner.has_open_lots
@@ -157,7 +175,7 @@
             lambda: self._lots.owners_changed(),
             failure_domain=settings.failure_domain,
             cores=settings.cores,
-            busy=lambda: self._runner.has_open_lots() or self._order_giving.gives,
+            busy=lambda: self._runner.has_open_lots() or self._assigning.holds,
         )
 
     def _make_forwarder(self) -> Forwarder:
@@ -202,18 +220,6 @@
             self._metrics,
         )
 
-    def _make_order_giving(self) -> OrderGiving:
-        return OrderGiving(
-            self._settings,
-            self._store,
-            self._view.live,
-            self._table,
-            self._configuration,
-            self._supervisor,
-            self._clock,
-            self._metrics,
-        )
-
     def _make_lots(self) -> Lots:
         return Lots(
             self._repository,
@@ -286,7 +292,7 @@
             store=self._store,
             view=self._view,
             configuration=self._configuration,
-            order_giving=self._order_giving,
+            assigning=self._assigning,
             table=self._table,
             forwarder=self._forwarder,
             streams=self._streams,
@@ -339,7 +345,7 @@
         start("score", self._runner.scoring.run)
         start("loads", self._loads.run)
         start("own", self._lots.own_loop)
-        self._order_giving.start()
+        self._assigning.start(self._supervisor)
         start("upkeep", self._upkeep)
         start("call-log", self._meter.log_loop)
         for name, server in self._servers.items():
@@ -379,22 +385,22 @@
         for server in self._callers_servers():
             server.set_limits(limits.idle_seconds, limits.header_bytes)
         self._runner.wake()
-        self._order_giving.targets_changed()
+        self._fleet.update()
 
     def _on_version(self, named: NamedVersion) -> None:
         """Send few samples to engines that load: those that don't fit are refused."""
-        self._order_giving.version_named()
-        loading = self._order_giving.places.loading(named)
+        self._fleet.version_named()
+        loading = self._fleet.places.loading(named)
         for target in self._table.all_targets():
             if target.address in loading:
                 self._table.expect_load(target.id, named.model, named.version)
 
     def _on_targets(self) -> None:
         self._runner.wake()
-        self._order_giving.targets_changed()
+        self._fleet.update()
 
     def _on_live(self, mirror: Mirror) -> None:
-        self._order_giving.on_live()
+        self._assigning.on_live()
         self._view.restore_registration()
         self._lots.owners_changed()
 
--- a/src/wigeonfront/node/interface.py
+++ b/src/wigeonfront/node/interface.py
@@ -16,8 +16,8 @@
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.keyed import KeyedRequests
 from wigeonfront.forwarding.streams import StreamForwarder
+from wigeonfront.node.assigning import Assigning
 from wigeonfront.node.following import ConfigurationFollower
-from wigeonfront.node.order_giving import OrderGiving
 from wigeonfront.node.store_view import StoreView
 from wigeonfront.observability.explain import RememberedEvents
 from wigeonfront.platform.catalogue import PlatformCatalogue
@@ -48,7 +48,7 @@
     store: RowStore
     view: StoreView
     configuration: ConfigurationFollower
-    order_giving: OrderGiving
+    assigning: Assigning
     table: TargetTable
     forwarder: Forwarder
     streams: StreamForwarder
@@ -103,7 +103,7 @@
         members=parts.view.members,
         mirror=parts.view.live,
         versions=parts.configuration.versions,
-        order_givers=lambda: parts.order_giving.givers,
+        order_holders=lambda: parts.assigning.holders,
         services=parts.configuration.services,
         table=parts.table,
         lots=parts.lots,
--- a/src/wigeonfront/node/side.py
+++ b/src/wigeonfront/node/side.py
@@ -8,11 +8,13 @@
 from random import Random
 
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.coordination.assignment import PINNED_TERM_SECONDS
 from wigeonfront.coordination.feed import DirectRows, FollowedRows, rotated
 from wigeonfront.coordination.membership import SIDE_PREFIX, Registration
 from wigeonfront.coordination.meter import MeteredStore
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.relay import RoutedStore
+from wigeonfront.coordination.rights import Rights
 from wigeonfront.coordination.rows import Unavailable
 from wigeonfront.node.engine_place import EnginePlace
 from wigeonfront.node.following import ConfigurationFollower
@@ -25,10 +27,8 @@
 from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.targets.target import Target
-from wigeonfront.weights.assignment import SIDE_TERM_SECONDS
 from wigeonfront.weights.mover import WeightMover, order_counter
 from wigeonfront.weights.plan import NamedVersion, Place, engine_places
-from wigeonfront.weights.rights import OrderRights
 
 logger = logging.getLogger(__name__)
 
@@ -77,12 +77,12 @@
             store,
             settings.name,
             settings.target_address,
-            SIDE_TERM_SECONDS,
+            PINNED_TERM_SECONDS,
             clock,
             prefix=SIDE_PREFIX,
         )
-        self._rights = OrderRights(
-            store, settings.name, SIDE_TERM_SECONDS, clock, told=False
+        self._rights = Rights(
+            store, settings.name, PINNED_TERM_SECONDS, clock, told=False
         )
         self._mover = WeightMover(
             settings.target_address,
--- a/src/wigeonfront/weights/fleet.py
+++ b/src/wigeonfront/weights/fleet.py
@@ -5,11 +5,12 @@
 
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
+from wigeonfront.coordination.assignment import Assignment, Holders
+from wigeonfront.coordination.rights import Rights
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.targets.target import Target
-from wigeonfront.weights.assignment import Assignment, Givers
 from wigeonfront.weights.distant import DistantEngine
 from wigeonfront.weights.mover import Engine, WeightMover, order_counter
 from wigeonfront.weights.plan import (
@@ -18,7 +19,6 @@
     engine_places,
     loading_engines,
 )
-from wigeonfront.weights.rights import OrderRights
 
 logger = logging.getLogger(__name__)
 
@@ -85,7 +85,7 @@
         Of this machine.
     supervisor : Supervisor
         Runs the movers.
-    rights : OrderRights
+    rights : Rights
     targets : callable
         Returns all registered targets.
     versions : callable
@@ -102,7 +102,7 @@
         self,
         name: str,
         supervisor: Supervisor,
-        rights: OrderRights,
+        rights: Rights,
         targets: Callable[[], list[Target]],
         versions: Callable[[], list[NamedVersion]],
         configuration: Callable[[], Configuration | None],
@@ -120,21 +120,21 @@
         self._clock = clock
         self._orders_given = order_counter(metrics)
         self.places = EnginePlaces(targets, configuration)
-        self._givers = Givers()
+        self._holders = Holders()
         self._mine: dict[str, bool] = {}
         self._known: dict[str, Target] = {}
         self._movers: dict[str, WeightMover] = {}
 
     def take(self, assignment: Assignment) -> None:
-        """Take a newer row of givers."""
+        """Take a newer row of holders."""
         self._rights.take(assignment)
-        if assignment.givers != self._givers:
-            self._givers = assignment.givers
+        if assignment.holders != self._holders:
+            self._holders = assignment.holders
             self._mine = {}
         self.update()
 
     def update(self) -> None:
-        """Start and end movers as engines and givers are now."""
+        """Start and end movers as engines and holders are now."""
         self._known = {
             target.id: target for target in self._targets() if self._orders(target)
         }
@@ -158,8 +158,8 @@
         if not service or not service.models:
             return False
         if target.address not in self._mine:
-            giver = self._givers.giver(target.address)
-            self._mine[target.address] = giver == self._name
+            holder = self._holders.holder(target.address)
+            self._mine[target.address] = holder == self._name
         return self._mine[target.address]
 
     def _start(self, target: Target) -> None:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -252,7 +252,7 @@
     assert status["named_versions"] == {MODEL: 2}
     assert len(status["targets"]) == 3
     assert [one["samples"] for one in status["lots"]] == [6]
-    wait_for(lambda: other.call("GET", "/v1/status")[1]["order_givers"])
+    wait_for(lambda: other.call("GET", "/v1/status")[1]["order_holders"])
 
 
 def test_what_happened_to_a_sample_is_remembered(apis, caplog):
--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -4,25 +4,25 @@
 
 import pytest
 
-from wigeonfront.coordination.ring import HashRing
-from wigeonfront.weights.assignment import (
+from wigeonfront.coordination.assignment import (
     ABSENT_SECONDS,
-    ENTRY_TERM_SECONDS,
     FLIGHT_SECONDS,
-    LEAST_GIVERS,
-    SIDE_ABSENT_SECONDS,
-    SIDE_TERM_SECONDS,
+    LEAST_HOLDERS,
+    PINNED_ABSENT_SECONDS,
+    PINNED_TERM_SECONDS,
+    TERM_SECONDS,
     Assignment,
-    Givers,
+    Holders,
     Present,
     change_of,
     decode_assignment,
     encode_assignment,
-    next_givers,
+    next_holders,
     settled,
-    wanted_givers,
+    wanted_holders,
     writer_pause,
 )
+from wigeonfront.coordination.ring import HashRing
 from wigeonfront.weights.plan import (
     EngineReport,
     NamedVersion,
@@ -38,20 +38,20 @@
     return [f"10.{n // 250}.{n % 250}.7:8000" for n in range(count)]
 
 
-def seen(entries, engines=(), sides=(), **absent):
+def seen(entries, engines=(), pinned=(), **absent):
     return Present(
         frozenset(entries),
         frozenset(entries),
-        dict(sides),
+        dict(pinned),
         frozenset(engines),
         absent,
     )
 
 
 @pytest.mark.parametrize(
-    ("engines", "entries", "givers"),
+    ("engines", "entries", "holders"),
     [
-        (0, 58, LEAST_GIVERS),
+        (0, 58, LEAST_HOLDERS),
         (25, 58, 7),
         (200, 58, 50),
         (250, 58, 58),
@@ -60,18 +60,18 @@
         (25, 0, 0),
     ],
 )
-def test_givers_grow_with_the_engines_that_have_no_side(engines, entries, givers):
-    found = next_givers(Givers(), seen(ENTRIES[:entries], addresses(engines)))
-    assert len(found.entries) == givers
+def test_holders_grow_with_the_engines_that_have_no_side(engines, entries, holders):
+    found = next_holders(Holders(), seen(ENTRIES[:entries], addresses(engines)))
+    assert len(found.entries) == holders
 
 
-def test_a_side_orders_its_own_engine_and_wants_no_giver_entry():
+def test_a_side_orders_its_own_engine_and_wants_no_holder_entry():
     engines = addresses(40)
     sides = {address: f"side-{n}" for n, address in enumerate(engines[:30])}
-    found = next_givers(Givers(), seen(ENTRIES, engines, sides))
-    assert found.giver(engines[3]) == "side-3"
-    assert found.giver(engines[35]) in found.entries
-    assert len(found.entries) == wanted_givers(10, len(ENTRIES)) == 3
+    found = next_holders(Holders(), seen(ENTRIES, engines, sides))
+    assert found.holder(engines[3]) == "side-3"
+    assert found.holder(engines[35]) in found.entries
+    assert len(found.entries) == wanted_holders(10, len(ENTRIES)) == 3
 
 
 @pytest.mark.parametrize(
@@ -80,55 +80,55 @@
         ({}, True),
         ({"entry-0": ABSENT_SECONDS - 0.1}, True),
         ({"entry-0": ABSENT_SECONDS}, False),
-        ({"side-0": SIDE_ABSENT_SECONDS - 0.1}, True),
-        ({"side-0": SIDE_ABSENT_SECONDS}, False),
+        ({"side-0": PINNED_ABSENT_SECONDS - 0.1}, True),
+        ({"side-0": PINNED_ABSENT_SECONDS}, False),
     ],
 )
-def test_givers_change_only_once_one_is_missing_for_long(absent, stays):
+def test_holders_change_only_once_one_is_missing_for_long(absent, stays):
     engines = addresses(3)
-    givers = Givers(ENTRIES[:2], {engines[0]: "side-0"})
+    holders = Holders(ENTRIES[:2], {engines[0]: "side-0"})
     here = [name for name in ENTRIES[:4] if name not in absent]
     present = seen(here, engines, **absent)
-    change = change_of(Assignment(givers, revision=7), present)
+    change = change_of(Assignment(holders, revision=7), present)
     assert (change is None) == stays
     if change:
-        assert change.before == givers
+        assert change.before == holders
         gone = next(iter(absent))
-        assert gone not in (*change.givers.entries, *change.givers.sides.values())
-        assert len(change.givers.entries) == 2
+        assert gone not in (*change.holders.entries, *change.holders.pinned.values())
+        assert len(change.holders.entries) == 2
 
 
-def test_a_member_that_comes_moves_nothing_while_there_are_enough_givers():
-    givers = next_givers(Givers(), seen(ENTRIES[50:], addresses(25)))
-    assert next_givers(givers, seen(ENTRIES, addresses(25))) == givers
+def test_a_member_that_comes_moves_nothing_while_there_are_enough_holders():
+    holders = next_holders(Holders(), seen(ENTRIES[50:], addresses(25)))
+    assert next_holders(holders, seen(ENTRIES, addresses(25))) == holders
 
 
-def test_an_engine_that_moves_has_no_giver_until_the_change_has_settled():
+def test_an_engine_that_moves_has_no_holder_until_the_change_has_settled():
     engines = addresses(200)
-    before, after = Givers(ENTRIES[:5]), Givers(ENTRIES[:4])
+    before, after = Holders(ENTRIES[:5]), Holders(ENTRIES[:4])
     moving = Assignment(after, before, 9)
-    moved = [one for one in engines if before.giver(one) != after.giver(one)]
-    assert {before.giver(one) for one in moved} == {ENTRIES[4]}
+    moved = [one for one in engines if before.holder(one) != after.holder(one)]
+    assert {before.holder(one) for one in moved} == {ENTRIES[4]}
     for engine in engines:
-        expected = None if engine in moved else after.giver(engine)
-        assert moving.giver(engine) == expected
-        assert settled(moving).giver(engine) == after.giver(engine)
-    # Though a giver is lost meanwhile: two changes at once would hide the first.
+        expected = None if engine in moved else after.holder(engine)
+        assert moving.holder(engine) == expected
+        assert settled(moving).holder(engine) == after.holder(engine)
+    # Though a holder is lost meanwhile: two changes at once would hide the first.
     lost = seen(ENTRIES[:3], engines, **{ENTRIES[3]: 1000.0})
     assert change_of(moving, lost) is None
-    assert change_of(settled(moving), lost).givers.entries == ENTRIES[:3]
+    assert change_of(settled(moving), lost).holders.entries == ENTRIES[:3]
 
 
 @pytest.mark.parametrize(
     ("before", "after", "term"),
     [
-        (Givers(("e",)), Givers(("f",)), ENTRY_TERM_SECONDS),
-        (Givers(("e",)), Givers(("e",), {"x:1": "s"}), ENTRY_TERM_SECONDS),
-        (Givers(("e",), {"x:1": "s"}), Givers(("e",)), SIDE_TERM_SECONDS),
+        (Holders(("e",)), Holders(("f",)), TERM_SECONDS),
+        (Holders(("e",)), Holders(("e",), {"x:1": "s"}), TERM_SECONDS),
+        (Holders(("e",), {"x:1": "s"}), Holders(("e",)), PINNED_TERM_SECONDS),
         (
-            Givers(("e",), {"x:1": "s"}),
-            Givers(("e",), {"x:1": "t"}),
-            SIDE_TERM_SECONDS,
+            Holders(("e",), {"x:1": "s"}),
+            Holders(("e",), {"x:1": "t"}),
+            PINNED_TERM_SECONDS,
         ),
     ],
 )
@@ -139,15 +139,15 @@
 
 def test_the_first_row_has_nobody_before_it():
     first = change_of(None, seen(ENTRIES[:3], addresses(5)))
-    assert first.before is None and len(first.givers.entries) == 2
+    assert first.before is None and len(first.holders.entries) == 2
     assert change_of(None, seen((), addresses(5))) is None
 
 
 @pytest.mark.parametrize(
     "assignment",
     [
-        Assignment(Givers(("e",), {"x:1": "s"}), None, 4),
-        Assignment(Givers(), Givers(("e",), {"x:1": "s"}), 4),
+        Assignment(Holders(("e",), {"x:1": "s"}), None, 4),
+        Assignment(Holders(), Holders(("e",), {"x:1": "s"}), 4),
     ],
 )
 def test_a_row_reads_as_it_was_written(assignment):
--- a/tests/test_order_givers_machine.py
+++ b/tests/test_assignment_machine.py
@@ -1,4 +1,4 @@
-"""A random walk over the givers of orders: each engine judges what it gets.
+"""A random walk over the holders of orders: each engine judges what it gets.
 
 Entries may believe anything of who lives, hear of the row late, be cut off, start again
 or write without an answer; orders and reads take their time.
@@ -13,19 +13,19 @@
 
 from platform_standins.rows import MemoryRows
 from wigeonfront.clock import ManualClock
-from wigeonfront.coordination.rows import Row, Unavailable, Uncertain
-from wigeonfront.weights import assignment
-from wigeonfront.weights.assignment import (
+from wigeonfront.coordination import assignment
+from wigeonfront.coordination.assignment import (
     ABSENT_SECONDS,
-    ENTRY_TERM_SECONDS,
     FLIGHT_SECONDS,
-    SIDE_ABSENT_SECONDS,
-    SIDE_TERM_SECONDS,
+    PINNED_ABSENT_SECONDS,
+    PINNED_TERM_SECONDS,
+    TERM_SECONDS,
     Present,
     decode_assignment,
     writer_pause,
 )
-from wigeonfront.weights.rights import ASSIGNMENT_KEY, AssignmentKeeper, OrderRights
+from wigeonfront.coordination.rights import ASSIGNMENT_KEY, AssignmentKeeper, Rights
+from wigeonfront.coordination.rows import Row, Unavailable, Uncertain
 
 ORDER_SECONDS = 3.0
 ENTRIES = ("e1", "e2", "e3")
@@ -78,8 +78,8 @@
         self.store = SlowStore(rows, clock)
         self.present = None
         is_side = name in SIDES.values()
-        term = SIDE_TERM_SECONDS if is_side else ENTRY_TERM_SECONDS
-        self.rights = OrderRights(self.store, name, term, clock, told=not is_side)
+        term = PINNED_TERM_SECONDS if is_side else TERM_SECONDS
+        self.rights = Rights(self.store, name, term, clock, told=not is_side)
         self.keeper = AssignmentKeeper(
             self.store,
             name,
@@ -95,7 +95,7 @@
         self.rights.take(heard)
 
 
-class OrderGivers(RuleBasedStateMachine):
+class AssignmentWalk(RuleBasedStateMachine):
     """Machines order engines as their rights let them."""
 
     def __init__(self):
@@ -140,23 +140,23 @@
     @rule(
         name=st.sampled_from(ENTRIES),
         entries=st.sets(st.sampled_from(ENTRIES)),
-        sides=st.sets(st.sampled_from(sorted(SIDES))),
+        pinned=st.sets(st.sampled_from(sorted(SIDES))),
         seen=st.booleans(),
     )
-    def entry_believes(self, name, entries, sides, seen):
+    def entry_believes(self, name, entries, pinned, seen):
         """Whoever it does not see it takes to be gone for long."""
         machine = self.machines[name]
         if not seen:
             machine.present = None
             return
-        registered = {SIDES[address]: address for address in sides}
+        registered = {SIDES[address]: address for address in pinned}
         gone = set(MACHINES) - set(entries) - registered.keys()
-        long = max(ABSENT_SECONDS, SIDE_ABSENT_SECONDS)
+        long = max(ABSENT_SECONDS, PINNED_ABSENT_SECONDS)
         machine.present = Present(
             entries=frozenset(entries),
             staying=frozenset(entries),
-            sides={address: side for side, address in registered.items()},
-            engines=frozenset(ENGINES),
+            pinned={address: side for side, address in registered.items()},
+            subjects=frozenset(ENGINES),
             absent=dict.fromkeys(gone, long),
         )
 
@@ -203,12 +203,12 @@
                     assert earlier[2] < later[2]
 
     def teardown(self):
-        """Once all live and hear each other, each engine has one giver."""
+        """Once all live and hear each other, each engine has one holder."""
         present = Present(
             entries=frozenset(ENTRIES),
             staying=frozenset(ENTRIES),
-            sides=SIDES,
-            engines=frozenset(ENGINES),
+            pinned=SIDES,
+            subjects=frozenset(ENGINES),
         )
         for name in ENTRIES:
             machine = self.machines[name]
@@ -226,17 +226,17 @@
                 if isinstance(row, Row):
                     self.machines[name].hear(row)
         for engine in ENGINES:
-            givers = [
+            holders = [
                 name
                 for name, machine in self.machines.items()
                 if machine.rights.fence(engine) is not None
             ]
-            assert len(givers) == 1, (engine, givers)
-            assert SIDES.get(engine, givers[0]) == givers[0]
+            assert len(holders) == 1, (engine, holders)
+            assert SIDES.get(engine, holders[0]) == holders[0]
 
 
-TestOrderGivers = OrderGivers.TestCase
-TestOrderGivers.settings = settings(
+TestAssignmentWalk = AssignmentWalk.TestCase
+TestAssignmentWalk.settings = settings(
     max_examples=150, stateful_step_count=60, deadline=None
 )
 
@@ -247,27 +247,27 @@
         # An engine goes to another entry at once.
         ("FLIGHT_SECONDS", -ORDER_SECONDS, "c:1", "entry"),
         # The longer term of a side is not waited for.
-        ("SIDE_TERM_SECONDS", 0.0, "a:1", "s1"),
+        ("PINNED_TERM_SECONDS", 0.0, "a:1", "s1"),
     ],
 )
 def test_a_wait_that_is_too_short_is_found(name, value, engine, gone, monkeypatch):
-    """A walk in which one giver is taken to be gone, and lives on unheard."""
+    """A walk in which one holder is taken to be gone, and lives on unheard."""
     monkeypatch.setattr(assignment, name, value)
-    walk = OrderGivers()
+    walk = AssignmentWalk()
     writer = walk.machines["e1"]
     everyone = frozenset(ENTRIES)
     writer.present = Present(everyone, everyone, SIDES, frozenset(ENGINES))
     walk.entry_looks_after_the_row("e1")
     row = walk.history[-1]
-    giver = decode_assignment(row.value, row.revision).giver(engine)
-    for machine in (giver, "e1"):
+    holder = decode_assignment(row.value, row.revision).holder(engine)
+    for machine in (holder, "e1"):
         walk.machines[machine].hear(row)
-    walk.machine_orders(giver, engine, 0.0, 0.0, 0.0)
+    walk.machine_orders(holder, engine, 0.0, 0.0, 0.0)
     assert walk.orders[engine]
-    lost = giver if gone == "entry" else gone
+    lost = holder if gone == "entry" else gone
     left = everyone - {lost}
     sides = {address: side for address, side in SIDES.items() if side != lost}
-    absent = {lost: SIDE_ABSENT_SECONDS}
+    absent = {lost: PINNED_ABSENT_SECONDS}
     survivor = min(left)
     walk.machines[survivor].hear(row)
     present = Present(left, left, sides, frozenset(ENGINES), absent)
--- a/tests/test_order_giving.py
+++ b/tests/test_engine_orders.py
@@ -8,7 +8,7 @@
 from platform_standins import deployment
 from platform_standins.deployment import MODEL
 from rows_fakes import wait_for
-from wigeonfront.weights import assignment
+from wigeonfront.coordination import assignment
 
 
 @pytest.fixture
@@ -20,10 +20,10 @@
 
 @pytest.fixture
 def quick_changes(monkeypatch):
-    """Givers of orders count as missing, and changes settle, within a second."""
+    """Holders of orders count as missing, and changes settle, within a second."""
     monkeypatch.setattr(assignment, "ABSENT_SECONDS", 0.5)
     monkeypatch.setattr(assignment, "FLIGHT_SECONDS", 0.2)
-    monkeypatch.setattr(assignment, "ENTRY_TERM_SECONDS", 0.2)
+    monkeypatch.setattr(assignment, "TERM_SECONDS", 0.2)
 
 
 def versions_of(deployed):
@@ -38,9 +38,9 @@
     for version in (2, 3):
         deployment.name_version(deployed.rows, version)
         wait_for(lambda least=version - 1: min(versions_of(deployed)) >= least, 8.0)
-    givers = {order.holder for engine in deployed.engines for order in engine.orders}
+    holders = {order.holder for engine in deployed.engines for order in engine.orders}
     for entry in deployed.entries:
-        if entry._settings.name in givers:
+        if entry._settings.name in holders:
             entry.close()
     for version in (4, 5, 6):
         deployment.name_version(deployed.rows, version)
