Usage of client accounts is counted and reported by one machine at a time

Entries note the requests of accounts as they are on their way to a target and copy the notes to another entry of the failure domain each 0.2 s. The holder of the subject 'usage' in the agreed row collects the notes of all, by their age, so that no clock is compared with another; the windows are of the median of the entries' clocks. Counts are fixed in one row of the store before they are sent, and each send repeats them.

Ruled out: counting in windows of each machine's own clock (a clock that jumps puts its requests elsewhere), a row of the store for each entry and window (22 writes each 5 s).

--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -3,7 +3,7 @@
 import http.client
 import select
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from urllib3 import BaseHTTPResponse, HTTPHeaderDict
@@ -34,6 +34,13 @@
 a target that closes it meanwhile would leave in doubt whether the request ran."""
 
 
+OnSent = Callable[[], None]
+
+
+def do_nothing() -> None:
+    """Ignore that a request is on its way."""
+
+
 class TargetProtocol(Protocol):
     """How targets are spoken to; the platform's adapter gives it."""
 
@@ -157,6 +164,7 @@
         caller: socket.socket | None = None,
         run_seconds: float | None = None,
         handle: CallHandle | None = None,
+        on_sent: OnSent = do_nothing,
     ) -> Outcome:
         """Send `request` and read the whole answer.
 
@@ -164,11 +172,13 @@
         ----------
         deadline : float
             Monotonic time at which waiting ends.
-        caller, run_seconds, handle
+        caller, run_seconds, handle, on_sent
             As for `open`.
         """
         started = self._clock.monotonic()
-        call = self.open(request, target, deadline, caller, run_seconds, handle)
+        call = self.open(
+            request, target, deadline, caller, run_seconds, handle, on_sent
+        )
         if isinstance(call, TimedOut):
             return TimedOut(self._clock.monotonic() - started)
         if not isinstance(call, OpenCall):
@@ -198,6 +208,7 @@
         caller: socket.socket | None = None,
         run_seconds: float | None = None,
         handle: CallHandle | None = None,
+        on_sent: OnSent = do_nothing,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         """Send `request` and return once the head of the answer has come.
 
@@ -211,6 +222,8 @@
             Time that the target may work; until `deadline` by default.
         handle : CallHandle, optional
             Ends the request from another thread.
+        on_sent : callable
+            Called once the whole request is on its way; again if it is sent anew.
         """
         idle = None if request.repeatable else FRESH_IDLE_SECONDS
         connection = (
@@ -224,7 +237,14 @@
             connection.close()
             return CallerGone()
         outcome = self._send_on(
-            connection, request, target, deadline, caller, run_seconds, handle
+            connection,
+            request,
+            target,
+            deadline,
+            caller,
+            run_seconds,
+            handle,
+            on_sent,
         )
         stale = isinstance(outcome, Broken) and connection.used
         if not isinstance(outcome, OpenCall):
@@ -235,7 +255,9 @@
         if stale and request.repeatable:
             # The target had dropped the kept connection: once more on a new one.
             self._connections.forget(target.id)
-            return self.open(request, target, deadline, caller, run_seconds, handle)
+            return self.open(
+                request, target, deadline, caller, run_seconds, handle, on_sent
+            )
         if handle is not None and handle.cancelled and isinstance(outcome, Broken):
             return CallerGone()
         return outcome
@@ -249,6 +271,7 @@
         caller: socket.socket | None,
         run_seconds: float | None,
         handle: CallHandle | None,
+        on_sent: OnSent,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         link = connection.link
         remaining = deadline - self._clock.monotonic()
@@ -270,6 +293,7 @@
             return TimedOut()
         except (HTTPError, OSError, http.client.HTTPException) as error:
             return Broken(f"send:{type(error).__name__}")
+        on_sent()
         waited = self._wait_head(link.sock, deadline, caller)
         if waited is not None:
             return waited
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -13,7 +13,7 @@
     Outcome,
     TimedOut,
 )
-from wigeonfront.forwarding.exchange import Exchange
+from wigeonfront.forwarding.exchange import Exchange, do_nothing
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.placement import choose_target
 from wigeonfront.forwarding.steps import (
@@ -31,6 +31,7 @@
 from wigeonfront.observability.metrics import Counter, Histogram
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.views import TargetView
+from wigeonfront.usage.starts import StartLog
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +54,8 @@
         Counts sends by outcome.
     seconds : wigeonfront.observability.metrics.Histogram
         Time that a target took.
+    starts : StartLog
+        Notes the requests of client accounts that begin to run.
     """
 
     def __init__(
@@ -64,6 +67,7 @@
         failure_domain: str,
         sends: Counter,
         seconds: Histogram,
+        starts: StartLog,
     ) -> None:
         self._table = table
         self._exchange = exchange
@@ -72,6 +76,7 @@
         self._failure_domain = failure_domain
         self._sends = sends
         self._seconds = seconds
+        self._starts = starts
 
     def forward(
         self,
@@ -139,10 +144,17 @@
         target = view.target
         started = self._clock.monotonic()
         self._table.started(target.id)
+        note = self._starts.note(request.account)
         outcome: Outcome = TimedOut()
         try:
             outcome = self._exchange.send(
-                request, target, deadline, caller, run_seconds, handle
+                request,
+                target,
+                deadline,
+                caller,
+                run_seconds,
+                handle,
+                note.sent if request.account else do_nothing,
             )
         finally:
             seconds = self._clock.monotonic() - started
@@ -150,6 +162,8 @@
             self._table.ended(
                 target.id, health_evidence(outcome), seconds if answered else 0.0
             )
+        if isinstance(outcome, NotExecuted):
+            note.withdraw()
         if isinstance(outcome, NotExecuted) and outcome.replaced:
             self._table.replaced(target.id)
         name = type(outcome).__name__
--- a/src/wigeonfront/forwarding/streams.py
+++ b/src/wigeonfront/forwarding/streams.py
@@ -30,6 +30,7 @@
 from wigeonfront.rollout.events import BOUNDARY, EventReader
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.views import TargetView
+from wigeonfront.usage.starts import StartLog
 
 logger = logging.getLogger(__name__)
 
@@ -65,6 +66,27 @@
         """Return the event behind which the caller itself asks to go on."""
 
 
+class FirstEvent:
+    """Notes the start of a stream with its first event, once for all of its runs.
+
+    Parameters
+    ----------
+    starts : StartLog
+    account : str
+        Empty for none, which nobody counts.
+    """
+
+    def __init__(self, starts: StartLog, account: str) -> None:
+        self._starts = starts
+        self._account = account
+
+    def note(self) -> None:
+        """Note an event."""
+        if self._account:
+            self._starts.add(self._account)
+            self._account = ""
+
+
 class StreamForwarder:
     """Forwards streams.
 
@@ -77,6 +99,8 @@
     random : random.Random
     failure_domain : str
         Where this process stands.
+    starts : StartLog
+        Notes the requests of client accounts that begin to run.
     """
 
     def __init__(
@@ -87,6 +111,7 @@
         clock: Clock,
         random: Random,
         failure_domain: str,
+        starts: StartLog,
     ) -> None:
         self._table = table
         self._exchange = exchange
@@ -94,6 +119,7 @@
         self._clock = clock
         self._random = random
         self._failure_domain = failure_domain
+        self._starts = starts
 
     def forward(
         self,
@@ -117,6 +143,7 @@
         last_id = self._protocol.resume_point(request)
         may_have_run = False
         last_target = ""
+        start = FirstEvent(self._starts, request.account)
         while sends_left > 0 and self._clock.monotonic() < due:
             views = self._table.views(service)
             view = choose_target(views, tried, self._failure_domain)
@@ -128,7 +155,7 @@
             last_target = view.target.id
             tried.add(last_target)
             sent = self._protocol.resumed(request, last_id) if last_id else request
-            outcome, last_id = self._send(sent, view, due, call, last_id)
+            outcome, last_id = self._send(sent, view, due, call, last_id, start)
             if outcome is StreamEnd.DONE:
                 return
             if outcome is not StreamEnd.REFUSED:
@@ -162,6 +189,7 @@
         due: float,
         call: RawCall,
         last_id: int,
+        start: "FirstEvent",
     ) -> tuple[StreamEnd, int]:
         """Send to one target; return how it went and the last event passed on."""
         target = view.target
@@ -188,7 +216,7 @@
             return self._pass_error(opened, target.id, call), last_id
         if not call.began:
             call.begin(OK, self._protocol.response_headers(opened.headers))
-        ended, last_id = self._pass_events(opened, call, last_id, due)
+        ended, last_id = self._pass_events(opened, call, last_id, due, start)
         evidence = "success" if ended is StreamEnd.DONE else "failure"
         self._table.ended(target.id, evidence)
         event(
@@ -219,7 +247,12 @@
         return StreamEnd.DONE
 
     def _pass_events(
-        self, opened: OpenCall, call: RawCall, last_id: int, due: float
+        self,
+        opened: OpenCall,
+        call: RawCall,
+        last_id: int,
+        due: float,
+        start: "FirstEvent",
     ) -> tuple[StreamEnd, int]:
         reader = EventReader(self._protocol.version_field)
         try:
@@ -229,6 +262,7 @@
                     if found.id != last_id + 1:
                         opened.close()
                         return StreamEnd.BROKEN, last_id
+                    start.note()
                     call.write(raw + BOUNDARY)
                     last_id = found.id
                 if caller_closed(call.socket):
--- /dev/null
+++ b/src/wigeonfront/node/duties.py
@@ -0,0 +1,111 @@
+"""What an entry does for the duties of one machine at a time."""
+
+from collections.abc import Callable
+
+from wigeonfront.clock import Clock
+from wigeonfront.coordination.assignment import TERM_SECONDS, Assignment
+from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.rights import Rights
+from wigeonfront.coordination.rows import RowStore
+from wigeonfront.http.raw import RawCall
+from wigeonfront.node.settings import Duty, NodeSettings
+from wigeonfront.observability.metrics import Registry
+from wigeonfront.platform.duty_calls import PlatformDuties
+from wigeonfront.supervisor import Supervisor
+from wigeonfront.usage.backup import StartBackup
+from wigeonfront.usage.calls import COLLECT_PATH, COPY_PATH, StartClient, StartServer
+from wigeonfront.usage.collection import StartCollector
+from wigeonfront.usage.held import HeldStarts
+from wigeonfront.usage.ledger import UsageLedger
+from wigeonfront.usage.reporting import UsageReporter
+from wigeonfront.usage.starts import StartLog
+from wigeonfront.usage.windows import UsageBounds
+
+
+class UsagePart:
+    """An entry's part in reporting usage.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    store : RowStore
+    log : StartLog
+    me : callable
+        Returns this process as a member.
+    members : callable
+        Returns the entries that live.
+    holder : callable
+        Returns the machine that holds a duty, as far as is known.
+    clock : Clock
+    metrics : Registry
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: RowStore,
+        log: StartLog,
+        me: Callable[[], Member],
+        members: Callable[[], list[Member]],
+        holder: Callable[[str], str | None],
+        clock: Clock,
+        metrics: Registry,
+    ) -> None:
+        held = HeldStarts()
+        client = StartClient()
+        self._rights = Rights(store, settings.name, TERM_SECONDS, clock)
+        self._server = StartServer(log, held, lambda: me().incarnation, clock)
+        self._backup = StartBackup(log, client, me, members, clock)
+        self._reporter = UsageReporter(
+            settings.name,
+            holder,
+            self._rights,
+            UsageLedger(store),
+            StartCollector(client, clock),
+            log,
+            held,
+            me,
+            members,
+            PlatformDuties(settings.duty_address),
+            UsageBounds(
+                settings.bounds.usage_window_seconds, settings.bounds.usage_due_seconds
+            ),
+            clock,
+            metrics,
+        )
+
+    @property
+    def answers(self) -> dict[str, Callable[[RawCall], None]]:
+        """The calls of other entries that it answers, by their paths."""
+        return {COLLECT_PATH: self._server.collect, COPY_PATH: self._server.copy}
+
+    def take(self, assignment: Assignment) -> None:
+        """Take a newer row of who acts for what."""
+        self._rights.take(assignment)
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Start its tasks."""
+        supervisor.start("usage-copies", self._backup.run)
+        supervisor.start("usage-reports", self._reporter.run)
+
+    def leave(self) -> None:
+        """Copy what is left, as this process ends."""
+        self._backup.copy()
+
+
+def make_duties(
+    settings: NodeSettings,
+    store: RowStore,
+    log: StartLog,
+    me: Callable[[], Member],
+    members: Callable[[], list[Member]],
+    holder: Callable[[str], str | None],
+    clock: Clock,
+    metrics: Registry,
+) -> list[UsagePart]:
+    """Return the parts for the duties that are to be done; see `UsagePart`."""
+    if not settings.duty_address or Duty.USAGE not in settings.duties:
+        return []
+    return [
+        UsagePart(settings, store, log, me, members, holder, clock, metrics),
+    ]
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -15,6 +15,7 @@
 from wigeonfront.api.operations import VersionServer
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.configuration import Configuration
+from wigeonfront.coordination.assignment import Assignment
 from wigeonfront.coordination.feed import FeedServer
 from wigeonfront.coordination.membership import Registration
 from wigeonfront.coordination.meter import MeteredStore
@@ -25,6 +26,7 @@
 from wigeonfront.forwarding.streams import StreamForwarder
 from wigeonfront.http.raw import RawCall, RawServer, close_all
 from wigeonfront.node.assigning import Assigning
+from wigeonfront.node.duties import make_duties
 from wigeonfront.node.engine_orders import make_fleet
 from wigeonfront.node.following import ConfigurationFollower, TargetFollower
 from wigeonfront.node.interface import InterfaceParts, make_api
@@ -51,6 +53,7 @@
 from wigeonfront.spool import SpoolClient
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.targets.table import TargetTable
+from wigeonfront.usage.starts import StartLog
 from wigeonfront.weights.plan import NamedVersion
 
 logger = logging.getLogger(__name__)
@@ -119,6 +122,7 @@
         self._registration = self._make_registration()
         self._connections = Connections(clock)
         self._exchange = Exchange(self._connections, PlatformTargets(), clock)
+        self._starts = StartLog(clock)
         self._forwarder = self._make_forwarder()
         self._streams = self._make_streams()
         self._repository = LotRepository(self._store, settings.store_value_bytes)
@@ -152,7 +156,17 @@
             self._table,
             self._configuration,
             clock,
-            self._fleet.take,
+            self._on_assignment,
+        )
+        self._duties = make_duties(
+            settings,
+            self._store,
+            self._starts,
+            lambda: self._registration.member,
+            self._view.members,
+            self._assigning.holder,
+            clock,
+            self._metrics,
         )
         self._lots = self._make_lots()
         self._loads = LoadFollower(
@@ -193,6 +207,7 @@
             self._settings.failure_domain,
             sends,
             seconds,
+            self._starts,
         )
 
     def _make_streams(self) -> StreamForwarder:
@@ -203,6 +218,7 @@
             self._clock,
             self._random,
             self._settings.failure_domain,
+            self._starts,
         )
 
     def _make_runner(self) -> LotRunner:
@@ -281,6 +297,11 @@
             EndServer(self._lots.end_here),
             LoadServer(self._table),
             VersionServer(lambda: self._configuration.version),
+            {
+                path: answer
+                for duty in self._duties
+                for path, answer in duty.answers.items()
+            },
         )
 
     def _interface_parts(self) -> InterfaceParts:
@@ -346,6 +367,8 @@
         start("loads", self._loads.run)
         start("own", self._lots.own_loop)
         self._assigning.start(self._supervisor)
+        for duty in self._duties:
+            duty.start(self._supervisor)
         start("upkeep", self._upkeep)
         start("call-log", self._meter.log_loop)
         for name, server in self._servers.items():
@@ -367,6 +390,8 @@
             self._clock.sleep(0.1)
         self._lots.hand_over(last + HAND_OVER_SECONDS)
         close_all(self._callers_servers(), CLOSE_SECONDS)
+        for duty in self._duties:
+            duty.leave()
         self.close()
         event(logger, "drained", seconds=self._clock.monotonic() - began)
 
@@ -395,6 +420,11 @@
             if target.address in loading:
                 self._table.expect_load(target.id, named.model, named.version)
 
+    def _on_assignment(self, assignment: Assignment) -> None:
+        self._fleet.take(assignment)
+        for duty in self._duties:
+            duty.take(assignment)
+
     def _on_targets(self) -> None:
         self._runner.wake()
         self._fleet.update()
--- a/src/wigeonfront/node/peer_calls.py
+++ b/src/wigeonfront/node/peer_calls.py
@@ -1,5 +1,7 @@
 """The calls that the system's processes make to each other."""
 
+from collections.abc import Callable, Mapping
+
 from wigeonfront.api.operations import VERSION_PATH, VersionServer
 from wigeonfront.coordination.feed import FEED_PATH, FeedServer
 from wigeonfront.coordination.relay import RELAY_PATH, RelayServer
@@ -27,6 +29,8 @@
     ends : EndServer
     loads : LoadServer
     version : VersionServer
+    more : mapping of str to callable
+        Further calls by their paths.
     """
 
     def __init__(
@@ -38,6 +42,7 @@
         ends: EndServer,
         loads: LoadServer,
         version: VersionServer,
+        more: Mapping[str, Callable[[RawCall], None]],
     ) -> None:
         self._answers = {
             RELAY_PATH: relay.answer,
@@ -47,6 +52,7 @@
             END_PATH: ends.answer,
             LOADS_PATH: loads.answer,
             VERSION_PATH: version.answer,
+            **more,
         }
 
     def answer(self, call: RawCall) -> None:
--- a/src/wigeonfront/node/settings.py
+++ b/src/wigeonfront/node/settings.py
@@ -1,8 +1,19 @@
 """Settings of one process on the platform, whatever their format there."""
 
+import enum
 from dataclasses import dataclass
 
 
+class Duty(enum.Enum):
+    """What one machine at a time does for all."""
+
+    USAGE = "usage"
+    """Reports how many requests of each client account began."""
+
+    SCALING = "scaling"
+    """Orders how many targets a service has."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Times that the users have agreed, in seconds.
@@ -27,6 +38,10 @@
         Calls with an API key are refused by an entry whose configuration has not been
         confirmed for `revoke_seconds`.
     revoke_seconds : float
+    usage_window_seconds : float
+        Length of the windows in which usage is counted.
+    usage_due_seconds : float
+        After a window's end, within which its usage is due.
     """
 
     stop_seconds: float = 8.0
@@ -38,6 +53,8 @@
     fenced: bool = False
     strict_revoke: bool = False
     revoke_seconds: float = 5.0
+    usage_window_seconds: float = 5.0
+    usage_due_seconds: float = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +85,10 @@
         Service of that target.
     data_folder : str
         Folder of the disk; empty where there is none.
+    duty_address : str
+        ``host:port`` of the platform for duties of one machine; empty for none.
+    duties : frozenset of Duty
+        Duties that are to be done.
     tolerated_losses : int
         Disks that may be lost at the same time.
     memory_bytes : int
@@ -92,6 +113,8 @@
     target_address: str = ""
     service: str = ""
     data_folder: str = ""
+    duty_address: str = ""
+    duties: frozenset[Duty] = frozenset()
     tolerated_losses: int = 1
     memory_bytes: int = 128 * 1024 * 1024
     cores: float = 1.0
--- a/src/wigeonfront/platform/boot.py
+++ b/src/wigeonfront/platform/boot.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from wigeonfront.node.settings import Bounds, NodeSettings
+from wigeonfront.node.settings import Bounds, Duty, NodeSettings
+
+_DUTIES = {"usage_report": Duty.USAGE, "autoscale": Duty.SCALING}
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -40,6 +42,8 @@
     # Unexplained; taken as in `Bounds`, see docs/design/accounts-and-duties.md.
     strict_revoke: bool = False
     revoke_ms: float = 5000
+    report_window_s: float = msgspec.field(name="reportWindowS", default=5)
+    usage_late_s: float = msgspec.field(name="usageLateS", default=10)
 
 
 class _FaultTolerance(msgspec.Struct, frozen=True):
@@ -47,6 +51,12 @@
     machines: int = 1
 
 
+class _Cloud(msgspec.Struct, frozen=True):
+    # Of the calls that are the duty of one machine at a time.
+    address: str = ""
+    duties: list[str] = []
+
+
 class _Platform(msgspec.Struct, frozen=True, rename="camel"):
     address: str
     value_bytes: int = 1_048_576
@@ -65,6 +75,7 @@
     listen: _Listen = _Listen()
     limits: _Limits = _Limits()
     bounds: _Bounds = _Bounds()
+    cloud: _Cloud = _Cloud()
     fault_tolerance: _FaultTolerance = _FaultTolerance()
     data_dir: str = ""
     # The worker on this machine, where there is one.
@@ -98,6 +109,8 @@
         target_address=wire.app,
         service=wire.service,
         data_folder=wire.data_dir,
+        duty_address=wire.cloud.address,
+        duties=frozenset(_DUTIES[one] for one in wire.cloud.duties if one in _DUTIES),
         tolerated_losses=wire.fault_tolerance.machines,
         memory_bytes=int(wire.limits.memory_mb * 1024 * 1024),
         cores=wire.limits.cpu_share * wire.limits.cores,
@@ -111,5 +124,7 @@
             fenced=wire.bounds.require_fence,
             strict_revoke=wire.bounds.strict_revoke,
             revoke_seconds=wire.bounds.revoke_ms / 1000,
+            usage_window_seconds=wire.bounds.report_window_s,
+            usage_due_seconds=wire.bounds.usage_late_s,
         ),
     )
--- a/src/wigeonfront/platform/headers.py
+++ b/src/wigeonfront/platform/headers.py
@@ -22,6 +22,8 @@
 """The client account that a request is made for; only the system says it."""
 
 AUTHORIZATION = "Authorization"
+DUTY_HOLDER = "Wigeonfront-Duty-Holder"
+FENCING_TOKEN = "Wigeonfront-Fencing-Token"
 WAIT_MS = "Wigeonfront-Wait-Ms"
 LAST_EVENT_ID = "Last-Event-Id"
 
--- /dev/null
+++ b/src/wigeonfront/usage/reporting.py
@@ -0,0 +1,268 @@
+"""The duty of one machine: to count each window once and to send the counts."""
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from wigeonfront.clock import Clock
+from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.rights import Rights
+from wigeonfront.duties import DutyOutcome, NotTaken, Taken
+from wigeonfront.observability.logs import event
+from wigeonfront.observability.metrics import Registry
+from wigeonfront.usage.collection import Collection, StartCollector
+from wigeonfront.usage.held import HeldStarts
+from wigeonfront.usage.ledger import Counts, Fixed, NotFixed, UsageLedger
+from wigeonfront.usage.starts import StartLog
+from wigeonfront.usage.windows import UsageBounds, closable_windows, ended_windows
+
+logger = logging.getLogger(__name__)
+
+SUBJECT = "usage"
+"""Of the duty, among all that machines act for."""
+
+HOLDER_PAUSE_SECONDS = 0.25
+"""Pause of the holder until it looks again whether something is to be done."""
+
+IDLE_PAUSE_SECONDS = 0.5
+
+MARGIN_SECONDS = 1.0
+"""Time before a window from which starts are asked for: many times the error of the
+agreed time."""
+
+MOST_LATE_SECONDS = 60.0
+"""Time after a window's end after which its report is given up: a report that is late
+still tells whoever bills by it, but must not hold up those that are due."""
+
+
+class UsageApi(Protocol):
+    """Takes reports; the platform's adapter gives it."""
+
+    def report_usage(
+        self, window: int, counts: Counts, holder: str, fence: int
+    ) -> DutyOutcome:
+        """Send the counts of a window, once."""
+
+
+class UsageReporter:
+    """Reports usage while this machine holds the duty.
+
+    Parameters
+    ----------
+    name : str
+        Of this machine.
+    holder : callable
+        Returns the machine that holds a duty, as far as is known.
+    rights : Rights
+    ledger : UsageLedger
+    collector : StartCollector
+    log : StartLog
+    held : HeldStarts
+    me : callable
+        Returns this process as a member.
+    members : callable
+        Returns the entries that live.
+    api : UsageApi
+    bounds : UsageBounds
+    clock : Clock
+    metrics : wigeonfront.observability.metrics.Registry
+    """
+
+    def __init__(
+        self,
+        name: str,
+        holder: Callable[[str], str | None],
+        rights: Rights,
+        ledger: UsageLedger,
+        collector: StartCollector,
+        log: StartLog,
+        held: HeldStarts,
+        me: Callable[[], Member],
+        members: Callable[[], list[Member]],
+        api: UsageApi,
+        bounds: UsageBounds,
+        clock: Clock,
+        metrics: Registry,
+    ) -> None:
+        self._name = name
+        self._holder = holder
+        self._rights = rights
+        self._ledger = ledger
+        self._collector = collector
+        self._log = log
+        self._held = held
+        self._me = me
+        self._members = members
+        self._api = api
+        self._bounds = bounds
+        self._clock = clock
+        self._reports = metrics.counter(
+            "usage_reports_total", "Reports of usage by outcome.", ("outcome",)
+        )
+        self._collection = Collection()
+        self._fixed: Fixed | None = None
+        self._sent: frozenset[int] = frozenset()
+
+    @property
+    def last_sent(self) -> int:
+        """The newest window that the platform has taken from here; 0 before any."""
+        return max(self._sent, default=0)
+
+    def run(self, stop: threading.Event) -> None:
+        """Report while this machine holds the duty (a supervisor's task)."""
+        while not stop.is_set():
+            holds = self._holder(SUBJECT) == self._name
+            if holds:
+                self.step()
+            elif self._fixed is not None:
+                self._forget()
+            stop.wait(HOLDER_PAUSE_SECONDS if holds else IDLE_PAUSE_SECONDS)
+
+    def step(self) -> None:
+        """Fix the windows that have ended, and send what is fixed."""
+        if self._fixed is None:
+            self._read()
+        if self._fixed is None:
+            return
+        self._fix_ended()
+        if self._fixed is not None:
+            self._send()
+
+    def _forget(self) -> None:
+        event(logger, "usage_duty_lost", through=self._fixed and self._fixed.through)
+        self._fixed = None
+        self._sent = frozenset()
+        self._collection = Collection()
+
+    def _read(self) -> None:
+        read = self._ledger.read()
+        if isinstance(read, NotFixed):
+            event(logger, "usage_ledger_unread", reason=read.reason)
+            return
+        if not read.revision:
+            # The first of all begins with what is still due.
+            read = Fixed(self._bounds.at(self._now() - self._bounds.due) - 1)
+        self._fixed = read
+        event(
+            logger,
+            "usage_duty_taken",
+            through=read.through,
+            unsent=len(read.unsent),
+            revision=read.revision,
+        )
+
+    def _now(self) -> float:
+        """Return the Unix time that most clocks agree on."""
+        offset = self._collection.offset
+        if offset is None:
+            return self._clock.time()
+        return self._clock.boottime() + offset
+
+    # --- counting ------------------------------------------------------------
+
+    def _fix_ended(self) -> None:
+        ended = ended_windows(self._fixed.through, self._now(), self._bounds)
+        if not ended:
+            return
+        self._collect(ended)
+        # The time is known better now than it was before.
+        ended = ended_windows(self._fixed.through, self._now(), self._bounds)
+        offset = self._collection.offset
+        heard_at = {
+            incarnation: at + offset
+            for incarnation, at in self._collection.heard_at.items()
+        }
+        living = [one.incarnation for one in self._members()]
+        now = self._now()
+        windows = closable_windows(ended, heard_at, living, now, self._bounds)
+        if windows:
+            silent = sum(
+                heard_at.get(one, 0.0) < self._bounds.end(windows[-1]) for one in living
+            )
+            self._fix(windows, offset, silent)
+
+    def _collect(self, ended: range) -> None:
+        """Ask the entries that have not told yet what began in the ended windows."""
+        unix_offset = self._now() - self._clock.boottime()
+        since = self._bounds.begin(ended[0]) - unix_offset - MARGIN_SECONDS
+        end = self._bounds.end(ended[-1]) - unix_offset
+        me = self._me()
+        collection = self._collection
+        silent = [
+            one
+            for one in self._members()
+            if one.name != me.name
+            and collection.heard_at.get(one.incarnation, -1.0) < end
+        ]
+        self._collector.collect(silent, since, collection)
+        collection.take_here(
+            me.incarnation, me.name, self._log, self._held, since, self._clock
+        )
+
+    def _fix(self, windows: list[int], offset: float, silent: int) -> None:
+        counts = {
+            window: self._collection.count(
+                self._bounds.begin(window) - offset, self._bounds.end(window) - offset
+            )
+            for window in windows
+        }
+        outcome = self._ledger.fix(self._fixed, counts, self._sent)
+        fixed = isinstance(outcome, Fixed)
+        for window, of in counts.items():
+            event(
+                logger,
+                "usage_fixed",
+                window=window,
+                requests=sum(of.values()),
+                accounts=len(of),
+                silent=silent,
+                clocks=len(self._collection.readings),
+                fixed=fixed,
+                reason=getattr(outcome, "reason", ""),
+            )
+        if isinstance(outcome, Fixed):
+            self._fixed = outcome
+            self._sent &= frozenset(outcome.unsent)
+            self._collection = Collection(readings=self._collection.readings)
+        else:
+            # Another process may have fixed them, or this write may still arrive.
+            self._fixed = None
+
+    # --- sending -------------------------------------------------------------
+
+    def _send(self) -> None:
+        """Send what is fixed, first what is still due, each the oldest first."""
+        now = self._now()
+        unsent = sorted(self._fixed.unsent.keys() - self._sent)
+        late = [one for one in unsent if now > self._bounds.end(one) + self._bounds.due]
+        for window in [one for one in unsent if one not in late] + late:
+            if now > self._bounds.end(window) + MOST_LATE_SECONDS:
+                self._note(window, NotTaken("given up"), 0)
+                self._sent |= {window}
+                continue
+            fence = self._rights.fence(SUBJECT)
+            if fence is None:
+                return
+            counts = self._fixed.unsent[window]
+            outcome = self._api.report_usage(window, counts, self._name, fence)
+            self._note(window, outcome, fence)
+            if not isinstance(outcome, Taken):
+                return
+            self._sent |= {window}
+
+    def _note(self, window: int, outcome: DutyOutcome, fence: int) -> None:
+        after = self._now() - self._bounds.end(window)
+        late = after > self._bounds.due
+        name = type(outcome).__name__
+        self._reports.increment(outcome="Late" if late and name == "Taken" else name)
+        event(
+            logger,
+            "usage_sent",
+            window=window,
+            outcome=name,
+            reason=getattr(outcome, "reason", ""),
+            fence=fence,
+            seconds_after_end=after,
+            late=late,
+        )
--- /dev/null
+++ b/src/wigeonfront/usage/windows.py
@@ -0,0 +1,93 @@
+"""Which windows are counted when; pure functions.
+
+A window is fixed once every entry that lives has told what it began in it, or else so
+late that only the time to send the report is left.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+SETTLE_SECONDS = 0.5
+"""Time after a window's end at which its starts are asked for: many times the error of
+the agreed time, so that no start can still fall into it."""
+
+GIVE_UP_SHARE = 0.75
+"""Share of the time in which a report is due for which entries that don't answer are
+waited for: the rest is for the store and the platform to take it."""
+
+MOST_BEHIND_SECONDS = 50.0
+"""How far back windows are caught up after an outage; starts are kept longer."""
+
+
+@dataclass(frozen=True, slots=True)
+class UsageBounds:
+    """What the platform asks for, in seconds.
+
+    Attributes
+    ----------
+    window : float
+        Length of a window; window k begins `k * window` after the Unix epoch.
+    due : float
+        Time after a window's end within which its report is due.
+    """
+
+    window: float = 5.0
+    due: float = 10.0
+
+    def begin(self, window: int) -> float:
+        """Return the Unix time at which a window begins."""
+        return window * self.window
+
+    def end(self, window: int) -> float:
+        """Return the Unix time at which a window ends."""
+        return (window + 1) * self.window
+
+    def at(self, unix: float) -> int:
+        """Return the window of a time."""
+        return math.floor(unix / self.window)
+
+
+def ended_windows(through: int, now: float, bounds: UsageBounds) -> range:
+    """Return the windows that have ended and are not fixed yet.
+
+    Parameters
+    ----------
+    through : int
+        The last window that is fixed.
+    now : float
+        Unix time that most clocks agree on.
+    """
+    last = bounds.at(now - SETTLE_SECONDS) - 1
+    first = bounds.at(now - MOST_BEHIND_SECONDS)
+    return range(max(through + 1, first), last + 1)
+
+
+def closable_windows(
+    ended: Iterable[int],
+    heard_at: Mapping[str, float],
+    living: Iterable[str],
+    now: float,
+    bounds: UsageBounds,
+) -> list[int]:
+    """Return the windows that can be fixed now, oldest first.
+
+    Parameters
+    ----------
+    ended : iterable of int
+        See `ended_windows`.
+    heard_at : mapping of str to float
+        Unix time as of which each entry has last told its starts.
+    living : iterable of str
+        Entries that live.
+    now : float
+        Unix time.
+    """
+    heard = min((heard_at.get(name, -math.inf) for name in living), default=math.inf)
+    closable = []
+    for window in ended:
+        end = bounds.end(window)
+        if heard < end and now < end + GIVE_UP_SHARE * bounds.due:
+            break
+        closable.append(window)
+    return closable
--- a/tests/rows_fakes.py
+++ b/tests/rows_fakes.py
@@ -11,6 +11,7 @@
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.lot import Lot, Sample
 from wigeonfront.targets.table import TargetTable
+from wigeonfront.usage.starts import StartLog
 
 _hosts = itertools.count()
 
@@ -68,5 +69,6 @@
         failure_domain,
         registry.counter("sends_total", "x", ("service", "outcome")),
         registry.histogram("send_seconds", "x", ("service",)),
+        StartLog(clock),
     )
     return forwarder, table, registry
--- a/tests/test_account_calls.py
+++ b/tests/test_account_calls.py
@@ -160,10 +160,16 @@
 
 
 def results(entry, name, headers):
-    answer = call(entry, "GET", f"/lots/{name}?after=0", **headers)
-    if answer.status != 200:
-        return 0
-    return len(msgspec.json.decode(answer.body)["results"])
+    """Return the number of results, read on from where each page ends."""
+    after = 0
+    while True:
+        answer = call(entry, "GET", f"/lots/{name}?after={after}", **headers)
+        if answer.status != 200:
+            return after
+        page = msgspec.json.decode(answer.body)
+        if page["next"] == after:
+            return after
+        after = page["next"]
 
 
 def test_taking_a_key_away_ends_no_lot(deployed):
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -250,7 +250,8 @@
         self.script = list(script)
         self.sent = []
 
-    def send(self, request, target, deadline, caller, run_seconds=None, handle=None):
+    def send(self, request, target, deadline, caller, run_seconds, handle, on_sent):
+        on_sent()
         outcome, share = self.script.pop(0)
         left = max(0.0, deadline - self.clock.monotonic())
         used = left if isinstance(outcome, TimedOut) else left * share
@@ -297,7 +298,7 @@
     kind = RouteKind.IDEMPOTENT if repeatable else RouteKind.NON_IDEMPOTENT
     share = (ServiceShare("s", 1.0),)
     route = Route("r", "h", "/", kind, share, 1.5, 0.2, attempts)
-    request = ForwardRequest("r1", "POST", "/", (), b"", repeatable)
+    request = ForwardRequest("r1", "POST", "/", (), b"", repeatable, "studio")
     end = forwarder.forward(request, route, 1.5, None)
     outcomes = [outcome for _, outcome in exchange.sent]
     targets = [target for target, _ in exchange.sent]
@@ -307,6 +308,7 @@
         for one in outcomes
         if not (isinstance(one, NotExecuted) and one.status == 0)
     ]
+    assert len(forwarder._starts.since(0.0)) == len(ran)
     assert clock.monotonic() <= 1.5
     assert len(set(targets)) == len(targets)
     assert len(reached) <= attempts
--- /dev/null
+++ b/tests/test_usage_machine.py
@@ -0,0 +1,334 @@
+"""A random walk over the holders of a duty: the platform judges what it gets.
+
+Machines may believe anything of who lives, hear of the agreed row late, be cut off,
+start again or write without an answer; calls take their time, their answers are lost,
+and times of day jump.
+"""
+
+import itertools
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from platform_standins.duties import DutyCall, DutyJudge
+from platform_standins.rows import MemoryRows
+from test_assignment_machine import SlowStore
+from wigeonfront.clock import ManualClock
+from wigeonfront.coordination.assignment import (
+    FLIGHT_SECONDS,
+    TERM_SECONDS,
+    Present,
+    decode_assignment,
+)
+from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.rights import ASSIGNMENT_KEY, AssignmentKeeper, Rights
+from wigeonfront.coordination.rows import Row
+from wigeonfront.duties import NotTaken, Taken
+from wigeonfront.observability.metrics import Registry
+from wigeonfront.usage.calls import AgedStart, StartsOf, ToldStarts
+from wigeonfront.usage.collection import Collection
+from wigeonfront.usage.held import HeldStarts
+from wigeonfront.usage.ledger import UsageLedger
+from wigeonfront.usage.reporting import SUBJECT, UsageReporter
+from wigeonfront.usage.starts import WAY_SECONDS, StartLog
+from wigeonfront.usage.windows import SETTLE_SECONDS, UsageBounds
+
+NAMES = ("e1", "e2", "e3")
+APART_SECONDS = 3.0
+BOUNDS = UsageBounds(window=5.0, due=10.0)
+ACCOUNTS = ("studio", "other")
+INCARNATIONS = itertools.count()
+
+
+class SteppedClock:
+    """A machine's clock, whose time of day may be wrong."""
+
+    def __init__(self, steady):
+        self._steady = steady
+        self.wrong_by = 0.0
+
+    def monotonic(self):
+        return self._steady.monotonic()
+
+    def boottime(self):
+        return self._steady.boottime()
+
+    def time(self):
+        return self._steady.time() + self.wrong_by
+
+
+class Platform:
+    """Takes reports; a call arrives late, and its answer may be lost."""
+
+    def __init__(self, clock, judge):
+        self.clock = clock
+        self.judge = judge
+        self.way = 0.0
+        self.lost = False
+        self.down = False
+
+    def report_usage(self, window, counts, holder, fence):
+        if self.down:
+            return NotTaken("down")
+        self.clock.advance(self.way)
+        now = self.clock.monotonic()
+        self.judge.take(DutyCall(SUBJECT, holder, fence, now))
+        self.judge.take_usage(window, dict(counts))
+        return NotTaken("lost") if self.lost else Taken()
+
+
+class Machine:
+    """A process with its part in the duty."""
+
+    def __init__(self, name, walk):
+        self.name = name
+        self.member = Member(name, f"{name}.{next(INCARNATIONS)}", f"{name}:1")
+        self.walk = walk
+        self.clock = SteppedClock(walk.clock)
+        self.store = SlowStore(walk.rows, walk.clock)
+        self.present = None
+        self.cut = False
+        self.log = StartLog(self.clock)
+        self.held = HeldStarts()
+        self.rights = Rights(self.store, name, TERM_SECONDS, self.clock)
+        self.assignment = None
+        self.keeper = AssignmentKeeper(
+            self.store,
+            name,
+            lambda: self.present,
+            APART_SECONDS,
+            self.clock,
+            self.rights.take,
+        )
+        self.reporter = UsageReporter(
+            name,
+            lambda subject: self.assignment and self.assignment.holder(subject),
+            self.rights,
+            UsageLedger(self.store),
+            self,
+            self.log,
+            self.held,
+            lambda: self.member,
+            lambda: [one.member for one in walk.machines.values()],
+            walk.platform,
+            BOUNDS,
+            self.clock,
+            Registry(),
+        )
+
+    def hear(self, row):
+        heard = decode_assignment(row.value, row.revision)
+        self.keeper.take(heard)
+        self.rights.take(heard)
+        if self.assignment is None or heard.revision > self.assignment.revision:
+            self.assignment = heard
+
+    def collect(self, members, since, collection: Collection):
+        """Ask the other machines, as `StartCollector` does over the network."""
+        now = self.clock.boottime()
+        for member in members:
+            other = self.walk.machines[member.name]
+            if other.cut or self.cut:
+                continue
+            own = [
+                AgedStart(one.number, one.account, now - one.at)
+                for one in other.log.since(since)
+            ]
+            held = [
+                StartsOf(
+                    incarnation,
+                    [AgedStart(one.number, one.account, now - one.at) for one in of],
+                )
+                for incarnation, of in other.held.since(since).items()
+            ]
+            told = ToldStarts(
+                StartsOf(member.incarnation, own), held, other.clock.time(), 0.0
+            )
+            collection.take(member, told, now, now)
+
+    def act(self):
+        if self.reporter._holder(SUBJECT) == self.name:
+            self.reporter.step()
+
+
+class UsageWalk(RuleBasedStateMachine):
+    """Machines report as their rights let them."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock(1_000.0)
+        self.rows = MemoryRows()
+        self.judge = DutyJudge(APART_SECONDS)
+        self.platform = Platform(self.clock, self.judge)
+        self.machines = {}
+        for name in NAMES:
+            self.machines[name] = Machine(name, self)
+        self.truth = {}
+        seen = frozenset(NAMES)
+        for machine in self.machines.values():
+            machine.present = Present(seen, seen)
+        for _ in range(4):
+            self.clock.advance(1.0)
+            self.everyone_goes_on()
+
+    @rule()
+    def everyone_goes_on(self):
+        for machine in self.machines.values():
+            machine.keeper.look()
+        for name in NAMES:
+            self.machine_hears(name)
+        for machine in self.machines.values():
+            machine.act()
+
+    @rule(seconds=st.sampled_from((0.3, 1.0, 2.5, 5.0)))
+    def time_passes(self, seconds):
+        self.clock.advance(seconds)
+
+    @rule(name=st.sampled_from(NAMES), account=st.sampled_from(ACCOUNTS))
+    def request_begins(self, name, account):
+        self.machines[name].log.add(account)
+        at = self.clock.time() + WAY_SECONDS
+        counts = self.truth.setdefault(BOUNDS.at(at), {})
+        counts[account] = counts.get(account, 0) + 1
+
+    @rule(name=st.sampled_from(NAMES))
+    def process_starts_again(self, name):
+        """Another machine holds copies of its starts, and never loses them."""
+        old = self.machines[name]
+        new = Machine(name, self)
+        new.store.late = old.store.late
+        new.held = new.reporter._held = old.held
+        holder = self.machines[NAMES[NAMES.index(name) - 1]]
+        starts = [(one.number, one.account, one.at) for one in old.log.after(0)]
+        now = self.clock.boottime()
+        holder.held.hold(old.member.incarnation, starts, (), now)
+        self.machines[name] = new
+
+    @rule(name=st.sampled_from(NAMES), cut=st.booleans())
+    def machine_is_cut_off_or_back(self, name, cut):
+        self.machines[name].store.cut = cut
+
+    @rule(name=st.sampled_from(NAMES), seconds=st.sampled_from((-2.0, 0.0, 2.0)))
+    def time_of_day_jumps(self, name, seconds):
+        """Never those of more than one machine of three."""
+        for machine in self.machines.values():
+            machine.clock.wrong_by = 0.0
+        self.machines[name].clock.wrong_by = seconds
+
+    @rule(name=st.sampled_from(NAMES))
+    def next_write_gets_no_answer(self, name):
+        self.machines[name].store.lose = True
+
+    @rule(name=st.sampled_from(NAMES))
+    def late_write_is_done(self, name):
+        self.machines[name].store.deliver()
+
+    @rule(name=st.sampled_from(NAMES), seconds=st.floats(0.0, 0.9))
+    def next_read_is_slow(self, name, seconds):
+        self.machines[name].store.after = seconds
+
+    @rule(lost=st.booleans(), down=st.booleans(), way=st.floats(0.0, FLIGHT_SECONDS))
+    def platform_changes(self, lost, down, way):
+        self.platform.lost, self.platform.down = lost, down
+        self.platform.way = way
+
+    @rule(name=st.sampled_from(NAMES), entries=st.sets(st.sampled_from(NAMES)))
+    def entry_believes(self, name, entries):
+        """Whoever it does not see it takes to be gone for long."""
+        absent = dict.fromkeys(set(NAMES) - entries, 1000.0)
+        seen = frozenset(entries)
+        self.machines[name].present = Present(seen, seen, absent=absent)
+
+    @rule(name=st.sampled_from(NAMES))
+    def entry_looks_after_the_row(self, name):
+        self.machines[name].keeper.look()
+
+    @rule(name=st.sampled_from(NAMES))
+    def machine_hears(self, name):
+        row = self.rows.get(ASSIGNMENT_KEY)
+        if isinstance(row, Row):
+            self.machines[name].hear(row)
+
+    @rule(name=st.sampled_from(NAMES))
+    def machine_acts(self, name):
+        self.machines[name].act()
+
+    @invariant()
+    def reports_agree(self):
+        assert self.judge.violations == []
+
+    @invariant()
+    def counts_are_true(self):
+        for window, counts in self.judge.reports.items():
+            if self.clock.time() >= BOUNDS.end(window) + SETTLE_SECONDS:
+                assert counts == self.truth.get(window, {}), window
+
+    def teardown(self):
+        """Once all live and hear each other, what has ended is reported."""
+        seen = frozenset(NAMES)
+        for machine in self.machines.values():
+            machine.store.deliver()
+            machine.store.cut = machine.store.lose = False
+            machine.store.before = machine.store.after = 0.0
+            machine.present = Present(seen, seen)
+        self.platform.lost = self.platform.down = False
+        self.platform.way = 0.0
+        for _ in range(120):
+            self.clock.advance(0.25)
+            self.everyone_goes_on()
+        self.reports_agree()
+        self.counts_are_true()
+        now = self.clock.time()
+        last = BOUNDS.at(now - BOUNDS.due) - 1
+        assert last in self.judge.reports
+
+
+TestUsageWalk = UsageWalk.TestCase
+TestUsageWalk.settings = settings(
+    max_examples=150, stateful_step_count=60, deadline=None
+)
+
+
+def holder_of(walk):
+    return next(
+        one
+        for one in walk.machines.values()
+        if one.assignment.holder(SUBJECT) == one.name
+    )
+
+
+def test_a_holder_that_was_replaced_sends_nothing_more():
+    """It has not heard of it, and still has something to send."""
+    walk = UsageWalk()
+    first = holder_of(walk)
+    walk.platform.lost = True
+    walk.clock.advance(6.0)
+    first.act()
+    assert walk.judge.reports
+    others = frozenset(NAMES) - {first.name}
+    for name in others:
+        machine = walk.machines[name]
+        machine.present = Present(others, others, absent={first.name: 1_000.0})
+    for _ in range(60):
+        walk.clock.advance(0.25)
+        for name in others:
+            walk.machines[name].keeper.look()
+            walk.machine_hears(name)
+            walk.machines[name].act()
+        first.act()
+        assert walk.judge.violations == []
+    assert len({call.holder for call in walk.judge.calls}) == 2
+
+
+def test_a_write_that_is_done_late_is_found_and_sent():
+    walk = UsageWalk()
+    holder = holder_of(walk)
+    holder.log.add("studio")
+    walk.clock.advance(6.0)
+    holder.store.lose = True
+    holder.act()
+    assert {"studio": 1} not in walk.judge.reports.values()
+    holder.store.deliver()
+    holder.act()
+    assert {"studio": 1} in walk.judge.reports.values()
