API keys in /v1, the client, the commands and make run; duties in settings and status

Calls of /v1 bring the same keys; Lots and idempotency keys are of one account. Operators see keys by their fingerprints, which a document that they write may name again; the history keeps no key. lot submit takes its key from a file or the environment. Flags for the duties' address and windows; status tells who holds a duty, and its token. make run has accounts and a stand-in of the platform's interface for duties.

--- a/examples/quickstart/cluster.py
+++ b/examples/quickstart/cluster.py
@@ -10,11 +10,13 @@
 from pathlib import Path
 
 from platform_standins import deployment
+from platform_standins.duties import DutyServer
 from platform_standins.engine import Engine, PlainService
 from platform_standins.ports import free_port
 from platform_standins.rows import MemoryRows
 from platform_standins.store import StoreServer
 from quickstart.example import Example
+from wigeonfront.duties import Duty
 from wigeonfront.http.client import Answer, Pool
 
 START_SECONDS = 20.0
@@ -57,6 +59,7 @@
             PlainService(self._address(next(self._hosts)), f"plain-{n}")
             for n in range(example.plain)
         ]
+        self.duties = DutyServer(self._address(next(self._hosts)))
         self.api_addresses: list[str] = []
         self._version = 1
         self._lock = threading.Lock()
@@ -108,7 +111,7 @@
     # --- start and stop ------------------------------------------------------
 
     def _start(self) -> None:
-        for server in (self._store, *self.engines, *self.plain):
+        for server in (self._store, self.duties, *self.engines, *self.plain):
             server.start()
         self.rows.put("op/config", bytes(self._example.catalogue))
         for targets in (self.engines, self.plain):
@@ -144,8 +147,19 @@
                 ("--ready-address", self._address(host)),
                 ("--peer-address", peers[number]),
                 ("--seeds", ",".join(peers)),
+                *self._duty_flags(),
             )
 
+    def _duty_flags(self) -> tuple[tuple[str, str], ...]:
+        window = self._example.usage_window
+        if not window:
+            return ()
+        return (
+            ("--duty-address", self.duties.address),
+            ("--duties", Duty.USAGE.value),
+            ("--usage-window-seconds", f"{window:g}"),
+        )
+
     def _start_sides(self) -> None:
         for number, engine in enumerate(self.engines):
             host = next(self._hosts)
@@ -186,7 +200,7 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
-        for server in (self._store, *self.engines, *self.plain):
+        for server in (self._store, self.duties, *self.engines, *self.plain):
             server.stop()
 
 
--- a/examples/quickstart/example.py
+++ b/examples/quickstart/example.py
@@ -16,6 +16,7 @@
     group: int
     bound: int
     reward_route: str
+    api_key: str = ""
 
 
 class CallerPart(msgspec.Struct, forbid_unknown_fields=True):
@@ -35,6 +36,7 @@
     payload: dict[str, str | int]
     once: bool = False
     streamed: bool = False
+    api_key: str = ""
 
 
 class Example(msgspec.Struct, forbid_unknown_fields=True):
@@ -48,6 +50,8 @@
         A side runs beside each engine; without sides, entries order the engines.
     catalogue : msgspec.Raw
         The document that an operator writes.
+    usage_window : float
+        Seconds in which usage of client accounts is counted; 0 for not at all.
     """
 
     name: str
@@ -61,6 +65,7 @@
     trainers: list[TrainerPart]
     callers: list[CallerPart]
     catalogue: msgspec.Raw
+    usage_window: float = 0.0
 
     def failure_domain(self, number: int) -> str:
         """Return where the machine with this number stands."""
--- a/examples/quickstart/load.py
+++ b/examples/quickstart/load.py
@@ -84,7 +84,9 @@
         self._part = part
         self._route = route
         self._model = model
-        self._client = client.TrainerClient(cluster.api_addresses, part.name)
+        self._client = client.TrainerClient(
+            cluster.api_addresses, part.name, api_key=part.api_key
+        )
         self._times = HdrHistogram(1, MOST_MILLISECONDS, 3)
         self.stop_asked = threading.Event()
         self.report = TrainerReport(part.name)
@@ -151,7 +153,7 @@
         self._cluster = cluster
         self._part = part
         self._model = model if part.streamed else ""
-        self._client = client.RequestClient(cluster.api_addresses)
+        self._client = client.RequestClient(cluster.api_addresses, api_key=part.api_key)
         self._times = HdrHistogram(1, MOST_MILLISECONDS, 3)
         self._ends: Counter[str] = Counter()
         self._numbers: list[int] = []
@@ -200,7 +202,8 @@
             "model": self._model,
         }
         pool = Pool(random.choice(self._cluster.api_addresses))
-        answer = pool.call("POST", REQUESTS_PATH, body, timeout=CALL_SECONDS)
+        headers = {"Authorization": f"Bearer {part.api_key}"} if part.api_key else {}
+        answer = pool.call("POST", REQUESTS_PATH, body, headers, CALL_SECONDS)
         pool.close()
         if not isinstance(answer, Answer) or answer.status != 200:
             return answer
--- a/examples/quickstart/run.py
+++ b/examples/quickstart/run.py
@@ -28,6 +28,15 @@
 PROGRESS_SECONDS = 0.25
 
 
+class UsageReport(msgspec.Struct):
+    """What the platform was told of the usage of client accounts."""
+
+    windows: int
+    requests: int
+    accounts: int
+    contradictions: int
+
+
 class RunReport(msgspec.Struct):
     """What one deployment's run showed."""
 
@@ -38,6 +47,7 @@
     callers: list[CallerReport]
     ended: list[str]
     logs: str
+    usage: UsageReport | None = None
 
     @property
     def good(self) -> bool:
@@ -49,7 +59,10 @@
             each.ends.get("Completed") and not each.foreign and not each.doubled
             for each in self.callers
         )
-        return trainers and callers and not self.ended
+        usage = self.usage is None or (
+            self.usage.requests and not self.usage.contradictions
+        )
+        return bool(trainers and callers and usage and not self.ended)
 
 
 def run_deployment(name: str, arguments: argparse.Namespace, folder: Path) -> RunReport:
@@ -82,9 +95,22 @@
             [each.report for each in callers],
             cluster.ended,
             str(logs),
+            usage_of(cluster) if example.usage_window else None,
         )
 
 
+def usage_of(cluster: Cluster) -> UsageReport:
+    """Return what the platform has been told of usage so far."""
+    judge = cluster.duties.judge
+    reports = list(judge.reports.values())
+    return UsageReport(
+        len(reports),
+        sum(sum(counts.values()) for counts in reports),
+        len({account for counts in reports for account in counts}),
+        len(judge.violations),
+    )
+
+
 def _wait(name: str, trainers: list[Trainer], seconds: float) -> None:
     """Wait for the load's time, and show how many samples have come."""
     end = time.monotonic() + seconds
@@ -109,6 +135,12 @@
             f"caller {each.name}: {each.ends}, p50 {each.p50_ms} ms, "
             f"p99 {each.p99_ms} ms; {each.foreign} foreign, {each.doubled} run twice"
         )
+    if report.usage is not None:
+        each = report.usage
+        print(
+            f"usage: {each.windows} windows, {each.requests} requests of "
+            f"{each.accounts} accounts; {each.contradictions} contradictions"
+        )
     for name in report.ended:
         print(f"{name} had ended")
 
--- a/src/wigeonfront/api/messages.py
+++ b/src/wigeonfront/api/messages.py
@@ -216,6 +216,26 @@
     samples: int
 
 
+class DutyStatus(msgspec.Struct, frozen=True):
+    """A duty of one machine at a time.
+
+    Attributes
+    ----------
+    duty : str
+    holder : str
+        Empty while it moves from one machine to another.
+    token : int
+        Fencing token of what is done under the agreed row.
+    last : int
+        Newest window of usage that was taken from this entry; 0 for none.
+    """
+
+    duty: str
+    holder: str
+    token: int
+    last: int = 0
+
+
 class StatusReply(msgspec.Struct, frozen=True):
     """What an entry knows of the deployment."""
 
@@ -225,6 +245,7 @@
     store_reached: bool
     named_versions: dict[str, int]
     order_holders: list[str]
+    duties: list[DutyStatus]
     members: list[MemberStatus]
     targets: list[TargetStatus]
     lots: list[LotStatus]
--- a/src/wigeonfront/api/operations.py
+++ b/src/wigeonfront/api/operations.py
@@ -13,6 +13,7 @@
     CatalogueReply,
     CatalogueStored,
     CatalogueVersion,
+    DutyStatus,
     EventsReply,
     InForceReply,
     LotStatus,
@@ -74,6 +75,15 @@
     def decode(self, value: bytes) -> Configuration | BadDocument:
         """Return the configuration that a document holds."""
 
+    def redacted(self, value: bytes) -> bytes:
+        """Return a document with fingerprints in place of keys."""
+
+    def names_fingerprints(self, value: bytes) -> bool:
+        """Tell whether a document names a key by its fingerprint."""
+
+    def restored(self, value: bytes, present: bytes) -> bytes | BadDocument:
+        """Return a document with the keys that its fingerprints stand for."""
+
 
 class VersionServer:
     """Tells other entries which version of the configuration is used here.
@@ -129,13 +139,13 @@
             raise Refused(404, "no_catalogue")
         configuration = self._format.decode(row.value)
         version = 0 if isinstance(configuration, BadDocument) else configuration.version
-        document = msgspec.Raw(row.value)
+        document = msgspec.Raw(self._format.redacted(row.value))
         call.reply_json(200, CatalogueReply(version, row.revision, document))
 
     def put(self, call: RawCall) -> None:
         """Write a document over the one that the operator has seen."""
         change = decode_body(call.body(MOST_DOCUMENT_BYTES), CatalogueChange)
-        value = bytes(change.document)
+        value = self._restored(bytes(change.document))
         configuration = self._format.decode(value)
         if isinstance(configuration, BadDocument):
             raise Refused(422, "bad_document", configuration.reason)
@@ -143,7 +153,8 @@
         if version <= self._version():
             raise Refused(422, "version_too_low", f"{self._version()} is in force")
         expected = (Expect(self._format.key, change.expected),)
-        puts = (Put(self._format.key, value), Put(_history_key(version), value))
+        told = self._format.redacted(value)
+        puts = (Put(self._format.key, value), Put(_history_key(version), told))
         outcome = self._store.write(expected, puts)
         if isinstance(outcome, Stored):
             call.reply_json(200, CatalogueStored(version, outcome.revision))
@@ -154,6 +165,17 @@
         else:
             raise Refused(504, "unknown", "it may have been written", RETRY_SECONDS)
 
+    def _restored(self, value: bytes) -> bytes:
+        """Return a document with the keys that the operator could not see."""
+        if not self._format.names_fingerprints(value):
+            return value
+        row = self._row()
+        present = row.value if isinstance(row, Row) else b""
+        restored = self._format.restored(value, present)
+        if isinstance(restored, BadDocument):
+            raise Refused(422, "bad_document", restored.reason)
+        return restored
+
     def history(self, call: RawCall) -> None:
         """Answer with the documents that were applied, the oldest first."""
         listing = self._store.list(HISTORY_PREFIX)
@@ -221,6 +243,8 @@
         Returns the newest named versions.
     order_holders : callable
         Returns the machines that order engines.
+    duties : callable
+        Returns what is known of the duties of one machine at a time.
     services : callable
         Returns the names of the services.
     table : TargetTable
@@ -234,6 +258,7 @@
     mirror: Mirror
     versions: Callable[[], list[NamedVersion]]
     order_holders: Callable[[], list[str]]
+    duties: Callable[[], list[DutyStatus]]
     services: Callable[[], list[str]]
     table: TargetTable
     lots: Lots
@@ -247,6 +272,7 @@
             store_reached=self.mirror.ready and not self.mirror.failing,
             named_versions={one.model: one.version for one in self.versions()},
             order_holders=self.order_holders(),
+            duties=self.duties(),
             members=sorted(
                 (
                     MemberStatus(one.name, one.address, one.failure_domain, one.leaving)
--- a/src/wigeonfront/cli.py
+++ b/src/wigeonfront/cli.py
@@ -226,6 +226,11 @@
     submit.add_argument(
         "file", metavar="FILE", help="the Lot's body as JSON; '-' for input"
     )
+    submit.add_argument(
+        "--api-key-file",
+        metavar="FILE",
+        help="file with the API key; WIGEONFRONT_API_KEY without it",
+    )
     submit.add_argument(
         "--output", metavar="FILE", help="write the answer here, not to the output"
     )
--- a/src/wigeonfront/client/entries.py
+++ b/src/wigeonfront/client/entries.py
@@ -40,16 +40,23 @@
     clock : Clock
     generator : random.Random or None
         Source of the jitter.
+    api_key : str
+        API key of the client account; empty for none.
     """
 
     def __init__(
-        self, addresses: Sequence[str], clock: Clock, generator: random.Random | None
+        self,
+        addresses: Sequence[str],
+        clock: Clock,
+        generator: random.Random | None,
+        api_key: str = "",
     ) -> None:
         if not addresses:
             raise ValueError("no entry address given")
         self._generator = generator or random.Random()
         self._pools = [Pool(str(address), CONNECT_SECONDS) for address in addresses]
         self._next = self._generator.randrange(len(self._pools))
+        self._own_headers = {"Authorization": f"Bearer {api_key}"} if api_key else {}
         self.clock = clock
 
     @property
@@ -67,7 +74,8 @@
     ) -> Answer | NotSent | Lost:
         """Call the entry whose turn it is; a lost call leaves its connections."""
         pool = self._pools[self._next]
-        answer = pool.call(method, path, body, headers, max(0.001, timeout))
+        sent = self._own_headers | (headers or {})
+        answer = pool.call(method, path, body, sent, max(0.001, timeout))
         if isinstance(answer, Lost):
             pool.reset()
         return answer
--- a/src/wigeonfront/client/request.py
+++ b/src/wigeonfront/client/request.py
@@ -79,6 +79,8 @@
     clock : Clock, optional
     generator : random.Random, optional
         Source of the jitter.
+    api_key : str, optional
+        Of the client account.
     """
 
     def __init__(
@@ -86,8 +88,9 @@
         addresses: Sequence[str],
         clock: Clock | None = None,
         generator: random.Random | None = None,
+        api_key: str = "",
     ) -> None:
-        self._entries = Entries(addresses, clock or SystemClock(), generator)
+        self._entries = Entries(addresses, clock or SystemClock(), generator, api_key)
 
     def close(self) -> None:
         """Close all connections."""
--- a/src/wigeonfront/client/trainer.py
+++ b/src/wigeonfront/client/trainer.py
@@ -88,6 +88,8 @@
         Told in a few words how each try ended that settled nothing.
     samples_told : callable, optional
         Told of the `LotProgress` after each page of results.
+    api_key : str, optional
+        Of the client account.
     """
 
     def __init__(
@@ -98,8 +100,9 @@
         generator: random.Random | None = None,
         progress: Words = _ignore,
         samples_told: Callable[[LotProgress], None] = _ignore,
+        api_key: str = "",
     ) -> None:
-        self._entries = Entries(addresses, clock or SystemClock(), generator)
+        self._entries = Entries(addresses, clock or SystemClock(), generator, api_key)
         self._trainer = trainer
         self._progress = progress
         self._samples_told = samples_told
--- a/src/wigeonfront/commands/catalogue.py
+++ b/src/wigeonfront/commands/catalogue.py
@@ -23,6 +23,7 @@
     print_table,
     report_failure,
 )
+from wigeonfront.platform.catalogue import PlatformCatalogue
 from wigeonfront.settings import OperatorSettings
 
 POLL_SECONDS = 0.5
@@ -53,7 +54,7 @@
     present = _present(settings)
     if isinstance(present, Response | Unreachable | AnswerLost):
         return report_failure(present)
-    found = changes(present[0], wanted)
+    found = changes(present[0], _redacted(wanted))
     if arguments.json:
         print_json([asdict(change) for change in found])
     elif found:
@@ -153,10 +154,17 @@
     print_error("conflict, nothing written: somebody else changed it")
     present = _present(settings)
     if isinstance(present, tuple):
-        _print_changes(changes(present[0], wanted), ["field", "theirs", "in file"])
+        found = changes(present[0], _redacted(wanted))
+        _print_changes(found, ["field", "theirs", "in file"])
     return exit_codes.CONFLICT
 
 
+def _redacted(document: dict[str, Any]) -> dict[str, Any]:
+    """Return a document with its keys as entries show them."""
+    data = PlatformCatalogue().redacted(json.dumps(document).encode())
+    return json.loads(data)
+
+
 def _print_changes(found: list[FieldChange], columns: list[str]) -> None:
     rows = [[change.field, change.before, change.after] for change in found]
     print_table(columns, rows)
--- a/src/wigeonfront/commands/lot.py
+++ b/src/wigeonfront/commands/lot.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections import Counter
+from collections.abc import Mapping
 from contextlib import closing
 from dataclasses import asdict
 from typing import Any
@@ -21,12 +22,20 @@
 
 DEFAULT_SECONDS = 300.0
 
+API_KEY_VARIABLE = "WIGEONFRONT_API_KEY"
+"""Environment variable that holds the API key."""
+
 
 def submit(settings: OperatorSettings, arguments: argparse.Namespace) -> int:
     """Submit the Lot of a file, write its answer and acknowledge it."""
     body = _read(arguments.file)
     if body is None:
         return exit_codes.USAGE
+    try:
+        api_key = read_api_key(arguments.api_key_file, os.environ)
+    except OSError as error:
+        print_error(f"{arguments.api_key_file}: {error.strerror}")
+        return exit_codes.USAGE
     lot = _lot(body)
     addresses = [str(address) for address in settings.entry]
     bar = tqdm(total=len(lot.samples), unit="sample", file=sys.stderr)
@@ -35,7 +44,11 @@
         bar.update(progress.finished - bar.n)
 
     trainer = client.TrainerClient(
-        addresses, body.trainer, progress=bar.write, samples_told=told
+        addresses,
+        body.trainer,
+        progress=bar.write,
+        samples_told=told,
+        api_key=api_key,
     )
     with closing(trainer):
         with bar:
@@ -51,6 +64,22 @@
     return exit_codes.OK if whole else exit_codes.FAILED
 
 
+def read_api_key(path: str | None, environment: Mapping[str, str]) -> str:
+    """Return the API key in a file, or else that of the environment; or none.
+
+    It is no argument, as the arguments of a process can be seen by others.
+
+    Raises
+    ------
+    OSError
+        When the file can't be read.
+    """
+    if path is None:
+        return environment.get(API_KEY_VARIABLE, "")
+    with open(path, encoding="ascii") as file:
+        return file.read().strip()
+
+
 def _read(path: str) -> LotBody | None:
     try:
         if path == "-":
--- a/src/wigeonfront/node/duties.py
+++ b/src/wigeonfront/node/duties.py
@@ -7,8 +7,9 @@
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.rights import Rights
 from wigeonfront.coordination.rows import RowStore
+from wigeonfront.duties import Duty
 from wigeonfront.http.raw import RawCall
-from wigeonfront.node.settings import Duty, NodeSettings
+from wigeonfront.node.settings import NodeSettings
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.platform.duty_calls import PlatformDuties
 from wigeonfront.supervisor import Supervisor
@@ -17,7 +18,7 @@
 from wigeonfront.usage.collection import StartCollector
 from wigeonfront.usage.held import HeldStarts
 from wigeonfront.usage.ledger import UsageLedger
-from wigeonfront.usage.reporting import UsageReporter
+from wigeonfront.usage.reporting import SUBJECT, UsageReporter
 from wigeonfront.usage.starts import StartLog
 from wigeonfront.usage.windows import UsageBounds
 
@@ -74,6 +75,13 @@
             metrics,
         )
 
+    subject = SUBJECT
+
+    @property
+    def last(self) -> int:
+        """The newest window that was taken from this entry; 0 before any."""
+        return self._reporter.last_sent
+
     @property
     def answers(self) -> dict[str, Callable[[RawCall], None]]:
         """The calls of other entries that it answers, by their paths."""
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -314,6 +314,7 @@
             view=self._view,
             configuration=self._configuration,
             assigning=self._assigning,
+            duties=self._duties,
             table=self._table,
             forwarder=self._forwarder,
             streams=self._streams,
--- a/src/wigeonfront/node/interface.py
+++ b/src/wigeonfront/node/interface.py
@@ -8,6 +8,7 @@
 from wigeonfront.api import ApiFront
 from wigeonfront.api.callers import Callers
 from wigeonfront.api.lots import LotCalls
+from wigeonfront.api.messages import DutyStatus
 from wigeonfront.api.operations import CatalogueCalls, Deployment, OperatorCalls
 from wigeonfront.api.requests import RequestCalls
 from wigeonfront.clock import Clock
@@ -17,6 +18,7 @@
 from wigeonfront.forwarding.keyed import KeyedRequests
 from wigeonfront.forwarding.streams import StreamForwarder
 from wigeonfront.node.assigning import Assigning
+from wigeonfront.node.duties import UsagePart
 from wigeonfront.node.following import ConfigurationFollower
 from wigeonfront.node.store_view import StoreView
 from wigeonfront.observability.explain import RememberedEvents
@@ -49,6 +51,7 @@
     view: StoreView
     configuration: ConfigurationFollower
     assigning: Assigning
+    duties: list[UsagePart]
     table: TargetTable
     forwarder: Forwarder
     streams: StreamForwarder
@@ -104,8 +107,14 @@
         mirror=parts.view.live,
         versions=parts.configuration.versions,
         order_holders=lambda: parts.assigning.holders,
+        duties=lambda: [_duty(one, parts.assigning) for one in parts.duties],
         services=parts.configuration.services,
         table=parts.table,
         lots=parts.lots,
     )
     return OperatorCalls(deployment, remembered.find, parts.drain)
+
+
+def _duty(part: UsagePart, assigning: Assigning) -> DutyStatus:
+    holder = assigning.holder(part.subject) or ""
+    return DutyStatus(part.subject, holder, assigning.revision, part.last)
--- a/src/wigeonfront/node/loading.py
+++ b/src/wigeonfront/node/loading.py
@@ -34,6 +34,8 @@
     "target": "target_address",
     "service": "service",
     "cores": "cores",
+    "duty_address": "duty_address",
+    "duties": "duties",
     "tolerated_losses": "tolerated_losses",
     "data_folder": "data_folder",
     "log_level": "log_level",
--- a/src/wigeonfront/node/settings.py
+++ b/src/wigeonfront/node/settings.py
@@ -1,17 +1,8 @@
 """Settings of one process on the platform, whatever their format there."""
 
-import enum
 from dataclasses import dataclass
 
-
-class Duty(enum.Enum):
-    """What one machine at a time does for all."""
-
-    USAGE = "usage"
-    """Reports how many requests of each client account began."""
-
-    SCALING = "scaling"
-    """Orders how many targets a service has."""
+from wigeonfront.duties import Duty
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/platform/boot.py
+++ b/src/wigeonfront/platform/boot.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from wigeonfront.node.settings import Bounds, Duty, NodeSettings
+from wigeonfront.duties import Duty
+from wigeonfront.node.settings import Bounds, NodeSettings
 
 _DUTIES = {"usage_report": Duty.USAGE, "autoscale": Duty.SCALING}
 
--- a/src/wigeonfront/setting_values.py
+++ b/src/wigeonfront/setting_values.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from pathlib import PurePath
 
+from wigeonfront.duties import Duty
+
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _HOST = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]*|\[[0-9A-Fa-f:.]+\]")
 MOST_PORT = 65_535
@@ -66,6 +68,11 @@
     return parse
 
 
+def parse_duties(text: str) -> frozenset[Duty]:
+    """Return the duties of a comma-separated list, at least one."""
+    return frozenset(Duty(part.strip()) for part in text.split(","))
+
+
 def parse_switch(text: str) -> bool:
     """Return whether `text` says yes."""
     return one_of("yes", "no")(text) == "yes"
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -12,6 +12,7 @@
 from dataclasses import MISSING, Field, dataclass, field, fields
 from typing import Any, TypeVar
 
+from wigeonfront.duties import Duty
 from wigeonfront.setting_values import (
     MOST_PORT,
     Address,
@@ -20,6 +21,7 @@
     one_of,
     parse_address,
     parse_addresses,
+    parse_duties,
     parse_folder,
     parse_name,
     parse_switch,
@@ -197,6 +199,21 @@
     revoke_seconds: float | None = _optional_decimal(
         0.5, 3600, "age of the configuration beyond which --strict-revoke holds"
     )
+    duty_address: Address | None = _optional_address(  # noqa: RUF009
+        "the platform's interface for duties of one machine at a time"
+    )
+    duties: frozenset[Duty] | None = _setting(
+        parse_duties,
+        ", ".join(sorted(one.value for one in Duty)) + ", or several with commas",
+        "duties that one machine at a time does for all",
+        None,
+    )
+    usage_window_seconds: float | None = _optional_decimal(
+        0.5, 3600, "length of the windows in which usage is counted"
+    )
+    usage_due_seconds: float | None = _optional_decimal(
+        1, 3600, "after a window's end, within which its usage is due"
+    )
     tolerated_losses: int | None = _optional_integer(
         0, 10, "disks that may be lost at the same time"
     )
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -337,3 +337,50 @@
     )
     assert Api(entry).call("POST", "/v1/drain", {}) == (202, {"draining": "n1"})
     assert stopped.wait(2.0)
+
+
+ACCOUNTS = {"studio": ["key-s1"], "other": ["key-o1"]}
+S1, O1 = ({"Authorization": f"Bearer {key}"} for key in ("key-s1", "key-o1"))
+
+
+@pytest.fixture
+def keyed(deployed, apis):
+    value = deployment.configuration(2, accounts=ACCOUNTS)
+    deployed.rows.put("op/config", value)
+    return apis("n1")
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("POST", "/v1/lots", LOT),
+        ("GET", LOT_PATH, None),
+        ("POST", "/v1/lots/acknowledge", {"trainer": "t/1", "lot": "step 8"}),
+        ("POST", "/v1/requests", REQUEST),
+    ],
+)
+@pytest.mark.parametrize("headers", [{}, {"Authorization": "Bearer key-x"}])
+def test_calls_need_a_key_where_there_are_accounts(keyed, method, path, body, headers):
+    status, reply = keyed.call(method, path, body, **headers)
+    assert (status, reply["error"]) == (401, "no_account")
+
+
+def test_a_lot_is_unknown_to_other_accounts(deployed, keyed):
+    assert keyed.call("POST", "/v1/lots", LOT, **S1)[0] == 202
+    assert keyed.call("GET", LOT_PATH, **O1)[0] == 404
+    name = {"trainer": LOT["trainer"], "lot": LOT["lot"]}
+    assert keyed.call("POST", "/v1/lots/acknowledge", name, **O1)[0] == 404
+    assert keyed.call("GET", LOT_PATH, **S1)[0] == 200
+    wait_for(lambda: any(engine.headers for engine in deployed.engines))
+    seen = [one for engine in deployed.engines for one in engine.headers.values()]
+    assert {one["wigeonfront-tenant"] for one in seen} == {"studio"}
+
+
+def test_an_idempotency_key_is_of_one_account(deployed, keyed):
+    booking = REQUEST | {"route": "booking"}
+    for headers in (S1, O1, S1):
+        status, _ = keyed.call(
+            "POST", "/v1/requests", booking, Idempotency_Key="k1", **headers
+        )
+        assert status == 200
+    assert len(deployed.plain.seen) == 2
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,6 +16,7 @@
 from wigeonfront import cli
 from wigeonfront.commands import exit_codes
 from wigeonfront.coordination.membership import ENTRY_PREFIX
+from wigeonfront.platform.catalogue import PlatformCatalogue
 
 LOT = {
     "trainer": "t",
@@ -147,6 +148,50 @@
     assert run.json("catalogue", "get")["version"] == 1
 
 
+ACCOUNTS = {"studio": ["key-s1"], "other": ["key-o1"]}
+
+
+def keyed_catalogue(version, accounts=ACCOUNTS):
+    return json.loads(deployment.configuration(version, accounts=accounts))
+
+
+def test_operators_see_keys_by_their_fingerprints_and_keep_them(deployed, run, file):
+    path = file(keyed_catalogue(2))
+    assert run("catalogue", "apply", path) == exit_codes.OK
+    shown = run.json("catalogue", "get")["document"]
+    mark = PlatformCatalogue().redacted(file(keyed_catalogue(2)).read_bytes())
+    assert shown == json.loads(mark)
+    assert run("catalogue", "diff", path) == exit_codes.OK
+    shown["version"] = 3
+    shown["tenants"][0]["apiKeys"].append("key-s2")
+    assert run("catalogue", "apply", file(shown)) == exit_codes.OK
+    row = json.loads(deployed.rows.get("op/config").value)
+    assert row["tenants"][0]["apiKeys"] == ["key-s1", "key-s2"]
+    assert run("catalogue", "history") == exit_codes.OK
+    listed = run.output + json.dumps(run.json("catalogue", "history"))
+    assert "fingerprint:" in listed
+    assert not any(key in listed for key in ("key-s1", "key-s2", "key-o1"))
+    for row in deployed.rows.list("catalogue-history/").rows:
+        assert b"key-s1" not in row.value
+
+
+@pytest.mark.parametrize(
+    ("accounts", "words"),
+    [
+        ({"studio": ["key-s1"], "other": ["key-s1"]}, "share the key"),
+        ({"studio": [""]}, "empty, too long or unfit"),
+        ({"": ["key-s1"]}, "account name"),
+        ({"studio": ["fingerprint:00000000"]}, "no key has the fingerprint:00000000"),
+    ],
+)
+def test_accounts_that_are_wrong_are_not_applied(run, file, accounts, words):
+    code = run("catalogue", "apply", file(keyed_catalogue(2, accounts)))
+    assert code == exit_codes.FAILED
+    assert words in run.errors
+    assert "key-s1" not in run.errors
+    assert run.json("catalogue", "get")["version"] == 1
+
+
 # --- status, drain, explain --------------------------------------------------
 
 
@@ -190,6 +235,23 @@
 # --- lots --------------------------------------------------------------------
 
 
+@pytest.mark.parametrize("source", ["file", "environment"])
+def test_a_lot_is_submitted_with_an_api_key(run, file, tmp_path, monkeypatch, source):
+    assert run("catalogue", "apply", file(keyed_catalogue(2))) == exit_codes.OK
+    assert run("lot", "submit", file(LOT)) == exit_codes.FAILED
+    assert "401" in run.errors or "no_account" in run.errors
+    words = []
+    if source == "environment":
+        monkeypatch.setenv("WIGEONFRONT_API_KEY", "key-s1")
+    else:
+        path = tmp_path / "key"
+        path.write_text("key-s1\n")
+        words = ["--api-key-file", path]
+    assert run("lot", "submit", file(LOT), *words) == exit_codes.OK
+    missing = ["--api-key-file", tmp_path / "none"]
+    assert run("lot", "submit", file(LOT), *missing) == exit_codes.USAGE
+
+
 def test_a_lot_is_submitted_written_and_acknowledged(run, file, tmp_path):
     output = tmp_path / "answer.json"
     assert run("lot", "submit", file(LOT), "--output", output) == exit_codes.OK
--- a/tests/test_usage_calls.py
+++ b/tests/test_usage_calls.py
@@ -11,7 +11,7 @@
 from platform_standins.duties import DutyServer
 from rows_fakes import free_address, wait_for
 from test_account_calls import O1, S1, configure, plain, submit
-from wigeonfront.node.settings import Duty
+from wigeonfront.duties import Duty
 
 WINDOW = 1.0
 DUE = 6.0
