Lots are accepted on the small disks while the store is away

The Lot goes to the disks that its head row would name; they only keep it. Its samples run at once, under no head row and with nothing shown; the head is written as the store returns, and says who owns the Lot. An entry that is lost meanwhile is replaced by the process with the disk, which has the Lot kept without an owner.

Ruled out: results shown from the disks before the head is written, as two entries may have taken one Lot; a majority of the disks as the owner's word, which would be a coordination store.

--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -50,6 +50,7 @@
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.sample_run import SampleRunner
 from wigeonfront.rollout.spooling import LotSpools
+from wigeonfront.rollout.submissions import SubmissionStore
 from wigeonfront.spool import SpoolClient
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.targets.table import TargetTable
@@ -249,6 +250,7 @@
                 self._settings.tolerated_losses + 1,
                 self._clock,
             ),
+            SubmissionStore(self._spool),
             lambda: self._loads.lot_started(),
             self._clock,
         )
@@ -367,6 +369,7 @@
         start("score", self._runner.scoring.run)
         start("loads", self._loads.run)
         start("own", self._lots.own_loop)
+        start("settle", self._lots.settle_loop)
         self._assigning.start(self._supervisor)
         for duty in self._duties:
             duty.start(self._supervisor)
--- a/src/wigeonfront/node/storage.py
+++ b/src/wigeonfront/node/storage.py
@@ -1,8 +1,8 @@
 """The storage process: serves the spool on its disk.
 
 Its supervisor starts the server of the spool, its upkeep, the registration by which
-entries find it, and a mirror that tells when its machine is to be emptied. Without a
-disk it only follows that.
+entries find it, a look at Lots that are here and not in the store, and a mirror that
+tells when its machine is to be emptied. Without a disk it only follows that.
 """
 
 import logging
@@ -23,6 +23,8 @@
 from wigeonfront.observability.logs import event
 from wigeonfront.platform import records
 from wigeonfront.platform.metadata_store import MetadataStore
+from wigeonfront.rollout.repository import LotRepository
+from wigeonfront.rollout.submissions import SubmissionKeeper
 from wigeonfront.spool.file import SpoolFile
 from wigeonfront.spool.server import SpoolServer
 from wigeonfront.supervisor import Supervisor
@@ -77,6 +79,11 @@
                 settings.peer_address, SpoolServer(self._spool).answer, SPOOL_THREADS
             )
             self._registration = self._make_registration(self._spool.disk)
+            self._submissions = SubmissionKeeper(
+                self._spool,
+                LotRepository(self._store, settings.store_value_bytes),
+                clock,
+            )
 
     def _make_registration(self, disk: str) -> Registration:
         settings = self._settings
@@ -104,6 +111,7 @@
             self._server.bind()
             self._supervisor.start("spool", self._server.run)
             self._supervisor.start("registration", self._registration.run)
+            self._supervisor.start("submissions", self._submissions.run)
         self._supervisor.start("upkeep", self._upkeep)
         self._supervisor.start("retire-mirror", self._mirror.run)
 
--- a/src/wigeonfront/platform/lot_calls.py
+++ b/src/wigeonfront/platform/lot_calls.py
@@ -92,7 +92,6 @@
     names.ATTEMPT_ID,
     names.LAST_EVENT_ID,
     names.PRIORITY,
-    names.TENANT,
     "host",
 )
 """Headers of a sample that are the system's to set, not its trainer's."""
--- a/src/wigeonfront/rollout/keeping.py
+++ b/src/wigeonfront/rollout/keeping.py
@@ -111,7 +111,7 @@
             return [
                 one
                 for one in self._lots()
-                if batch_due(one, now) or texts_due(one, now)
+                if not one.deferred and (batch_due(one, now) or texts_due(one, now))
             ]
 
     def _keep(self, progress: LotProgress) -> KeepOutcome:
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -9,6 +9,7 @@
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.observability.logs import event
+from wigeonfront.rollout.acceptance import Deferred, LotAcceptance
 from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.inheritance import Inheritance
 from wigeonfront.rollout.known_lots import KnownLot, KnownLots
@@ -35,6 +36,7 @@
 )
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.spooling import LotSpools
+from wigeonfront.rollout.submissions import Settler, SubmissionStore
 from wigeonfront.rollout.takeover import LotTakeover
 
 logger = logging.getLogger(__name__)
@@ -63,6 +65,7 @@
     members : callable
         Returns the members that are registered.
     spools : LotSpools
+    submissions : SubmissionStore
     on_start : callable
         Called before a Lot's first samples are sent.
     clock : Clock
@@ -76,6 +79,7 @@
         me: Callable[[], Member],
         members: Callable[[], list[Member]],
         spools: LotSpools,
+        submissions: SubmissionStore,
         on_start: Callable[[], None],
         clock: Clock,
     ) -> None:
@@ -87,6 +91,15 @@
         self._members = members
         self._clock = clock
         self._spools = spools
+        self._acceptance = LotAcceptance(repository, submissions)
+        self._settler = Settler(
+            repository,
+            submissions,
+            lambda: me().incarnation,
+            runner.deferred,
+            runner.settle,
+            self._give_up,
+        )
         self._known = KnownLots(repository, mirror, self._owners, me, members)
         self._takeover = LotTakeover(
             repository,
@@ -135,7 +148,7 @@
         # A process that leaves could not finish the Lot: another one takes it over.
         owner = NO_OWNER if self._takeover.leaving else self._me.incarnation
         spools = self._spools.choose(lot.id)
-        outcome = self._repository.accept(lot, owner, spools)
+        outcome = self._acceptance.accept(lot, owner, spools)
         event(
             logger,
             "lot_submitted",
@@ -146,11 +159,11 @@
             outcome=type(outcome).__name__,
             detail=getattr(outcome, "reason", ""),
         )
-        if isinstance(outcome, Kept):
+        if isinstance(outcome, Kept | Deferred):
             if owner != NO_OWNER:
                 self._on_start()
-                left = Inheritance(spools=spools)
-                self._runner.adopt(lot, outcome.revision, left)
+                revision = outcome.revision if isinstance(outcome, Kept) else 0
+                self._runner.adopt(lot, revision, Inheritance(spools=spools))
             return Accepted()
         if isinstance(outcome, AlreadyKept):
             return Accepted(again=True)
@@ -213,6 +226,8 @@
         Its owner ends it, which may have results that the store lacks; one that is not
         reached is replaced first.
         """
+        if self._is_deferred(lot_id):
+            return LotUnavailable("not in the store yet")
         if self.end_here(lot_id):
             return Accepted()
         owner = self._known.owner_address(lot_id)
@@ -233,7 +248,7 @@
     def end_here(self, lot_id: str) -> bool:
         """End a Lot that this process runs; return whether its end is kept."""
         running = self._runner.owned(lot_id)
-        if running is None or not self._keep_owed(running):
+        if running is None or running.deferred or not self._keep_owed(running):
             return False
         progress = self._runner.stop_lot(lot_id, "ended by the trainer")
         if progress is None:
@@ -246,6 +261,10 @@
         self._known.remember(progress, final=kept)
         return kept
 
+    def _is_deferred(self, lot_id: str) -> bool:
+        running = self._runner.owned(lot_id)
+        return running is not None and running.deferred
+
     def _keep_owed(self, progress: LotProgress) -> bool:
         """Have the store keep what only the spool has; return whether it has."""
         if progress.owed <= len(progress.kept):
@@ -289,6 +308,8 @@
 
     def _hand_over(self, progress: LotProgress) -> bool:
         """Write what is left of a stopped Lot; return whether the store took part."""
+        if progress.deferred:
+            return self._hand_over_deferred(progress)
         texts = self._runner.texts_of(progress)
         outcome = self._runner.keeper.keep_rest(progress)
         if isinstance(outcome, Kept):
@@ -307,6 +328,13 @@
         )
         return isinstance(outcome, Kept | OwnerReplaced)
 
+    def _hand_over_deferred(self, progress: LotProgress) -> bool:
+        """Have the store keep a Lot that only disks have; else their processes will."""
+        lot = progress.lot
+        outcome = self._repository.accept(lot, NO_OWNER, progress.spools)
+        event(logger, "lot_handed_over", lot=lot.id, outcome=type(outcome).__name__)
+        return isinstance(outcome, Kept | AlreadyKept)
+
     def _head_of(self, progress: LotProgress, owner: str, state: LotState) -> Head:
         """Return the head row of a Lot that this process owned."""
         lot = progress.lot
@@ -335,6 +363,16 @@
         """Look at once whether a Lot is to be taken over."""
         self._takeover.look()
 
+    def settle_loop(self, stop: threading.Event) -> None:
+        """Write the heads of Lots that disks have (a supervisor's task)."""
+        self._settler.run(stop)
+
+    def _give_up(self, lot_id: str) -> None:
+        """Leave a Lot to its owner that was accepted here, too."""
+        progress = self._runner.stop_lot(lot_id, "accepted elsewhere")
+        if progress is not None:
+            self._known.remember(progress, final=False)
+
     def own_loop(self, stop: threading.Event) -> None:
         """Take over Lots whose owner is gone (a supervisor's task)."""
         self._takeover.run(stop)
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -198,7 +198,8 @@
     ----------
     lot : Lot
     head_revision : int
-        Revision of the head row under which this process owns it.
+        Revision of the head row under which this process owns it; 0 while there is
+        none.
     results : list of SampleResult
         Results that are kept already.
     times : LotTimes
@@ -250,6 +251,11 @@
         for result in results:
             self._close(result.id)
 
+    @property
+    def deferred(self) -> bool:
+        """Whether its head row is still to be written, as the store was away."""
+        return not self.head_revision
+
     @property
     def results(self) -> list[SampleResult]:
         """All results, each at its position."""
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -46,7 +46,7 @@
 from wigeonfront.rollout.sample_run import RunHandle, SampleRunner
 from wigeonfront.rollout.scoring import Scoring, completed
 from wigeonfront.rollout.spooling import ResultSpooler
-from wigeonfront.spool import SpoolClient
+from wigeonfront.spool import SpoolClient, SpoolMember
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.views import TargetView
 
@@ -169,6 +169,22 @@
                 self._text_ended(progress, state)
             self._work.notify_all()
 
+    def settle(self, lot_id: str, head_revision: int) -> None:
+        """Note that the head row of a deferred Lot is written."""
+        with self._lock:
+            progress = self._lots.get(lot_id)
+            if progress is not None and progress.deferred:
+                progress.head_revision = head_revision
+                self._run_revisions[lot_id] = head_revision
+                self._results.notify_all()
+
+    def deferred(self) -> list[tuple[Lot, tuple[SpoolMember, ...]]]:
+        """Return the Lots whose head rows are to be written, with their disks."""
+        with self._lock:
+            return [
+                (one.lot, one.spools) for one in self._lots.values() if one.deferred
+            ]
+
     def owned(self, lot_id: str) -> LotProgress | None:
         """Return the Lot's progress if this process runs it."""
         with self._lock:
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -106,7 +106,7 @@
         for lot_id in self._runner.owned_ids():
             head = heads.get(lot_id)
             progress = self._runner.owned(lot_id)
-            if head is None or progress is None:
+            if head is None or progress is None or progress.deferred:
                 continue
             if head.revision > progress.head_revision:
                 self._runner.stop_lot(lot_id, f"now {head.state.value} at {head.owner}")
--- a/src/wigeonfront/spool/contents.py
+++ b/src/wigeonfront/spool/contents.py
@@ -86,6 +86,19 @@
             self._keys[call.key] = one
         return answer
 
+    def held(self, prefix: str) -> dict[str, tuple[bytes, ...]]:
+        """Return the items of the keys that begin with `prefix` and have any."""
+        return {
+            key: tuple(one.items)
+            for key, one in self._keys.items()
+            if key.startswith(prefix) and one.items
+        }
+
+    def forget_call(self, disk: str, key: str) -> Forget:
+        """Return the call that drops all items of a key."""
+        one = self._keys.get(key, Spooled())
+        return Forget(disk, key, one.fence, one.end)
+
     def drop_untouched(self, before: float) -> int:
         """Drop the keys that were last changed before a monotonic time."""
         old = [key for key, one in self._keys.items() if one.touched_at < before]
--- a/src/wigeonfront/spool/file.py
+++ b/src/wigeonfront/spool/file.py
@@ -96,6 +96,17 @@
                 return Refused("disk failed")
             return answer
 
+    def held(self, prefix: str) -> dict[str, tuple[bytes, ...]]:
+        """Return the items of the keys that begin with `prefix` and have any."""
+        with self._lock:
+            return self._contents.held(prefix)
+
+    def forget(self, key: str) -> None:
+        """Drop the items of a key, which are kept elsewhere."""
+        with self._lock:
+            call = self._contents.forget_call(self.disk, key)
+        self.take(call)
+
     def upkeep(self) -> None:
         """Drop what is old, and shorten the file where that is worth it."""
         with self._lock:
--- /dev/null
+++ b/tests/test_submissions.py
@@ -0,0 +1,285 @@
+"""Lots that are accepted while the store is away, over real sockets and without."""
+
+import threading
+from dataclasses import replace
+
+import pytest
+
+from deployed import Deployment
+from platform_standins.rows import MemoryRows
+from rows_fakes import make_lot, wait_for
+from test_entry_node import SAMPLES, call, check, read, read_all, submit
+from wigeonfront.clock import ManualClock
+from wigeonfront.rollout.acceptance import Deferred, LotAcceptance
+from wigeonfront.rollout.head import Head, LotState
+from wigeonfront.rollout.ownership import NO_OWNER
+from wigeonfront.rollout.repository import (
+    AlreadyKept,
+    InDoubt,
+    Kept,
+    LotRepository,
+    NotKept,
+)
+from wigeonfront.rollout.submissions import (
+    KEY_PREFIX,
+    OWNER_SECONDS,
+    Settler,
+    Stored,
+    SubmissionKeeper,
+    SubmissionStore,
+)
+from wigeonfront.spool import SpoolMember
+from wigeonfront.spool.calls import Append
+from wigeonfront.spool.file import SpoolFile
+
+DISKS = 2
+
+
+@pytest.fixture
+def deployed(tmp_path):
+    made = Deployment()
+    for number in range(DISKS):
+        made.add_disk(f"s{number}", tmp_path / str(number))
+    yield made
+    made.close()
+
+
+def add_entry(deployed, name):
+    entry = deployed.add_entry(name)
+    wait_for(lambda: len(entry._view.disks()) == DISKS)
+    return entry
+
+
+def ran(deployed):
+    return sum(
+        (engine.ran for engine in deployed.engines),
+        start=type(deployed.engines[0].ran)(),
+    )
+
+
+def held(deployed):
+    return sum(len(disk._spool.held(KEY_PREFIX)) for disk in deployed.disks)
+
+
+def test_a_lot_runs_while_the_store_is_away_and_is_shown_at_its_return(deployed):
+    first, second = add_entry(deployed, "n1"), add_entry(deployed, "n2")
+    deployed.rows.faults.down = True
+    assert submit(first, "l1").status == 202
+    assert submit(first, "l1").status == 202
+    wait_for(lambda: len(ran(deployed)) == SAMPLES)
+    assert held(deployed) == DISKS
+    status, page = read(first, "l1")
+    assert (status, page["total"], page["results"]) == (200, SAMPLES, [])
+    assert call(first, "DELETE", "/lots/l1").status == 503
+    assert call(first, "GET", "/items/l1?id=l1-0").body == b"in0"
+    assert call(second, "GET", "/lots/l1?after=0").status == 503
+    deployed.rows.faults.down = False
+    page = read_all(first, "l1")
+    check(deployed, page)
+    assert read_all(second, "l1") == page
+    assert set(ran(deployed).values()) == {1}
+    wait_for(lambda: held(deployed) == 0)
+    assert call(second, "DELETE", "/lots/l1").status == 200
+
+
+def test_a_lot_outlives_the_entry_that_accepted_it_in_an_outage(deployed):
+    first, second = add_entry(deployed, "n1"), add_entry(deployed, "n2")
+    deployed.rows.faults.down = True
+    assert submit(first, "l1").status == 202
+    first.close()
+    deployed.rows.faults.down = False
+    check(deployed, read_all(second, "l1"))
+    wait_for(lambda: held(deployed) == 0)
+
+
+def test_a_lot_outlives_a_planned_stop_in_an_outage(deployed):
+    first, second = add_entry(deployed, "n1"), add_entry(deployed, "n2")
+    deployed.rows.faults.down = True
+    assert submit(first, "l1").status == 202
+    stopping = threading.Thread(target=first.stop)
+    stopping.start()
+    stopping.join()
+    deployed.rows.faults.down = False
+    check(deployed, read_all(second, "l1"))
+
+
+def test_a_lot_that_two_entries_accept_has_one_owner_and_one_order(deployed):
+    first, second = add_entry(deployed, "n1"), add_entry(deployed, "n2")
+    deployed.rows.faults.down = True
+    assert [submit(one, "l1").status for one in (first, second)] == [202, 202]
+    wait_for(lambda: len(ran(deployed)) == SAMPLES)
+    assert [read(one, "l1")[1]["results"] for one in (first, second)] == [[], []]
+    deployed.rows.faults.down = False
+    pages = [read_all(one, "l1") for one in (first, second)]
+    assert pages[0] == pages[1]
+    check(deployed, pages[0])
+    wait_for(lambda: held(deployed) == 0)
+
+
+@pytest.mark.parametrize("lost", [1, DISKS])
+def test_what_may_be_on_a_disk_is_not_called_refused(deployed, lost):
+    """503 promises that nothing runs, and a disk that has the Lot has it run."""
+    entry = add_entry(deployed, "n1")
+    deployed.rows.faults.down = True
+    for disk in deployed.disks[:lost]:
+        disk.stop()
+    assert submit(entry, "l1").status == 504
+
+
+def test_without_disks_a_lot_is_refused_in_an_outage():
+    deployed = Deployment()
+    entry = deployed.add_entry("n1")
+    deployed.rows.faults.down = True
+    assert submit(entry, "l1").status == 503
+    deployed.close()
+
+
+# --- without a network -------------------------------------------------------
+
+LOT = make_lot()
+SPOOLS = (SpoolMember("h:1", "d1"),)
+ME = "n1.aa"
+
+
+class ScriptedStore:
+    """A repository that answers as told."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    def accept(self, lot, owner, spools=()):
+        return self.outcome
+
+
+class ScriptedDisks:
+    def __init__(self, stored):
+        self.stored = stored
+        self.forgotten = []
+
+    def put(self, lot, spools):
+        return self.stored
+
+    def forget(self, lot_id, spools):
+        self.forgotten.append(lot_id)
+
+
+@pytest.mark.parametrize(
+    ("kept", "stored", "accepted"),
+    [
+        (Kept(7), Stored.NONE, Kept(7)),
+        (AlreadyKept(), Stored.NONE, AlreadyKept()),
+        (NotKept("away"), Stored.ALL, Deferred()),
+        (InDoubt("lost"), Stored.ALL, Deferred()),
+        (NotKept("away"), Stored.NONE, NotKept("away")),
+        (InDoubt("lost"), Stored.NONE, InDoubt("lost")),
+        (NotKept("away"), Stored.IN_DOUBT, InDoubt("disks")),
+        (InDoubt("lost"), Stored.IN_DOUBT, InDoubt("lost")),
+    ],
+)
+def test_what_becomes_of_a_submission(kept, stored, accepted):
+    acceptance = LotAcceptance(ScriptedStore(kept), ScriptedDisks(stored))
+    assert acceptance.accept(LOT, ME, SPOOLS) == accepted
+
+
+@pytest.fixture
+def rows():
+    return MemoryRows()
+
+
+def make_settler(rows, disks):
+    told = []
+    settler = Settler(
+        LotRepository(rows, 1_000_000),
+        disks,
+        lambda: ME,
+        lambda: [(LOT, SPOOLS)],
+        lambda lot_id, revision: told.append(("settled", revision)),
+        lambda lot_id: told.append(("given up",)),
+    )
+    return settler, told
+
+
+@pytest.mark.parametrize(
+    ("owner", "expected"),
+    [
+        (None, [("settled", 1)]),
+        # An earlier write whose answer was lost.
+        (ME, [("settled", 1)]),
+        ("n2.bb", [("given up",)]),
+        (NO_OWNER, [("given up",)]),
+    ],
+)
+def test_the_store_says_whose_a_lot_is(rows, owner, expected):
+    repository = LotRepository(rows, 1_000_000)
+    if owner is not None:
+        assert repository.accept(LOT, owner, SPOOLS) == Kept(1)
+    disks = ScriptedDisks(Stored.ALL)
+    settler, told = make_settler(rows, disks)
+    rows.faults.down = True
+    assert not settler.settle(LOT, SPOOLS)
+    assert (told, disks.forgotten) == ([], [])
+    rows.faults.down = False
+    assert settler.settle(LOT, SPOOLS)
+    assert told == expected
+    assert disks.forgotten == [LOT.id]
+    assert repository.head(LOT.id).owner == (ME if owner is None else owner)
+
+
+@pytest.fixture
+def disk(tmp_path):
+    file = SpoolFile(tmp_path, ManualClock())
+    yield file
+    file.close()
+
+
+class DirectSpool:
+    """Calls one disk without a network."""
+
+    def __init__(self, file):
+        self.file = file
+
+    def append(self, members, key, fence, kept, position, items):
+        call = Append(self.file.disk, key, fence, kept, position, tuple(items))
+        self.file.take(call)
+        return True
+
+
+def test_a_disk_has_a_lot_kept_that_nobody_else_does(rows, disk):
+    clock = ManualClock()
+    repository = LotRepository(rows, 1_000_000)
+    keeper = SubmissionKeeper(disk, repository, clock)
+    SubmissionStore(DirectSpool(disk)).put(LOT, SPOOLS)
+    rows.faults.down = True
+    keeper.look()
+    clock.advance(60.0)
+    keeper.look()
+    rows.faults.down = False
+    keeper.look()
+    clock.advance(OWNER_SECONDS - 0.1)
+    keeper.look()
+    assert not isinstance(repository.head(LOT.id), Head)
+    assert disk.held(KEY_PREFIX)
+    clock.advance(0.1)
+    keeper.look()
+    head = repository.head(LOT.id)
+    assert (head.owner, head.state, head.spools) == (NO_OWNER, LotState.OPEN, SPOOLS)
+    assert repository.load(LOT.id, head.parts) == LOT
+    assert not disk.held(KEY_PREFIX)
+    assert disk.item_count == 0
+
+
+def test_a_disk_drops_what_the_store_has(rows, disk):
+    repository = LotRepository(rows, 1_000_000)
+    SubmissionStore(DirectSpool(disk)).put(LOT, SPOOLS)
+    repository.accept(LOT, ME, SPOOLS)
+    SubmissionKeeper(disk, repository, ManualClock()).look()
+    assert not disk.held(KEY_PREFIX)
+    assert repository.head(LOT.id).owner == ME
+
+
+def test_a_lot_that_is_too_large_goes_to_no_disk(disk):
+    sample = replace(LOT.samples[0], body=b"x" * 7_000_000)
+    store = SubmissionStore(DirectSpool(disk))
+    assert store.put(replace(LOT, samples=(sample,)), SPOOLS) is Stored.NONE
+    assert store.put(LOT, ()) is Stored.NONE
+    assert not disk.held(KEY_PREFIX)
