Lost connections are logged with a digest of the request; refused ones apart

The logs could not tell one request that comes again under new ids from several, a crash from silence, nor show a send on a kept connection that broke and was followed by a refused one. A line connection_lost for each connection that ended under a request, whatever sent it (plain request, stream, sample, reward call), with a digest of account, host, method, path and body; connections that this process ended itself have none. 'connection refused' is told apart from 'no connection'.

--- a/src/wigeonfront/forwarding/attempt.py
+++ b/src/wigeonfront/forwarding/attempt.py
@@ -78,9 +78,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """No whole answer came; the request may have run."""
+    """No whole answer came; the request may have run.
+
+    Attributes
+    ----------
+    reason : str
+    lost : bool
+        The connection ended or was reset before the answer was whole.
+    """
 
     reason: str
+    lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -39,6 +39,24 @@
 """Idle connections kept for each target: two times the requests an engine runs."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoConnection:
+    """No connection to a target could be made.
+
+    Attributes
+    ----------
+    refused : bool
+        The target's machine answered that no process listens there.
+    """
+
+    refused: bool
+
+    @property
+    def reason(self) -> str:
+        """The reason in a few words."""
+        return "connection refused" if self.refused else "no connection"
+
+
 @dataclass(slots=True, eq=False, weakref_slot=True)
 class Connection:
     """A connection to one target.
@@ -108,8 +126,8 @@
 
     def take(
         self, target_id: str, address: str, most_idle: float = float("inf")
-    ) -> Connection | None:
-        """Return a connection, kept or new; ``None`` if none could be made.
+    ) -> Connection | NoConnection:
+        """Return a connection, kept or new.
 
         Parameters
         ----------
@@ -182,16 +200,16 @@
             idle = self._idle.get(target_id)
             return idle.pop() if idle else None
 
-    def _open(self, target_id: str, address: str) -> Connection | None:
+    def _open(self, target_id: str, address: str) -> Connection | NoConnection:
         host, port = parse_address(address)
         link = HTTPConnection(
             host, port, timeout=CONNECT_SECONDS, socket_options=_options()
         )
         try:
             link.connect()
-        except (HTTPError, OSError):
+        except (HTTPError, OSError) as error:
             link.close()
-            return None
+            return NoConnection(_is_refusal(error))
         connection = Connection(link, link.sock, target_id)
         with self._lock:
             self.opened += 1
@@ -214,6 +232,11 @@
     return IDLE_SECONDS
 
 
+def _is_refusal(error: Exception) -> bool:
+    # The library wraps the error of the socket.
+    return isinstance(error.__cause__ or error, ConnectionRefusedError)
+
+
 def _options() -> list[tuple[int, int, int]]:
     return [
         NO_DELAY,
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -1,9 +1,11 @@
 """Sends one request to one target over kept connections."""
 
 import http.client
+import logging
 import select
 import socket
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Protocol
 
 from urllib3 import BaseHTTPResponse, HTTPHeaderDict
@@ -20,10 +22,14 @@
     Outcome,
     TimedOut,
 )
-from wigeonfront.forwarding.connections import Connection, Connections
+from wigeonfront.forwarding.connections import Connection, Connections, NoConnection
+from wigeonfront.forwarding.fingerprint import fingerprint
 from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.observability.logs import event
 from wigeonfront.targets.target import Target
 
+logger = logging.getLogger(__name__)
+
 READ_BYTES = 65_536
 MOST_ANSWER_BYTES = 64 * 1024 * 1024
 REFUSAL_BODY_SECONDS = 0.1
@@ -35,6 +41,8 @@
 
 
 OnSent = Callable[[], None]
+OnLost = Callable[[str], None]
+"""Called with the reason why a connection was lost under a request."""
 
 
 def do_nothing() -> None:
@@ -63,7 +71,17 @@
 
 
 class OpenCall:
-    """A request whose answer's head has come and whose body is still unread."""
+    """A request whose answer's head has come and whose body is still unread.
+
+    Parameters
+    ----------
+    connection : Connection
+    response : urllib3.BaseHTTPResponse
+    connections : Connections
+    handle : CallHandle, optional
+    on_lost : callable
+        Called when the body breaks off.
+    """
 
     def __init__(
         self,
@@ -71,11 +89,13 @@
         response: BaseHTTPResponse,
         connections: Connections,
         handle: CallHandle | None = None,
+        on_lost: OnLost = lambda reason: None,
     ) -> None:
         self._connection = connection
         self._response = response
         self._connections = connections
         self._handle = handle
+        self._on_lost = on_lost
 
     @property
     def status(self) -> int:
@@ -113,7 +133,11 @@
         except (TimeoutError, ReadTimeoutError):
             self._connections.forget(self._connection.target_id)
             raise
+        except (HTTPError, OSError, http.client.HTTPException) as error:
+            self._on_lost(f"body:{type(error).__name__}")
+            raise
         if self._response.length_remaining:
+            self._on_lost("body:IncompleteRead")
             raise http.client.IncompleteRead(b"", self._response.length_remaining)
 
     def finish(self) -> None:
@@ -195,7 +219,7 @@
             return TimedOut(self._clock.monotonic() - started)
         except (HTTPError, OSError, http.client.HTTPException) as error:
             call.close()
-            return Broken(f"body:{type(error).__name__}")
+            return Broken(f"body:{type(error).__name__}", lost=True)
         headers = self._protocol.response_headers(call.headers)
         call.finish()
         return Answered(call.status, headers, bytes(body), call.framed)
@@ -231,8 +255,8 @@
             if idle is None
             else self._connections.take(target.id, target.address, idle)
         )
-        if connection is None:
-            return NotExecuted("no connection")
+        if isinstance(connection, NoConnection):
+            return NotExecuted(connection.reason)
         if handle is not None and not handle.attach(connection.sock):
             connection.close()
             return CallerGone()
@@ -246,6 +270,8 @@
             handle,
             on_sent,
         )
+        if isinstance(outcome, Broken) and outcome.lost:
+            self._lost(request, target, connection, handle, outcome.reason)
         stale = isinstance(outcome, Broken) and connection.used
         if not isinstance(outcome, OpenCall):
             connection.reset()
@@ -292,17 +318,18 @@
         except TimeoutError:
             return TimedOut()
         except (HTTPError, OSError, http.client.HTTPException) as error:
-            return Broken(f"send:{type(error).__name__}")
+            return Broken(f"send:{type(error).__name__}", lost=True)
         on_sent()
         waited = self._wait_head(link.sock, deadline, caller)
         if waited is not None:
             return waited
-        return self._read_head(connection, request, deadline, handle)
+        return self._read_head(connection, request, target, deadline, handle)
 
     def _read_head(
         self,
         connection: Connection,
         request: ForwardRequest,
+        target: Target,
         deadline: float,
         handle: CallHandle | None,
     ) -> OpenCall | NotExecuted | Broken | TimedOut:
@@ -313,15 +340,37 @@
         except TimeoutError:
             return TimedOut()
         except (HTTPError, OSError, http.client.HTTPException) as error:
-            return Broken(f"head:{type(error).__name__}")
-        call = OpenCall(connection, response, self._connections, handle)
+            return Broken(f"head:{type(error).__name__}", lost=True)
         if self._protocol.not_executed(response.status, response.headers):
-            self._drain(call)
+            self._drain(OpenCall(connection, response, self._connections, handle))
             replaced = self._protocol.replaced(response.status)
             return NotExecuted(f"status {response.status}", response.status, replaced)
         if not self._protocol.belongs(request, response.headers):
             return Broken("foreign answer")
-        return call
+        on_lost = partial(self._lost, request, target, connection, handle)
+        return OpenCall(connection, response, self._connections, handle, on_lost)
+
+    def _lost(
+        self,
+        request: ForwardRequest,
+        target: Target,
+        connection: Connection,
+        handle: CallHandle | None,
+        reason: str,
+    ) -> None:
+        """Log that a connection was lost under a request, unless it was ended here."""
+        if handle is not None and handle.interrupted:
+            return
+        event(
+            logger,
+            "connection_lost",
+            request=request.id,
+            fingerprint=fingerprint(request),
+            service=target.service,
+            target=target.id,
+            kept=connection.used,
+            reason=reason,
+        )
 
     def _drain(self, call: OpenCall) -> None:
         """Read the short body of a refusal, so that its connection can be kept."""
--- a/src/wigeonfront/forwarding/handle.py
+++ b/src/wigeonfront/forwarding/handle.py
@@ -17,17 +17,24 @@
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
         self._cancelled = False
+        self._interrupted = False
 
     @property
     def cancelled(self) -> bool:
         """Whether the call is no longer wanted."""
         return self._cancelled
 
+    @property
+    def interrupted(self) -> bool:
+        """Whether this process itself ended the present send."""
+        return self._interrupted
+
     def attach(self, sock: socket.socket | None) -> bool:
         """Take the connection of a send; return ``False`` if nothing may be sent."""
         with self._lock:
             if self._cancelled:
                 return False
+            self._interrupted = False
             self._socket = sock
             return True
 
@@ -48,6 +55,7 @@
             self._shut_down()
 
     def _shut_down(self) -> None:
+        self._interrupted = True
         if self._socket is None:
             return
         try:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -14,6 +14,7 @@
     Answered,
     Broken,
     CallerGone,
+    CallHandle,
     Connections,
     Exchange,
     ForwardRequest,
@@ -21,6 +22,7 @@
     TimedOut,
 )
 from wigeonfront.forwarding.connections import idle_seconds
+from wigeonfront.forwarding.fingerprint import fingerprint
 from wigeonfront.forwarding.steps import Fail, ReturnAnswer
 from wigeonfront.platform.target_calls import PlatformTargets, forwarded_headers
 from wigeonfront.targets.target import Target
@@ -400,3 +402,61 @@
     assert isinstance(ends[0], Answered) and isinstance(ends[2], Answered)
     assert isinstance(ends[1], TimedOut | Broken)
     assert connections.opened == 3
+
+
+# --- connections that are lost ---------------------------------------------------
+
+
+def lost_lines(caplog):
+    return [one.message for one in caplog.records if "connection_lost" in one.message]
+
+
+@pytest.mark.parametrize(
+    ("script", "times", "lines"),
+    [
+        ([WHOLE], 1, []),
+        ([(b"", "close")], 1, ["kept=False reason=head:RemoteDisconnected"]),
+        ([(b"", "reset")], 1, ["kept=False reason=head:ConnectionResetError"]),
+        (
+            [WHOLE, (b"", "close"), WHOLE],
+            2,
+            ["kept=True reason=head:RemoteDisconnected"],
+        ),
+        (
+            [(HEAD + b"Content-Length: 9\r\n\r\nbody", "close")],
+            1,
+            ["kept=False reason=body:"],
+        ),
+        # Refusals and answers to other requests come over sound connections.
+        ([b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"], 1, []),
+        ([WHOLE.replace(b"r1", b"r2")], 1, []),
+    ],
+)
+def test_a_connection_that_is_lost_under_a_request_is_logged(
+    caplog, script, times, lines
+):
+    caplog.set_level("INFO")
+    send(*script, times=times)
+    found = lost_lines(caplog)
+    assert len(found) == len(lines)
+    for line, expected in zip(found, lines, strict=True):
+        assert expected in line
+        assert f"fingerprint={fingerprint(request())}" in line
+
+
+def test_a_connection_that_this_process_ends_is_not_logged_as_lost(caplog):
+    caplog.set_level("INFO")
+    raw = RawTarget(b"")
+    _, exchange = make_exchange()
+    handle = CallHandle()
+    threading.Timer(0.1, handle.interrupt).start()
+    until = time.monotonic() + 2
+    outcome = exchange.send(request(), target(raw.address), until, handle=handle)
+    assert isinstance(outcome, Broken)
+    assert lost_lines(caplog) == []
+
+
+def test_a_refused_connection_is_told_apart_from_silence():
+    _, exchange = make_exchange()
+    outcome = exchange.send(request(), target(free_address()), time.monotonic() + 1)
+    assert outcome == NotExecuted("connection refused")
