A crash on a kept connection is not taken for a send that never was

What callers saw: a request that may run twice at most reached three targets in one attempt, and was answered 503 (not run) where a target had begun to run it.

Cause: a request that may be repeated is sent again on a new connection when a kept one breaks under it. If the target has crashed, the new connection is refused, or another incarnation answers it, and that outcome, NotExecuted, replaced the first one: the send did not count as an attempt, and the crash left no trace.

The test failed before, for a refused connection and for a restarted target.

Why this works: the outcome of the first send stands unless the second one was answered by the target that was meant.

--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -281,9 +281,11 @@
         if stale and request.repeatable:
             # The target had dropped the kept connection: once more on a new one.
             self._connections.forget(target.id)
-            return self.open(
+            again = self.open(
                 request, target, deadline, caller, run_seconds, handle, on_sent
             )
+            # The target's process has ended, so the first send may have run.
+            return outcome if _target_ended(again) else again
         if handle is not None and handle.cancelled and isinstance(outcome, Broken):
             return CallerGone()
         return outcome
@@ -405,6 +407,13 @@
                 caller = None
 
 
+def _target_ended(outcome: OpenCall | Outcome) -> bool:
+    """Tell whether the process that a request was meant for is gone or unreachable."""
+    if not isinstance(outcome, NotExecuted):
+        return False
+    return outcome.status == 0 or outcome.replaced
+
+
 def caller_closed(caller: socket.socket) -> bool:
     """Return whether the other end has closed the connection; never wait."""
     try:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,9 +3,11 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 
+from platform_standins.crashing import CrashingService
 from platform_standins.engine import PlainService
 from rows_fakes import free_address, make_forwarder_by
 from wigeonfront.clock import SystemClock
@@ -460,3 +462,23 @@
     _, exchange = make_exchange()
     outcome = exchange.send(request(), target(free_address()), time.monotonic() + 1)
     assert outcome == NotExecuted("connection refused")
+
+
+@pytest.mark.parametrize("back_seconds", [60.0, 0.0])
+def test_a_crash_on_a_kept_connection_is_not_taken_for_a_send_that_never_was(
+    back_seconds,
+):
+    crashing = CrashingService(
+        free_address(), "i-c", lambda id, at: None, lambda id: None, back_seconds
+    )
+    crashing.crashes.add(b"in")
+    crashing.start()
+    _, exchange = make_exchange()
+    harmless = replace(request(), body=b"harmless")
+    meant = target(crashing.address, "i-c.1")
+    kept = exchange.send(harmless, meant, time.monotonic() + 1)
+    assert isinstance(kept, Answered)
+    outcome = exchange.send(request(), meant, time.monotonic() + 1)
+    assert isinstance(outcome, Broken)
+    assert len(crashing.arrivals) == 2
+    crashing.stop()
