A request under which three targets crashed is kept from all others, by all entries

What callers saw: one request that comes again and again crashed each target of a service as soon as it was back. For seconds every other caller got 503, as no target was left.

Cause: attempts have ids of their own, and nothing linked them. Each attempt chose its targets anew, at whichever entry it came to; even what one entry knew of a crash ended with the attempt. The class: work is repeated without a memory, shared by all that repeat it, of what repeating it does.

Now: a lost connection whose target then refuses connections, or registers anew, is a crash under that request, known by a digest of account, host, method, path and body. Each crash is a row of its own below live/, which all entries follow already, so there is no further watch; entries that report at once neither conflict nor count twice. From the third on a request is refused with 503 and the end of its quarantine (1 h, doubled with each further crash), also within an attempt. An answer clears what happened by chance. Plain requests, streams and reward calls go through the same check. Samples are counted but not yet held back.

An entry that saw no crash, or is started later, refuses the request. Without any crash known, a request costs one look at an empty table.

--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -22,6 +22,9 @@
 """Longest wait for a connection: a hundred times a round trip between failure domains,
 and short enough to try another target within a caller's objective."""
 
+LISTENING_SECONDS = 0.1
+"""Longest wait to learn whether a process listens: many round trips."""
+
 SILENCE_MS = 3000
 """Milliseconds for which sent data may stay unacknowledged before TCP gives up."""
 
@@ -232,6 +235,18 @@
     return IDLE_SECONDS
 
 
+def refuses(address: str) -> bool:
+    """Tell whether the machine at `address` answers that no process listens there."""
+    try:
+        socket.create_connection(parse_address(address), LISTENING_SECONDS).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        # Silence says nothing of the process.
+        return False
+    return False
+
+
 def _is_refusal(error: Exception) -> bool:
     # The library wraps the error of the socket.
     return isinstance(error.__cause__ or error, ConnectionRefusedError)
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -24,6 +24,7 @@
 )
 from wigeonfront.forwarding.connections import Connection, Connections, NoConnection
 from wigeonfront.forwarding.fingerprint import fingerprint
+from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.observability.logs import event
 from wigeonfront.targets.target import Target
@@ -81,6 +82,8 @@
     handle : CallHandle, optional
     on_lost : callable
         Called when the body breaks off.
+    on_answered : callable
+        Called once the whole body was read.
     """
 
     def __init__(
@@ -90,12 +93,14 @@
         connections: Connections,
         handle: CallHandle | None = None,
         on_lost: OnLost = lambda reason: None,
+        on_answered: Callable[[], None] = do_nothing,
     ) -> None:
         self._connection = connection
         self._response = response
         self._connections = connections
         self._handle = handle
         self._on_lost = on_lost
+        self._on_answered = on_answered
 
     @property
     def status(self) -> int:
@@ -142,6 +147,7 @@
 
     def finish(self) -> None:
         """Keep the connection after the whole body was read."""
+        self._on_answered()
         if self._handle is not None:
             self._handle.detach()
         original = getattr(self._response, "_original_response", None)
@@ -171,14 +177,21 @@
     connections : Connections
     protocol : TargetProtocol
     clock : Clock
+    guard : RequestGuard, optional
+        Is told which connections were lost and which requests were answered.
     """
 
     def __init__(
-        self, connections: Connections, protocol: TargetProtocol, clock: Clock
+        self,
+        connections: Connections,
+        protocol: TargetProtocol,
+        clock: Clock,
+        guard: RequestGuard = NO_GUARD,
     ) -> None:
         self._connections = connections
         self._protocol = protocol
         self._clock = clock
+        self._guard = guard
 
     def send(
         self,
@@ -349,8 +362,14 @@
             return NotExecuted(f"status {response.status}", response.status, replaced)
         if not self._protocol.belongs(request, response.headers):
             return Broken("foreign answer")
-        on_lost = partial(self._lost, request, target, connection, handle)
-        return OpenCall(connection, response, self._connections, handle, on_lost)
+        return OpenCall(
+            connection,
+            response,
+            self._connections,
+            handle,
+            partial(self._lost, request, target, connection, handle),
+            partial(self._guard.answered, request),
+        )
 
     def _lost(
         self,
@@ -360,7 +379,7 @@
         handle: CallHandle | None,
         reason: str,
     ) -> None:
-        """Log that a connection was lost under a request, unless it was ended here."""
+        """Tell that a connection was lost under a request, unless it was ended here."""
         if handle is not None and handle.interrupted:
             return
         event(
@@ -373,6 +392,7 @@
             kept=connection.used,
             reason=reason,
         )
+        self._guard.lost(request, target)
 
     def _drain(self, call: OpenCall) -> None:
         """Read the short body of a refusal, so that its connection can be kept."""
--- a/src/wigeonfront/forwarding/fingerprint.py
+++ b/src/wigeonfront/forwarding/fingerprint.py
@@ -21,7 +21,7 @@
     True
     """
     digest = blake2b(digest_size=DIGEST_BYTES)
-    host = _host(request).lower()
+    host = host_of(request).lower()
     for text in (request.account, host, request.method, request.target):
         part = text.encode()
         digest.update(len(part).to_bytes(4))
@@ -30,7 +30,8 @@
     return digest.hexdigest()
 
 
-def _host(request: ForwardRequest) -> str:
+def host_of(request: ForwardRequest) -> str:
+    """Return the host that a request names; empty if it names none."""
     for name, value in request.headers:
         if name.lower() == "host":
             return value
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -14,6 +14,7 @@
     TimedOut,
 )
 from wigeonfront.forwarding.exchange import Exchange, do_nothing
+from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.placement import choose_target
 from wigeonfront.forwarding.steps import (
@@ -56,6 +57,8 @@
         Time that a target took.
     starts : StartLog
         Notes the requests of client accounts that begin to run.
+    guard : RequestGuard, optional
+        Knows the requests that must not be sent.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         sends: Counter,
         seconds: Histogram,
         starts: StartLog,
+        guard: RequestGuard = NO_GUARD,
     ) -> None:
         self._table = table
         self._exchange = exchange
@@ -77,6 +81,7 @@
         self._sends = sends
         self._seconds = seconds
         self._starts = starts
+        self._guard = guard
 
     def forward(
         self,
@@ -98,6 +103,9 @@
         failed: Answered | None = None
         sends_left = max(1, route.max_attempts)
         while True:
+            blocked = self._guard.blocked_for(request)
+            if blocked:
+                return refusal("quarantined", may_have_run, blocked)
             view = choose_target(
                 self._table.views(service), tried, self._failure_domain
             )
--- /dev/null
+++ b/src/wigeonfront/forwarding/guard.py
@@ -0,0 +1,36 @@
+"""What keeps requests that crash targets away from them, as forwarding sees it."""
+
+from typing import Protocol
+
+from wigeonfront.forwarding.attempt import ForwardRequest
+from wigeonfront.targets.target import Target
+
+
+class RequestGuard(Protocol):
+    """Remembers which requests crash the targets that run them."""
+
+    def blocked_for(self, request: ForwardRequest) -> float:
+        """Return the seconds for which `request` must not be sent; 0 if it may be."""
+
+    def lost(self, request: ForwardRequest, target: Target) -> None:
+        """Note that the connection to `target` was lost under `request`."""
+
+    def answered(self, request: ForwardRequest) -> None:
+        """Note that a target has answered `request` whole."""
+
+
+class NoGuard:
+    """Lets every request through, for tools that send only their own."""
+
+    def blocked_for(self, request: ForwardRequest) -> float:
+        """Return 0."""
+        return 0.0
+
+    def lost(self, request: ForwardRequest, target: Target) -> None:
+        """Ignore the loss."""
+
+    def answered(self, request: ForwardRequest) -> None:
+        """Ignore the answer."""
+
+
+NO_GUARD = NoGuard()
--- a/src/wigeonfront/forwarding/steps.py
+++ b/src/wigeonfront/forwarding/steps.py
@@ -157,15 +157,22 @@
     return DropRequest()
 
 
-def refusal(reason: str, may_have_run: bool) -> Fail:
+def refusal(
+    reason: str, may_have_run: bool, retry_after: float = RETRY_AFTER_SECONDS
+) -> Fail:
     """Return the end of a request that no target can take now.
 
     503 promises that the request has not run, so it is said only where no send may
     have run.
+
+    Parameters
+    ----------
+    retry_after : float
+        Seconds after which the caller may come back.
     """
     if may_have_run:
         return Fail(BAD_GATEWAY, reason)
-    return Fail(UNAVAILABLE, reason, RETRY_AFTER_SECONDS)
+    return Fail(UNAVAILABLE, reason, retry_after)
 
 
 @singledispatch
--- a/src/wigeonfront/forwarding/streams.py
+++ b/src/wigeonfront/forwarding/streams.py
@@ -17,6 +17,7 @@
     TargetProtocol,
     caller_closed,
 )
+from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.placement import choose_target
 from wigeonfront.forwarding.steps import (
     GATEWAY_TIMEOUT,
@@ -101,6 +102,8 @@
         Where this process stands.
     starts : StartLog
         Notes the requests of client accounts that begin to run.
+    guard : RequestGuard, optional
+        Knows the requests that must not be sent.
     """
 
     def __init__(
@@ -112,6 +115,7 @@
         random: Random,
         failure_domain: str,
         starts: StartLog,
+        guard: RequestGuard = NO_GUARD,
     ) -> None:
         self._table = table
         self._exchange = exchange
@@ -120,6 +124,7 @@
         self._random = random
         self._failure_domain = failure_domain
         self._starts = starts
+        self._guard = guard
 
     def forward(
         self,
@@ -143,8 +148,12 @@
         last_id = self._protocol.resume_point(request)
         may_have_run = False
         last_target = ""
+        blocked = 0.0
         start = FirstEvent(self._starts, request.account)
         while sends_left > 0 and self._clock.monotonic() < due:
+            blocked = self._guard.blocked_for(request)
+            if blocked:
+                break
             views = self._table.views(service)
             view = choose_target(views, tried, self._failure_domain)
             if view is None and route.resumable:
@@ -163,24 +172,30 @@
                 sends_left -= 1
                 if not route.resumable:
                     break
-        self._fail(call, request, may_have_run, self._clock.monotonic() >= due)
+        end = refusal("no target", may_have_run)
+        if blocked:
+            end = refusal("quarantined", may_have_run, blocked)
+        elif may_have_run and self._clock.monotonic() >= due:
+            end = Fail(GATEWAY_TIMEOUT, "timeout")
+        self._fail(call, request, end)
 
-    def _fail(
-        self, call: RawCall, request: ForwardRequest, may_have_run: bool, late: bool
-    ) -> None:
+    def _fail(self, call: RawCall, request: ForwardRequest, end: Fail) -> None:
         if call.began:
             call.abort()
             status = 0
         else:
-            end = refusal("no target", may_have_run)
-            if late and may_have_run:
-                end = Fail(GATEWAY_TIMEOUT, "timeout")
             retry = (
                 (("Retry-After", f"{end.retry_after:g}"),) if end.retry_after else ()
             )
             call.reply(end.status, b"", retry)
             status = end.status
-        event(logger, "stream_failed", request=request.id, status=status, late=late)
+        event(
+            logger,
+            "stream_failed",
+            request=request.id,
+            status=status,
+            reason=end.reason,
+        )
 
     def _send(
         self,
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -42,6 +42,7 @@
 from wigeonfront.platform.lot_front import LotFront
 from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.platform.target_calls import PlatformTargets
+from wigeonfront.quarantine import CrashGuard, CrashLedger, CrashWriter
 from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.rollout.owner_calls import EndServer, OwnerServer, SubmissionServer
@@ -122,7 +123,14 @@
         )
         self._registration = self._make_registration()
         self._connections = Connections(clock)
-        self._exchange = Exchange(self._connections, PlatformTargets(), clock)
+        self._ledger = CrashLedger()
+        self._guard = CrashGuard(self._ledger, self._table, clock, self._metrics)
+        self._crash_writer = CrashWriter(
+            self._ledger, self._store, self._is_first_member, clock
+        )
+        self._exchange = Exchange(
+            self._connections, PlatformTargets(), clock, self._guard
+        )
         self._starts = StartLog(clock)
         self._forwarder = self._make_forwarder()
         self._streams = self._make_streams()
@@ -130,7 +138,7 @@
         self._spool = SpoolClient(clock)
         self._runner = self._make_runner()
         self._targets = TargetFollower(
-            self._table, clock, self._on_targets, self._connections.cut
+            self._table, clock, self._on_targets, self._on_target_replaced
         )
         self._view = StoreView(
             settings,
@@ -209,6 +217,7 @@
             sends,
             seconds,
             self._starts,
+            self._guard,
         )
 
     def _make_streams(self) -> StreamForwarder:
@@ -220,6 +229,7 @@
             self._random,
             self._settings.failure_domain,
             self._starts,
+            self._guard,
         )
 
     def _make_runner(self) -> LotRunner:
@@ -228,7 +238,7 @@
             self._repository,
             self._table,
             SampleRunner(self._exchange, samples, self._clock),
-            RewardCaller(self._forwarder, samples),
+            RewardCaller(self._forwarder, samples, self._guard),
             self._spool,
             lambda: self._configuration.current,
             self._settings.failure_domain,
@@ -370,6 +380,7 @@
         start("loads", self._loads.run)
         start("own", self._lots.own_loop)
         start("settle", self._lots.settle_loop)
+        start("crashes", self._crash_writer.run)
         self._assigning.start(self._supervisor)
         for duty in self._duties:
             duty.start(self._supervisor)
@@ -429,11 +440,22 @@
         for duty in self._duties:
             duty.take(assignment)
 
+    def _on_target_replaced(self, id: str) -> None:
+        self._guard.replaced(id)
+        self._connections.cut(id)
+
+    def _is_first_member(self) -> bool:
+        """Return whether this entry does what one entry should do for all."""
+        names = [one.name for one in self._view.members() if not one.leaving]
+        return min(names, default="") == self._settings.name
+
     def _on_targets(self) -> None:
         self._runner.wake()
         self._fleet.update()
 
     def _on_live(self, mirror: Mirror) -> None:
+        state = mirror.state()
+        self._ledger.take(state.rows, state.revision)
         self._assigning.on_live()
         self._view.restore_registration()
         self._lots.owners_changed()
--- a/src/wigeonfront/rollout/reward_call.py
+++ b/src/wigeonfront/rollout/reward_call.py
@@ -14,6 +14,7 @@
     TimedOut,
 )
 from wigeonfront.forwarding.forwarder import Forwarder
+from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.rollout.lot import RewardCall
 from wigeonfront.targets.views import TargetView
@@ -84,11 +85,19 @@
     ----------
     forwarder : Forwarder
     protocol : RewardProtocol
+    guard : RequestGuard, optional
+        Knows the calls that must not be sent.
     """
 
-    def __init__(self, forwarder: Forwarder, protocol: RewardProtocol) -> None:
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        protocol: RewardProtocol,
+        guard: RequestGuard = NO_GUARD,
+    ) -> None:
         self._forwarder = forwarder
         self._protocol = protocol
+        self._guard = guard
 
     def send(
         self,
@@ -110,6 +119,8 @@
             Ends the call from outside.
         """
         request = self._protocol.reward_request(call)
+        if self._guard.blocked_for(request):
+            return CallRefused("quarantined")
         outcome = self._forwarder.send(
             request, view, deadline, run_seconds=run_seconds, handle=handle
         )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -68,6 +68,11 @@
     return sorted(at for service in services for at in service.crashed_at)
 
 
+def crash_three(entry, services):
+    """Have a request crash three targets by way of one entry."""
+    wait_for(lambda: send(entry, CRASHES) and len(crashed_at(services)) >= 3)
+
+
 def serves(entry, body):
     return wait_for(lambda: send(entry, body).status == 200)
 
@@ -87,3 +92,52 @@
     assert len(late) <= MOST_RETRIES
     for entry in entries:
         serves(entry, HARMLESS)
+
+
+@pytest.mark.parametrize("started_before", [True, False])
+def test_an_entry_that_saw_no_crash_refuses_the_request_too(
+    deployed, services, started_before
+):
+    first = deployed.add_entry("n1")
+    other = deployed.add_entry("n2") if started_before else None
+    serves(first, HARMLESS)
+    crash_three(first, services)
+    other = other or deployed.add_entry("n2")
+    wait_for(lambda: other._ledger.fingerprints())
+    serves(other, HARMLESS)
+    before = len(arrivals(services, CRASHES))
+    answer = send(other, CRASHES)
+    assert (answer.status, answer.retry_after > 3000) == (503, True)
+    assert len(arrivals(services, CRASHES)) == before
+
+
+def test_the_same_body_on_another_path_is_another_request(deployed, services):
+    entry = deployed.add_entry("n1")
+    serves(entry, HARMLESS)
+    crash_three(entry, services)
+    serves(entry, HARMLESS)
+    before = len(arrivals(services, CRASHES))
+    send(entry, CRASHES, path="/plain/b")
+    assert len(arrivals(services, CRASHES)) > before
+
+
+def test_an_answer_clears_what_crashed_two_targets_by_chance(deployed, services):
+    entry = deployed.add_entry("n1")
+    serves(entry, HARMLESS)
+    services[2].crashes.clear()
+    wait_for(lambda: send(entry, CRASHES).status == 200 and crashed_at(services))
+    wait_for(lambda: entry._ledger.empty)
+    wait_for(lambda: not deployed.rows.list("live/crash/").rows)
+
+
+def test_a_stream_that_crashes_its_targets_is_refused(deployed, services):
+    changed = deployment.configuration(2, kind="streaming", resumable=True)
+    deployed.rows.put("op/config", changed)
+    entry = deployed.add_entry("n1")
+    wait_for(lambda: len(entry._table.views(PLAIN)) == len(services))
+    crash_three(entry, services)
+    wait_for(lambda: send(entry, CRASHES).status == 503)
+    before = len(arrivals(services, CRASHES))
+    answer = send(entry, CRASHES)
+    assert (answer.status, answer.retry_after > 3000) == (503, True)
+    assert len(arrivals(services, CRASHES)) == before
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,345 @@
+"""Which requests are kept from targets, and how entries agree on it."""
+
+import random
+import threading
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from rows_fakes import make_store, wait_for
+from wigeonfront.clock import ManualClock
+from wigeonfront.coordination.rows import Row
+from wigeonfront.forwarding import ForwardRequest
+from wigeonfront.forwarding.fingerprint import fingerprint
+from wigeonfront.observability.metrics import Registry
+from wigeonfront.quarantine import (
+    CRASH_PREFIX,
+    Crash,
+    CrashGuard,
+    CrashLedger,
+    CrashWriter,
+    quarantine_end,
+)
+from wigeonfront.quarantine.policy import forget_at
+from wigeonfront.quarantine.record import decode_crash, encode_crash
+from wigeonfront.targets.table import TargetTable
+from wigeonfront.targets.target import Target
+
+HOUR = 3600.0
+REQUEST = ForwardRequest("r1", "POST", "/a?x=1", (("Host", "h"),), b"in", True, "acc")
+AGAIN = ForwardRequest("r2", "POST", "/a?x=1", (("Host", "h"),), b"in", True, "acc")
+OTHER = ForwardRequest("r3", "POST", "/a?x=1", (("Host", "h"),), b"no", True, "acc")
+
+
+@pytest.mark.parametrize(
+    ("crashed_at", "end"),
+    [
+        ([], 0.0),
+        ([100.0], 0.0),
+        ([100.0, 100.0], 0.0),
+        ([100.0, 300.0, 200.0], 300.0 + HOUR),
+        ([1.0, 2.0, 3.0, 4.0], 4.0 + 2 * HOUR),
+        ([1.0] * 7, 1.0 + 16 * HOUR),
+        ([1.0] * 8, 1.0 + 24 * HOUR),
+        ([1.0] * 2000, 1.0 + 24 * HOUR),
+    ],
+)
+def test_a_request_is_quarantined_from_its_third_crash_on(crashed_at, end):
+    assert quarantine_end(crashed_at) == end
+
+
+@pytest.mark.parametrize(
+    ("crashed_at", "at"),
+    [([100.0], 100.0 + HOUR), ([1.0, 2.0, 3.0], 3.0 + 2 * HOUR)],
+)
+def test_crashes_are_remembered_beyond_the_quarantine(crashed_at, at):
+    assert forget_at(crashed_at) == at
+
+
+# --- rows ------------------------------------------------------------------------
+
+
+def test_a_crash_survives_its_row():
+    crash = Crash("f" * 32, "i-1@7", 12.5, "desk", "acc", "POST h/a")
+    assert crash.key == f"live/crash/{'f' * 32}/i-1@7"
+    assert decode_crash(Row(crash.key, encode_crash(crash), 3)) == crash
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        (f"{CRASH_PREFIX}f/i-1", b""),
+        (f"{CRASH_PREFIX}f/i-1", b"\xff"),
+        (f"{CRASH_PREFIX}f/i-1", b"[]"),
+        (f"{CRASH_PREFIX}f/i-1", b'{"at":"now"}'),
+        (f"{CRASH_PREFIX}f", b'{"at":1}'),
+        (f"{CRASH_PREFIX}/i-1", b'{"at":1}'),
+    ],
+)
+def test_malformed_rows_are_logged_once_and_skipped(caplog, key, value):
+    caplog.set_level("INFO")
+    ledger = CrashLedger()
+    for revision in (5, 6):
+        ledger.take({key: Row(key, value, 5)}, revision)
+    assert ledger.empty
+    assert len([one for one in caplog.records if "bad_row" in one.message]) == 1
+
+
+# --- the ledger ------------------------------------------------------------------
+
+
+def crash(number, at=0.0, digest="f"):
+    return Crash(digest, f"i-{number}", at)
+
+
+def rows_of(*crashes):
+    return {one.key: Row(one.key, encode_crash(one), 1) for one in crashes}
+
+
+def test_own_crashes_hold_before_the_store_has_them_and_until_it_shows_them():
+    ledger = CrashLedger()
+    ledger.add(crash(1))
+    ledger.take(rows_of(crash(2)), 10)
+    assert len(ledger.crashes("f")) == 2
+    ledger.written(ledger.wait_due(16, 0.0), 12)
+    ledger.take(rows_of(crash(2)), 11)
+    assert len(ledger.crashes("f")) == 2
+    ledger.take(rows_of(crash(2)), 12)
+    assert ledger.crashes("f") == [crash(2)]
+
+
+def test_a_crash_that_is_cleared_while_it_is_written_stays_cleared():
+    ledger = CrashLedger()
+    ledger.add(crash(1))
+    writing = ledger.wait_due(16, 0.0)
+    assert ledger.forget("f")
+    ledger.written(writing, 5)
+    ledger.take(rows_of(crash(1)), 5)
+    assert ledger.empty
+    assert [one.crash for one in ledger.wait_due(16, 0.0)] == [None]
+
+
+def test_old_crashes_are_removed_and_others_stay():
+    ledger = CrashLedger()
+    old, new = crash(1, at=0.0, digest="old"), crash(2, at=HOUR, digest="new")
+    ledger.take(rows_of(old, new), 1)
+    ledger.forget_old(HOUR + 1)
+    assert ledger.fingerprints() == ["new"]
+
+
+class LedgerWalk(RuleBasedStateMachine):
+    """Three entries over one store; writes may fail, be lost or be seen late."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = make_store()
+        self.clock = ManualClock(1000.0)
+        self.ledgers = [CrashLedger() for _ in range(3)]
+        self.writers = [
+            CrashWriter(ledger, self.store, lambda: False, self.clock)
+            for ledger in self.ledgers
+        ]
+        self.found = set()
+        self.answered = False
+
+    @rule(entry=st.integers(0, 2), number=st.integers(0, 4))
+    def find(self, entry, number):
+        self.ledgers[entry].add(crash(number))
+        self.found.add(number)
+
+    @rule(entry=st.integers(0, 2))
+    def write(self, entry):
+        due = self.ledgers[entry].wait_due(16, 0.0)
+        if due:
+            self.writers[entry].write(due)
+
+    @rule(entry=st.integers(0, 2))
+    def read(self, entry):
+        listing = self.store.list(CRASH_PREFIX)
+        rows = {row.key: row for row in getattr(listing, "rows", ())}
+        if hasattr(listing, "rows"):
+            self.ledgers[entry].take(rows, listing.revision)
+
+    @rule(count=st.integers(1, 3), done=st.booleans())
+    def lose_writes(self, count, done):
+        self.store.faults.lose_writes = count
+        self.store.faults.lost_are_done = done
+
+    @rule()
+    def outage(self):
+        self.store.faults.down = not self.store.faults.down
+
+    @precondition(lambda self: not self.answered)
+    @rule(entry=st.integers(0, 2))
+    def an_entry_knows_its_own_crashes(self, entry):
+        own = {one.key for one in self.ledgers[entry].wait_due(99, 0.0)}
+        assert own <= {one.key for one in self.ledgers[entry].crashes("f")}
+
+    @rule(entry=st.integers(0, 2))
+    def answer(self, entry):
+        self.ledgers[entry].forget("f")
+        assert self.ledgers[entry].crashes("f") == []
+        self.answered = True
+
+    @invariant()
+    def nothing_is_made_up(self):
+        for ledger in self.ledgers:
+            assert {one.target for one in ledger.crashes("f")} <= {
+                f"i-{number}" for number in self.found
+            }
+
+    def teardown(self):
+        """Once the store serves and all have written and read, all know the same."""
+        self.store.faults.down = False
+        self.store.faults.lose_writes = 0
+        for entry in range(3):
+            self.write(entry)
+        for entry in range(3):
+            self.read(entry)
+        known = [{one.target for one in each.crashes("f")} for each in self.ledgers]
+        assert known[0] == known[1] == known[2]
+        if not self.answered:
+            assert known[0] == {f"i-{number}" for number in self.found}
+
+
+TestLedgerWalk = LedgerWalk.TestCase
+TestLedgerWalk.settings = settings(max_examples=80, deadline=None)
+
+
+# --- the writer ------------------------------------------------------------------
+
+
+def test_crashes_are_written_once_the_store_is_back():
+    store, ledger = make_store(), CrashLedger()
+    store.faults.down = True
+    stop = threading.Event()
+    writer = CrashWriter(ledger, store, lambda: False, ManualClock())
+    task = threading.Thread(target=writer.run, args=(stop,), daemon=True)
+    task.start()
+    for number in range(20):
+        ledger.add(crash(number))
+    threading.Timer(0.3, setattr, (store.faults, "down", False)).start()
+    wait_for(lambda: len(getattr(store.list(CRASH_PREFIX), "rows", ())) == 20, 3.0)
+    stop.set()
+    task.join(2)
+
+
+@pytest.mark.parametrize(("leads", "left"), [(True, 0), (False, 1)])
+def test_one_entry_removes_old_rows(leads, left):
+    store, ledger, clock = make_store(), CrashLedger(), ManualClock(10.0)
+    writer = CrashWriter(ledger, store, lambda: leads, clock)
+    ledger.add(crash(1, at=10.0))
+    writer.write(ledger.wait_due(16, 0.0))
+    clock.advance(HOUR + 60.0)
+    writer._forget_old()
+    changes = ledger.wait_due(16, 0.0)
+    if changes:
+        writer.write(changes)
+    assert len(store.list(CRASH_PREFIX).rows) == left
+
+
+# --- the guard -------------------------------------------------------------------
+
+
+class Guarded:
+    """A guard over a table with targets, some of which have ended."""
+
+    def __init__(self, ledger=None):
+        self.clock = ManualClock(1000.0)
+        self.ledger = ledger or CrashLedger()
+        self.table = TargetTable(self.clock, random.Random(1))
+        self.ended = set()
+        self.guard = CrashGuard(
+            self.ledger,
+            self.table,
+            self.clock,
+            Registry(),
+            lambda address: address in self.ended,
+        )
+        self.targets = [
+            Target(f"i-{n}", "desk", f"10.0.0.{n}:1", "z", 4) for n in range(5)
+        ]
+        self.table.replace(self.targets)
+
+    def crash(self, number, request=REQUEST):
+        target = self.targets[number]
+        self.ended.add(target.address)
+        self.guard.lost(request, target)
+
+
+def test_a_request_that_crashed_three_targets_is_blocked_under_any_id():
+    guarded = Guarded()
+    for number, blocked in ((0, False), (1, False), (2, True)):
+        guarded.crash(number)
+        assert bool(guarded.guard.blocked_for(AGAIN)) is blocked
+    assert guarded.guard.blocked_for(AGAIN) == HOUR
+    assert guarded.guard.blocked_for(OTHER) == 0.0
+    guarded.clock.advance(HOUR)
+    assert guarded.guard.blocked_for(AGAIN) == 0.0
+
+
+def test_one_target_that_crashes_counts_once():
+    guarded = Guarded()
+    for _ in range(5):
+        guarded.crash(0)
+    assert guarded.guard.blocked_for(REQUEST) == 0.0
+
+
+def test_a_connection_lost_to_a_target_that_lives_is_no_crash():
+    guarded = Guarded()
+    for target in guarded.targets:
+        guarded.guard.lost(REQUEST, target)
+    guarded.clock.advance(60.0)
+    assert guarded.ledger.empty
+
+
+def test_a_target_that_ends_as_planned_has_not_crashed():
+    guarded = Guarded()
+    leaving = [
+        Target(one.id, one.service, one.address, "z", 4, draining=True)
+        for one in guarded.targets
+    ]
+    guarded.table.replace(leaving)
+    for number in range(5):
+        guarded.crash(number)
+    assert guarded.ledger.empty
+
+
+@pytest.mark.parametrize(
+    ("replaced_after", "counts"), [(-1.0, True), (0.0, True), (4.0, True), (6.0, False)]
+)
+def test_a_target_that_starts_again_at_once_has_crashed(replaced_after, counts):
+    """Its port is taken by the next incarnation, so connections are not refused."""
+    guarded = Guarded()
+    if replaced_after < 0:
+        guarded.guard.replaced("i-0")
+        guarded.clock.advance(-replaced_after)
+    guarded.guard.lost(REQUEST, guarded.targets[0])
+    guarded.clock.advance(max(0.0, replaced_after))
+    if replaced_after >= 0:
+        guarded.guard.replaced("i-0")
+    assert guarded.ledger.empty is not counts
+
+
+def test_an_answer_clears_the_request():
+    guarded = Guarded()
+    for number in range(2):
+        guarded.crash(number)
+    guarded.guard.answered(OTHER)
+    assert len(guarded.ledger.crashes(fingerprint(REQUEST))) == 2
+    guarded.guard.answered(AGAIN)
+    assert guarded.ledger.empty
+
+
+def test_the_path_is_told_without_its_query():
+    guarded = Guarded()
+    guarded.crash(0)
+    (found,) = guarded.ledger.crashes(fingerprint(REQUEST))
+    assert (found.request, found.account, found.service) == ("POST h/a", "acc", "desk")
