Crashes of many targets at one moment don't quarantine a request

A request that many callers send with the same bytes, such as a status page, may be at each target of a service when all of them lose power. It would have been refused for an hour. Three crashes count only if one of its sends began after another had ended: a request that crashes its targets does so send after send. A crash says when its request was sent and when the connection was lost. The send's five parts are one value in the exchange.

--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -5,6 +5,7 @@
 import select
 import socket
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
@@ -169,6 +170,27 @@
         self._response.close()
 
 
+@dataclass(frozen=True, slots=True)
+class _Send:
+    """One request on one connection.
+
+    Attributes
+    ----------
+    request : ForwardRequest
+    target : Target
+    connection : Connection
+    handle : CallHandle or None
+    started : float
+        Monotonic time.
+    """
+
+    request: ForwardRequest
+    target: Target
+    connection: Connection
+    handle: CallHandle | None
+    started: float
+
+
 class Exchange:
     """Sends requests to targets over kept connections.
 
@@ -273,18 +295,10 @@
         if handle is not None and not handle.attach(connection.sock):
             connection.close()
             return CallerGone()
-        outcome = self._send_on(
-            connection,
-            request,
-            target,
-            deadline,
-            caller,
-            run_seconds,
-            handle,
-            on_sent,
-        )
+        send = _Send(request, target, connection, handle, self._clock.monotonic())
+        outcome = self._send_on(send, deadline, caller, run_seconds, on_sent)
         if isinstance(outcome, Broken) and outcome.lost:
-            self._lost(request, target, connection, handle, outcome.reason)
+            self._lost(send, outcome.reason)
         stale = isinstance(outcome, Broken) and connection.used
         if not isinstance(outcome, OpenCall):
             connection.reset()
@@ -305,21 +319,18 @@
 
     def _send_on(
         self,
-        connection: Connection,
-        request: ForwardRequest,
-        target: Target,
+        send: _Send,
         deadline: float,
         caller: socket.socket | None,
         run_seconds: float | None,
-        handle: CallHandle | None,
         on_sent: OnSent,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
-        link = connection.link
+        request, link = send.request, send.connection.link
         remaining = deadline - self._clock.monotonic()
         if remaining <= 0:
             return NotExecuted("no time left")
         seconds = remaining if run_seconds is None else run_seconds
-        headers = self._protocol.request_headers(request, target, seconds)
+        headers = self._protocol.request_headers(request, send.target, seconds)
         link.timeout = max(0.05, remaining)
         try:
             link.request(
@@ -338,16 +349,12 @@
         waited = self._wait_head(link.sock, deadline, caller)
         if waited is not None:
             return waited
-        return self._read_head(connection, request, target, deadline, handle)
+        return self._read_head(send, deadline)
 
     def _read_head(
-        self,
-        connection: Connection,
-        request: ForwardRequest,
-        target: Target,
-        deadline: float,
-        handle: CallHandle | None,
+        self, send: _Send, deadline: float
     ) -> OpenCall | NotExecuted | Broken | TimedOut:
+        connection, handle = send.connection, send.handle
         link = connection.link
         link.sock.settimeout(max(0.05, deadline - self._clock.monotonic()))
         try:
@@ -360,39 +367,33 @@
             self._drain(OpenCall(connection, response, self._connections, handle))
             replaced = self._protocol.replaced(response.status)
             return NotExecuted(f"status {response.status}", response.status, replaced)
-        if not self._protocol.belongs(request, response.headers):
+        if not self._protocol.belongs(send.request, response.headers):
             return Broken("foreign answer")
         return OpenCall(
             connection,
             response,
             self._connections,
             handle,
-            partial(self._lost, request, target, connection, handle),
-            partial(self._guard.answered, request),
+            partial(self._lost, send),
+            partial(self._guard.answered, send.request),
         )
 
-    def _lost(
-        self,
-        request: ForwardRequest,
-        target: Target,
-        connection: Connection,
-        handle: CallHandle | None,
-        reason: str,
-    ) -> None:
+    def _lost(self, send: _Send, reason: str) -> None:
         """Tell that a connection was lost under a request, unless it was ended here."""
-        if handle is not None and handle.interrupted:
+        if send.handle is not None and send.handle.interrupted:
             return
         event(
             logger,
             "connection_lost",
-            request=request.id,
-            fingerprint=fingerprint(request),
-            service=target.service,
-            target=target.id,
-            kept=connection.used,
+            request=send.request.id,
+            fingerprint=fingerprint(send.request),
+            service=send.target.service,
+            target=send.target.id,
+            kept=send.connection.used,
             reason=reason,
         )
-        self._guard.lost(request, target)
+        seconds = self._clock.monotonic() - send.started
+        self._guard.lost(send.request, send.target, seconds)
 
     def _drain(self, call: OpenCall) -> None:
         """Read the short body of a refusal, so that its connection can be kept."""
--- a/src/wigeonfront/forwarding/guard.py
+++ b/src/wigeonfront/forwarding/guard.py
@@ -12,8 +12,14 @@
     def blocked_for(self, request: ForwardRequest) -> float:
         """Return the seconds for which `request` must not be sent; 0 if it may be."""
 
-    def lost(self, request: ForwardRequest, target: Target) -> None:
-        """Note that the connection to `target` was lost under `request`."""
+    def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
+        """Note that the connection to `target` was lost under `request`.
+
+        Parameters
+        ----------
+        seconds : float
+            Time since it was sent.
+        """
 
     def answered(self, request: ForwardRequest) -> None:
         """Note that a target has answered `request` whole."""
@@ -26,7 +32,7 @@
         """Return 0."""
         return 0.0
 
-    def lost(self, request: ForwardRequest, target: Target) -> None:
+    def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
         """Ignore the loss."""
 
     def answered(self, request: ForwardRequest) -> None:
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -12,7 +12,7 @@
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.quarantine.ledger import CrashLedger
-from wigeonfront.quarantine.policy import CRASHES_TO_QUARANTINE, quarantine_end
+from wigeonfront.quarantine.policy import quarantine_end
 from wigeonfront.quarantine.record import Crash
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
@@ -26,10 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """A connection that was lost to a target which may live."""
+    """A connection that was lost to a target which may live.
 
-    request: ForwardRequest
-    target: Target
+    Attributes
+    ----------
+    crash : Crash
+        What it is if the target has ended.
+    until : float
+        Monotonic time until which that may show.
+    """
+
+    crash: Crash
     until: float
 
 
@@ -78,8 +85,8 @@
         if self._ledger.empty:
             return 0.0
         digest = fingerprint(request)
-        crashed_at = self._ledger.crashed_at(digest)
-        seconds = quarantine_end(crashed_at) - self._clock.time()
+        crashes = self._ledger.crashes(digest)
+        seconds = quarantine_end(crashes) - self._clock.time()
         if seconds <= 0:
             return 0.0
         self._blocked.increment()
@@ -88,21 +95,28 @@
             "request_quarantined",
             request=request.id,
             fingerprint=digest,
-            crashes=len(crashed_at),
+            crashes=len(crashes),
             seconds=seconds,
         )
         return seconds
 
-    def lost(self, request: ForwardRequest, target: Target) -> None:
-        """Note that the connection to `target` was lost under `request`."""
+    def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
+        """Note that the connection to `target` was lost under `request`.
+
+        Parameters
+        ----------
+        seconds : float
+            Time since it was sent.
+        """
         known = self._table.get(target.id)
         if known is not None and known.draining:
             # It ends as planned, with what it still runs.
             return
+        crash = self._crash(request, target, seconds)
         if self._refuses(target.address):
-            self._crashed(request, target, "refuses connections")
-        elif not self._suspect(request, target):
-            self._crashed(request, target, "replaced")
+            self._crashed(crash, "refuses connections")
+        elif not self._suspect(crash):
+            self._crashed(crash, "replaced")
 
     def replaced(self, id: str) -> None:
         """Note that a target runs no more, as another incarnation has registered."""
@@ -110,10 +124,10 @@
         with self._lock:
             self._replaced[id] = now
             self._drop_old(now)
-            found = [one for one in self._suspicions if one.target.id == id]
+            found = [one for one in self._suspicions if one.crash.target == id]
             self._suspicions = [one for one in self._suspicions if one not in found]
         for one in found:
-            self._crashed(one.request, one.target, "replaced")
+            self._crashed(one.crash, "replaced")
 
     def answered(self, request: ForwardRequest) -> None:
         """Note that a target has answered `request` whole, so it crashes not all."""
@@ -123,15 +137,14 @@
         if self._ledger.forget(digest):
             event(logger, "crashes_cleared", request=request.id, fingerprint=digest)
 
-    def _suspect(self, request: ForwardRequest, target: Target) -> bool:
+    def _suspect(self, crash: Crash) -> bool:
         """Remember a loss; return ``False`` if the target is known to be replaced."""
         now = self._clock.monotonic()
         with self._lock:
             self._drop_old(now)
-            if target.id in self._replaced:
+            if crash.target in self._replaced:
                 return False
-            until = now + REPLACED_SECONDS
-            self._suspicions.append(_Suspicion(request, target, until))
+            self._suspicions.append(_Suspicion(crash, now + REPLACED_SECONDS))
             return True
 
     def _drop_old(self, now: float) -> None:
@@ -140,30 +153,33 @@
             id: at for id, at in self._replaced.items() if now < at + REPLACED_SECONDS
         }
 
-    def _crashed(self, request: ForwardRequest, target: Target, evidence: str) -> None:
+    def _crash(self, request: ForwardRequest, target: Target, seconds: float) -> Crash:
+        now = self._clock.time()
         path = request.target.partition("?")[0]
-        crash = Crash(
+        return Crash(
             fingerprint(request),
             target.id,
-            self._clock.time(),
+            now - seconds,
+            now,
             target.service,
             request.account,
             f"{request.method} {host_of(request)}{path}",
         )
+
+    def _crashed(self, crash: Crash, evidence: str) -> None:
         if not self._ledger.add(crash):
             return
-        crashes = len(self._ledger.crashed_at(crash.fingerprint))
-        self._crashes.increment(service=target.service)
+        crashes = self._ledger.crashes(crash.fingerprint)
+        self._crashes.increment(service=crash.service)
         event(
             logger,
             "target_crashed",
-            request=request.id,
             fingerprint=crash.fingerprint,
             account=crash.account,
-            path=path,
-            service=target.service,
-            target=target.id,
+            request_line=crash.request,
+            service=crash.service,
+            target=crash.target,
             evidence=evidence,
-            crashes=crashes,
-            quarantined=crashes >= CRASHES_TO_QUARANTINE,
+            crashes=len(crashes),
+            quarantined=quarantine_end(crashes) > 0,
         )
--- a/src/wigeonfront/quarantine/ledger.py
+++ b/src/wigeonfront/quarantine/ledger.py
@@ -40,12 +40,12 @@
     Examples
     --------
     >>> ledger = CrashLedger()
-    >>> ledger.add(Crash("f", "i-1", 5.0))
+    >>> ledger.add(Crash("f", "i-1", 4.0, 5.0))
     True
-    >>> ledger.add(Crash("f", "i-1", 6.0))
+    >>> ledger.add(Crash("f", "i-1", 4.5, 5.0))
     False
-    >>> ledger.crashed_at("f")
-    [5.0]
+    >>> [crash.target for crash in ledger.crashes("f")]
+    ['i-1']
     """
 
     def __init__(self) -> None:
@@ -62,10 +62,6 @@
         """Whether no crash is known."""
         return not self._known
 
-    def crashed_at(self, fingerprint: str) -> list[float]:
-        """Return when targets crashed under a request, in Unix seconds."""
-        return [crash.at for crash in self.crashes(fingerprint)]
-
     def crashes(self, fingerprint: str) -> list[Crash]:
         """Return the crashes under a request."""
         with self._lock:
@@ -95,8 +91,8 @@
     def forget_old(self, now: float) -> None:
         """Remove crashes that decide nothing any more; `now` is the Unix time."""
         for fingerprint in self.fingerprints():
-            crashed_at = self.crashed_at(fingerprint)
-            if crashed_at and forget_at(crashed_at) <= now:
+            crashes = self.crashes(fingerprint)
+            if crashes and forget_at(crashes) <= now:
                 self.forget(fingerprint)
 
     def take(self, rows: Mapping[str, Row], revision: int) -> None:
--- a/src/wigeonfront/quarantine/policy.py
+++ b/src/wigeonfront/quarantine/policy.py
@@ -3,16 +3,21 @@
 A target that crashes takes the other requests that it runs with it, and a service has
 few targets: a request that crashes each of them would take the service out again as
 often as it comes. Any target may crash while an innocent request runs there, so one
-crash proves nothing.
+crash proves nothing, and neither do crashes of many targets at one moment.
 
 Times are Unix times in seconds.
 """
 
 from collections.abc import Collection
 
+from wigeonfront.quarantine.record import Crash
+
 CRASHES_TO_QUARANTINE = 3
 """Targets that must have crashed under one request."""
 
+ROUNDS_TO_QUARANTINE = 2
+"""Sends, one after the end of the other, that these crashes must have ended."""
+
 QUARANTINE_SECONDS = 3600.0
 """First time for which a request is not sent; it doubles with each further crash."""
 
@@ -23,29 +28,52 @@
 """How long crashes are remembered beyond the time in which they decide anything."""
 
 
-def quarantine_end(crashed_at: Collection[float]) -> float:
+def quarantine_end(crashes: Collection[Crash]) -> float:
     """Return the time until which a request is not sent; 0 if it may be sent.
 
     Parameters
     ----------
-    crashed_at : collection of float
-        When each target crashed under it.
+    crashes : collection of Crash
+        All that are known of it.
 
     Examples
     --------
-    >>> quarantine_end([10.0, 20.0])
+    >>> def crash(target, at):
+    ...     return Crash("f", target, at - 1.0, at)
+    >>> quarantine_end([crash("i-1", 10.0), crash("i-2", 20.0)])
     0.0
-    >>> quarantine_end([10.0, 20.0, 30.0]), quarantine_end([10.0, 20.0, 30.0, 4000.0])
-    (3630.0, 11200.0)
+    >>> quarantine_end([crash("i-1", 10.0), crash("i-2", 20.0), crash("i-3", 30.0)])
+    3630.0
     """
-    further = len(crashed_at) - CRASHES_TO_QUARANTINE
-    if further < 0:
+    further = len(crashes) - CRASHES_TO_QUARANTINE
+    if further < 0 or crash_rounds(crashes) < ROUNDS_TO_QUARANTINE:
         return 0.0
     doubled = QUARANTINE_SECONDS * 2 ** min(further, MOST_DOUBLINGS)
-    seconds = min(doubled, MOST_QUARANTINE_SECONDS)
-    return max(crashed_at) + seconds
+    return _newest(crashes) + min(doubled, MOST_QUARANTINE_SECONDS)
+
+
+def crash_rounds(crashes: Collection[Crash]) -> int:
+    """Return the most crashes of which each was sent after the one before had ended.
+
+    Examples
+    --------
+    >>> together = [Crash("f", f"i-{n}", 1.0, 2.0) for n in range(5)]
+    >>> crash_rounds(together), crash_rounds([*together, Crash("f", "i-9", 3.0, 4.0)])
+    (1, 2)
+    """
+    rounds = 0
+    ended_at = float("-inf")
+    for crash in sorted(crashes, key=lambda one: one.at):
+        if crash.sent_at >= ended_at:
+            rounds += 1
+            ended_at = crash.at
+    return rounds
 
 
-def forget_at(crashed_at: Collection[float]) -> float:
+def forget_at(crashes: Collection[Crash]) -> float:
     """Return the time from which the crashes of a request need not be remembered."""
-    return max(*crashed_at, quarantine_end(crashed_at)) + FORGET_SECONDS
+    return max(_newest(crashes), quarantine_end(crashes)) + FORGET_SECONDS
+
+
+def _newest(crashes: Collection[Crash]) -> float:
+    return max(crash.at for crash in crashes)
--- a/src/wigeonfront/quarantine/record.py
+++ b/src/wigeonfront/quarantine/record.py
@@ -25,8 +25,9 @@
         Of the request; see `wigeonfront.forwarding.fingerprint`.
     target : str
         Id of the target's incarnation.
-    at : float
-        Unix time in seconds.
+    sent_at, at : float
+        When the request was sent, and when the connection was lost; Unix times in
+        seconds.
     service : str
     account : str
         Client account of the request; empty for none.
@@ -36,6 +37,7 @@
 
     fingerprint: str
     target: str
+    sent_at: float
     at: float
     service: str = ""
     account: str = ""
@@ -48,6 +50,7 @@
 
 
 class _CrashRow(msgspec.Struct, frozen=True):
+    sent_at: float
     at: float
     service: str = ""
     account: str = ""
@@ -57,7 +60,11 @@
 def encode_crash(crash: Crash) -> bytes:
     """Return the value of the row."""
     row = _CrashRow(
-        crash.at, crash.service, crash.account, crash.request[:MOST_SUMMARY_LENGTH]
+        crash.sent_at,
+        crash.at,
+        crash.service,
+        crash.account,
+        crash.request[:MOST_SUMMARY_LENGTH],
     )
     return msgspec.json.encode(row)
 
@@ -71,4 +78,12 @@
         wire = msgspec.json.decode(row.value, type=_CrashRow)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
-    return Crash(fingerprint, target, wire.at, wire.service, wire.account, wire.request)
+    return Crash(
+        fingerprint,
+        target,
+        wire.sent_at,
+        wire.at,
+        wire.service,
+        wire.account,
+        wire.request,
+    )
