A sample that crashes its engines is run three times more, with pauses

The same cause in Lots: a sample whose run crashes an engine was sent to the next one at once, for as long as its Lot lasts, and each crash breaks off the other runs there. From the third crash on it is run again 4 s after each, three times, and then waits as any quarantined request does. It is not refused at the third, as its Lot waits for it and may not list it as given up before its time; its owner alone sends it, so three are three.

--- a/src/wigeonfront/forwarding/guard.py
+++ b/src/wigeonfront/forwarding/guard.py
@@ -12,6 +12,9 @@
     def blocked_for(self, request: ForwardRequest) -> float:
         """Return the seconds for which `request` must not be sent; 0 if it may be."""
 
+    def sample_blocked_for(self, request: ForwardRequest) -> float:
+        """Return the same for the request of a sample."""
+
     def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
         """Note that the connection to `target` was lost under `request`.
 
@@ -32,6 +35,10 @@
         """Return 0."""
         return 0.0
 
+    def sample_blocked_for(self, request: ForwardRequest) -> float:
+        """Return 0."""
+        return 0.0
+
     def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
         """Ignore the loss."""
 
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -237,7 +237,7 @@
         return LotRunner(
             self._repository,
             self._table,
-            SampleRunner(self._exchange, samples, self._clock),
+            SampleRunner(self._exchange, samples, self._clock, self._guard),
             RewardCaller(self._forwarder, samples, self._guard),
             self._spool,
             lambda: self._configuration.current,
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from wigeonfront.clock import Clock
@@ -12,7 +12,7 @@
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.quarantine.ledger import CrashLedger
-from wigeonfront.quarantine.policy import quarantine_end
+from wigeonfront.quarantine.policy import quarantine_end, sample_retry_at
 from wigeonfront.quarantine.record import Crash
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
@@ -82,11 +82,20 @@
 
     def blocked_for(self, request: ForwardRequest) -> float:
         """Return the seconds for which `request` must not be sent; 0 if it may be."""
+        return self._blocked_for(request, quarantine_end)
+
+    def sample_blocked_for(self, request: ForwardRequest) -> float:
+        """Return the same for the request of a sample, which has a few runs more."""
+        return self._blocked_for(request, sample_retry_at)
+
+    def _blocked_for(
+        self, request: ForwardRequest, end: Callable[[Collection[Crash]], float]
+    ) -> float:
         if self._ledger.empty:
             return 0.0
         digest = fingerprint(request)
         crashes = self._ledger.crashes(digest)
-        seconds = quarantine_end(crashes) - self._clock.time()
+        seconds = end(crashes) - self._clock.time()
         if seconds <= 0:
             return 0.0
         self._blocked.increment()
--- a/src/wigeonfront/quarantine/policy.py
+++ b/src/wigeonfront/quarantine/policy.py
@@ -24,6 +24,13 @@
 MOST_QUARANTINE_SECONDS = 24 * 3600.0
 MOST_DOUBLINGS = 10
 
+SAMPLE_RETRIES = 3
+"""Runs that a quarantined sample still gets: its Lot waits for it, and only its owner
+sends it again."""
+
+RETRY_PAUSE_SECONDS = 4.0
+"""Pause before each of them, in which the engine that has crashed is back."""
+
 FORGET_SECONDS = 3600.0
 """How long crashes are remembered beyond the time in which they decide anything."""
 
@@ -52,6 +59,23 @@
     return _newest(crashes) + min(doubled, MOST_QUARANTINE_SECONDS)
 
 
+def sample_retry_at(crashes: Collection[Crash]) -> float:
+    """Return the time until which a sample of a Lot is not run; 0 if it may be run.
+
+    Examples
+    --------
+    >>> crashes = [Crash("f", f"i-{n}", n + 0.5, n + 1.0) for n in range(6)]
+    >>> sample_retry_at(crashes[:2]), sample_retry_at(crashes[:3])
+    (0.0, 7.0)
+    >>> sample_retry_at(crashes) == quarantine_end(crashes)
+    True
+    """
+    end = quarantine_end(crashes)
+    if not end or len(crashes) >= CRASHES_TO_QUARANTINE + SAMPLE_RETRIES:
+        return end
+    return _newest(crashes) + RETRY_PAUSE_SECONDS
+
+
 def crash_rounds(crashes: Collection[Crash]) -> int:
     """Return the most crashes of which each was sent after the one before had ended.
 
--- a/src/wigeonfront/rollout/after_run.py
+++ b/src/wigeonfront/rollout/after_run.py
@@ -12,6 +12,7 @@
     RunImpossible,
     RunMoved,
     RunOutcome,
+    RunQuarantined,
     RunRefused,
     RunSilent,
     RunTooOld,
@@ -22,6 +23,10 @@
 """Pause before a failed sample is sent again."""
 
 
+QUARANTINE_LOOK_SECONDS = 5.0
+"""Longest pause until it is looked again whether a sample is still quarantined."""
+
+
 @dataclass(frozen=True, slots=True)
 class TextWhole:
     """The sample's text is whole and fits its Lot."""
@@ -93,6 +98,12 @@
     return RunAgain()
 
 
+@settle.register
+def _(outcome: RunQuarantined, run: Run, table: TargetTable, now: float) -> NextStep:
+    run.state.not_before = now + min(outcome.seconds, QUARANTINE_LOOK_SECONDS)
+    return RunAgain()
+
+
 @settle.register
 def _(outcome: RunRefused, run: Run, table: TargetTable, now: float) -> NextStep:
     if outcome.replaced:
--- a/src/wigeonfront/rollout/run_outcomes.py
+++ b/src/wigeonfront/rollout/run_outcomes.py
@@ -68,6 +68,19 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class RunQuarantined:
+    """The sample was not sent, as it crashes engines.
+
+    Attributes
+    ----------
+    seconds : float
+        Time until it may be sent.
+    """
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class RunMoved:
     """The run was ended here to go on at another engine."""
@@ -86,6 +99,7 @@
     | RunFailed
     | RunImpossible
     | RunTooOld
+    | RunQuarantined
     | RunMoved
     | RunCancelled
 )
@@ -117,9 +131,10 @@
     return "failure"
 
 
+@evidence.register(RunQuarantined)
 @evidence.register(RunMoved)
 @evidence.register(RunCancelled)
-def _(outcome: RunMoved | RunCancelled) -> Evidence:
+def _(outcome: RunQuarantined | RunMoved | RunCancelled) -> Evidence:
     return "none"
 
 
@@ -147,3 +162,8 @@
 @detail.register
 def _(outcome: RunTooOld) -> object:
     return outcome.version
+
+
+@detail.register
+def _(outcome: RunQuarantined) -> object:
+    return outcome.seconds
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -16,6 +16,7 @@
     TimedOut,
 )
 from wigeonfront.forwarding.exchange import Exchange, OpenCall
+from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.rollout.events import EventReader, Text
 from wigeonfront.rollout.lot import Lot, Sample
@@ -25,6 +26,7 @@
     RunFailed,
     RunImpossible,
     RunOutcome,
+    RunQuarantined,
     RunRefused,
     RunSilent,
     RunTooOld,
@@ -84,14 +86,21 @@
     exchange : Exchange
     protocol : SampleProtocol
     clock : Clock
+    guard : RequestGuard, optional
+        Knows the samples that must not be sent.
     """
 
     def __init__(
-        self, exchange: Exchange, protocol: SampleProtocol, clock: Clock
+        self,
+        exchange: Exchange,
+        protocol: SampleProtocol,
+        clock: Clock,
+        guard: RequestGuard = NO_GUARD,
     ) -> None:
         self._exchange = exchange
         self._protocol = protocol
         self._clock = clock
+        self._guard = guard
 
     def run(
         self,
@@ -115,6 +124,9 @@
             Called with the version of each event.
         """
         request = self._protocol.sample_request(lot, sample, text.last_id)
+        blocked = self._guard.sample_blocked_for(request)
+        if blocked:
+            return RunQuarantined(blocked)
         first = min(handle.patience, seconds)
         head_by = self._clock.monotonic() + first
         call = self._exchange.open(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,16 +1,19 @@
 """Requests that crash each target that runs them, at entries over real sockets."""
 
+import base64
 import itertools
 import time
 
+import msgspec
 import pytest
 
 from deployed import Deployment
 from platform_standins import deployment
 from platform_standins.crashing import CrashingService
-from platform_standins.deployment import HOST, PLAIN
+from platform_standins.deployment import ENGINES, HOST, MODEL, PLAIN
 from rows_fakes import free_address, wait_for
 from wigeonfront.http.client import Answer, Pool
+from wigeonfront.quarantine import policy
 
 CONTACT_SECONDS = 3.0
 MOST_RETRIES = 3
@@ -28,10 +31,9 @@
     made.close()
 
 
-@pytest.fixture
-def services(deployed):
+def start_services(deployed, name):
     def started(id, address):
-        deployment.register(deployed.rows, id, PLAIN, address)
+        deployment.register(deployed.rows, id, name, address, models=[])
 
     def ended(id):
         deployed.rows.remove(f"servers/{id}")
@@ -43,11 +45,27 @@
     for service in made:
         service.crashes.add(CRASHES)
         service.start()
+    return made
+
+
+@pytest.fixture
+def services(deployed):
+    made = start_services(deployed, PLAIN)
     yield made
     for service in made:
         service.stop()
 
 
+@pytest.fixture
+def engines(deployed):
+    for engine in deployed.engines:
+        deployed.rows.remove(f"servers/{engine.id}")
+    made = start_services(deployed, ENGINES)
+    yield made
+    for engine in made:
+        engine.stop()
+
+
 def send(entry, body, path="/plain/a"):
     """Send a request under a new id, as a caller that tries again does."""
     pool = Pool(entry._settings.front_address)
@@ -141,3 +159,37 @@
     answer = send(entry, CRASHES)
     assert (answer.status, answer.retry_after > 3000) == (503, True)
     assert len(arrivals(services, CRASHES)) == before
+
+
+def submit(entry, lot_id, body):
+    sample = {
+        "id": f"{lot_id}-0",
+        "path": "/lots-in/0",
+        "headers": {"Wigeonfront-Model": MODEL},
+        "body": base64.b64encode(body).decode(),
+        "tokens": 10,
+        "group": "g0",
+    }
+    lot = {"step": 0, "model": MODEL, "minVersion": 1, "items": [sample]}
+    headers = {"Host": HOST, "Wigeonfront-Attempt-Id": lot_id}
+    pool = Pool(entry._settings.front_address)
+    answer = pool.call(
+        "POST", f"/lots-in/{lot_id}", msgspec.json.encode(lot), headers, timeout=4.0
+    )
+    pool.close()
+    return answer.status
+
+
+def test_a_sample_that_crashes_its_engines_is_run_three_times_more(
+    deployed, engines, monkeypatch
+):
+    monkeypatch.setattr(policy, "RETRY_PAUSE_SECONDS", 0.5)
+    entry = deployed.add_entry("n1")
+    wait_for(lambda: len(entry._table.views(ENGINES)) == len(engines))
+    assert submit(entry, "l1", CRASHES) == 202
+    wait_for(lambda: len(crashed_at(engines)) >= 6, 20.0)
+    time.sleep(3.0)
+    reached = arrivals(engines, CRASHES)
+    assert len(reached) == 6
+    for before, after in itertools.pairwise(reached[2:]):
+        assert after - before > 0.5
