Operators see quarantined requests and release them; a report reads what others wrote

An entry whose mirror is seconds behind, as its source is cut off from the store, would have let a request crash three more targets before it knew. Whoever reports a crash now reads the rows of all others with it, and a request waits for that, 0.1 s at most, before it goes on to another target: each such entry lets it reach one target, not three. Tests: test_an_entry_whose_mirror_is_behind_learns_of_others_as_it_reports (failed before) and test_a_crash_is_agreed_on_before_its_request_goes_on.

'wigeonfront quarantine list' and 'release FINGERPRINT', GET and DELETE /v1/quarantine: a request that was quarantined by mistake, or whose service was mended, need not wait.

--- a/src/wigeonfront/api/front.py
+++ b/src/wigeonfront/api/front.py
@@ -16,6 +16,7 @@
     CatalogueCalls,
     OperatorCalls,
 )
+from wigeonfront.api.quarantine import QUARANTINE_PATH, QuarantineCalls
 from wigeonfront.api.requests import REQUESTS_PATH, RequestCalls
 from wigeonfront.configuration import Configuration
 from wigeonfront.http.raw import BodyTooLarge, RawCall
@@ -42,6 +43,7 @@
     requests : RequestCalls
     catalogue : CatalogueCalls
     operators : OperatorCalls
+    quarantine : QuarantineCalls
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         requests: RequestCalls,
         catalogue: CatalogueCalls,
         operators: OperatorCalls,
+        quarantine: QuarantineCalls,
     ) -> None:
         self._configuration = configuration
         self._ready = ready
@@ -69,11 +72,13 @@
             ("GET", IN_FORCE_PATH): catalogue.in_force,
             ("GET", STATUS_PATH): operators.status,
             ("POST", DRAIN_PATH): operators.drain,
+            ("GET", QUARANTINE_PATH): quarantine.show,
             ("GET", "/health"): _alive,
             ("GET", "/ready"): self._answer_ready,
         }
         self._below: dict[tuple[str, str], Answer] = {
             ("GET", EXPLAIN_PATH): operators.explain,
+            ("DELETE", QUARANTINE_PATH + "/"): quarantine.release,
         }
 
     def handle(self, call: RawCall) -> None:
--- a/src/wigeonfront/api/messages.py
+++ b/src/wigeonfront/api/messages.py
@@ -251,6 +251,45 @@
     lots: list[LotStatus]
 
 
+class SuspectStatus(msgspec.Struct, frozen=True):
+    """A request under which targets have crashed.
+
+    Attributes
+    ----------
+    fingerprint : str
+    request : str
+        Method, host and path of the last one.
+    account : str
+    service : str
+    crashes : int
+        Targets that crashed.
+    last_crash : float
+        Unix time in seconds.
+    blocked_seconds : float
+        Time for which it is not sent to targets; 0 if it is.
+    """
+
+    fingerprint: str
+    request: str
+    account: str
+    service: str
+    crashes: int
+    last_crash: float
+    blocked_seconds: float
+
+
+class QuarantineReply(msgspec.Struct, frozen=True):
+    """Requests under which targets have crashed, those with most crashes first."""
+
+    suspects: list[SuspectStatus]
+
+
+class ReleasedReply(msgspec.Struct, frozen=True):
+    """A request whose crashes are forgotten."""
+
+    released: str
+
+
 class EventsReply(msgspec.Struct, frozen=True):
     """Log lines of a request that the entry still remembers."""
 
--- a/src/wigeonfront/cli.py
+++ b/src/wigeonfront/cli.py
@@ -92,6 +92,7 @@
         _add_role(commands, name, help, role, "run:run")
     _add_catalogue(commands)
     _add_inspection(commands)
+    _add_quarantine(commands)
     _add_check_config(commands)
     _add_lot(commands)
     return parser
@@ -190,6 +191,23 @@
     )
 
 
+def _add_quarantine(commands: argparse._SubParsersAction) -> None:
+    quarantine = _command(
+        commands, "quarantine", "requests that are not sent, as they crash targets"
+    )
+    actions = _subcommands(quarantine)
+    _add_operation(
+        actions,
+        "list",
+        "list the requests under which targets have crashed",
+        "quarantine:show",
+    )
+    release = _add_operation(
+        actions, "release", "have one sent to targets again", "quarantine:release"
+    )
+    release.add_argument("fingerprint", metavar="FINGERPRINT", help="of the request")
+
+
 def _add_check_config(commands: argparse._SubParsersAction) -> None:
     parser = _command(
         commands,
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -331,6 +331,7 @@
             forwarder=self._forwarder,
             streams=self._streams,
             lots=self._lots,
+            ledger=self._ledger,
             gate=self._gate,
             clock=self._clock,
         )
--- a/src/wigeonfront/node/interface.py
+++ b/src/wigeonfront/node/interface.py
@@ -10,6 +10,7 @@
 from wigeonfront.api.lots import LotCalls
 from wigeonfront.api.messages import DutyStatus
 from wigeonfront.api.operations import CatalogueCalls, Deployment, OperatorCalls
+from wigeonfront.api.quarantine import QuarantineCalls
 from wigeonfront.api.requests import RequestCalls
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.membership import Member
@@ -24,6 +25,7 @@
 from wigeonfront.observability.explain import RememberedEvents
 from wigeonfront.platform.catalogue import PlatformCatalogue
 from wigeonfront.platform.lot_calls import PlatformSamples
+from wigeonfront.quarantine import CrashLedger
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.targets.table import TargetTable
 
@@ -56,6 +58,7 @@
     forwarder: Forwarder
     streams: StreamForwarder
     lots: Lots
+    ledger: CrashLedger
     gate: AccountGate
     clock: Clock
 
@@ -74,6 +77,7 @@
         requests,
         _catalogue(parts),
         _operations(parts),
+        QuarantineCalls(parts.ledger, parts.clock),
     )
 
 
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -24,6 +24,11 @@
 incarnation shows that the target has crashed: it registers within this time."""
 
 
+AGREE_SECONDS = 0.1
+"""Longest time for which a request that has crashed a target waits until it is known
+what other entries have seen of it: many times what the store takes."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Suspicion:
     """A connection that was lost to a target which may live.
@@ -124,8 +129,11 @@
         crash = self._crash(request, target, seconds)
         if self._refuses(target.address):
             self._crashed(crash, "refuses connections")
-        elif not self._suspect(crash):
+        elif self._suspect(crash):
+            return
+        else:
             self._crashed(crash, "replaced")
+        self._ledger.wait_written(crash, AGREE_SECONDS)
 
     def replaced(self, id: str) -> None:
         """Note that a target runs no more, as another incarnation has registered."""
--- a/src/wigeonfront/quarantine/ledger.py
+++ b/src/wigeonfront/quarantine/ledger.py
@@ -51,6 +51,8 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
+        self._written = threading.Condition(self._lock)
+        self._revision = 0
         self._agreed: dict[str, Crash] = {}
         self._changes: dict[str, Change] = {}
         # Both of them together, by the fingerprint and the key.
@@ -96,10 +98,19 @@
                 self.forget(fingerprint)
 
     def take(self, rows: Mapping[str, Row], revision: int) -> None:
-        """Take the rows that the store shows at a revision."""
+        """Take the rows that the store shows at a revision; older ones are ignored.
+
+        Parameters
+        ----------
+        rows : mapping of str to Row
+            By their keys; those of other prefixes are passed over.
+        """
         found = {key: row for key, row in rows.items() if key.startswith(CRASH_PREFIX)}
         crashes = {key: decode_crash(row) for key, row in found.items()}
         with self._lock:
+            if revision < self._revision:
+                return
+            self._revision = revision
             self._log_bad(row for key, row in found.items() if crashes[key] is None)
             agreed = {key: crash for key, crash in crashes.items() if crash is not None}
             seen = [
@@ -121,17 +132,22 @@
                 self._changed.wait(seconds)
             return self._due()[:most]
 
+    def wait_written(self, crash: Crash, seconds: float) -> None:
+        """Wait until the store has a crash, or until `seconds` have passed."""
+        with self._lock:
+            self._written.wait_for(lambda: not self._is_due(crash.key), seconds)
+
     def written(self, changes: Iterable[Change], revision: int) -> None:
         """Note that the store has taken changes at a revision."""
         with self._lock:
             for change in changes:
                 if self._changes.get(change.key) is change:
                     self._changes[change.key] = replace(change, revision=revision)
+            self._written.notify_all()
 
-    def wake(self) -> None:
-        """End the wait of `wait_due`."""
-        with self._lock:
-            self._changed.notify_all()
+    def _is_due(self, key: str) -> bool:
+        change = self._changes.get(key)
+        return change is not None and not change.revision
 
     def _due(self) -> list[Change]:
         return [one for one in self._changes.values() if not one.revision]
--- a/src/wigeonfront/quarantine/writer.py
+++ b/src/wigeonfront/quarantine/writer.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Sequence
 
 from wigeonfront.clock import Clock
-from wigeonfront.coordination.rows import Put, RowStore, Stored
+from wigeonfront.coordination.rows import Listing, Put, RowStore, Stored
 from wigeonfront.observability.logs import event
 from wigeonfront.quarantine.ledger import Change, CrashLedger
-from wigeonfront.quarantine.record import encode_crash
+from wigeonfront.quarantine.record import CRASH_PREFIX, encode_crash
 
 logger = logging.getLogger(__name__)
 
@@ -68,7 +68,8 @@
     def write(self, changes: Sequence[Change]) -> bool:
         """Write changes; return whether the store has certainly taken them.
 
-        One whose fate is unknown is written again, which changes nothing.
+        One whose fate is unknown is written again, which changes nothing. What others
+        have written is read at once, as the mirror may be behind by seconds.
         """
         puts = tuple(
             Put(one.key, encode_crash(one.crash))
@@ -86,9 +87,17 @@
         )
         if not isinstance(outcome, Stored):
             return False
+        if puts:
+            self._read()
         self._ledger.written(changes, outcome.revision)
         return True
 
+    def _read(self) -> None:
+        listing = self._store.list(CRASH_PREFIX)
+        if isinstance(listing, Listing):
+            rows = {row.key: row for row in listing.rows}
+            self._ledger.take(rows, listing.revision)
+
     def _forget_old(self) -> None:
         now = self._clock.monotonic()
         if now - self._forgot_at < FORGET_PAUSE_SECONDS:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import threading
+import time
 
 import pytest
 
@@ -17,6 +18,8 @@
 from wigeonfront.commands import exit_codes
 from wigeonfront.coordination.membership import ENTRY_PREFIX
 from wigeonfront.platform.catalogue import PlatformCatalogue
+from wigeonfront.quarantine import Crash
+from wigeonfront.quarantine.record import encode_crash
 
 LOT = {
     "trainer": "t",
@@ -206,6 +209,24 @@
     assert run.drained.wait(2.0)
 
 
+def test_a_quarantined_request_is_listed_and_released(run, deployed):
+    now = time.time()
+    for n in range(3):
+        crash = Crash("f1", f"i-{n}", now + n, now + n + 1, "desk", "acc", "POST h/a")
+        deployed.rows.put(crash.key, encode_crash(crash))
+    wait_for(lambda: run.json("quarantine", "list")["suspects"])
+    (suspect,) = run.json("quarantine", "list")["suspects"]
+    assert suspect["crashes"] == 3
+    assert suspect["request"] == "POST h/a"
+    assert suspect["blocked_seconds"] > 3000
+    assert run("quarantine", "list") == exit_codes.OK
+    assert "f1" in run.output
+    assert run.json("quarantine", "release", "f1") == {"released": "f1"}
+    assert run.json("quarantine", "list") == {"suspects": []}
+    wait_for(lambda: not deployed.rows.list("live/crash/").rows)
+    assert run("quarantine", "release", "f1") == exit_codes.FAILED
+
+
 def test_explain_tells_what_became_of_a_sample(run, file, caplog):
     caplog.set_level(logging.INFO)
     assert run("lot", "submit", file(LOT)) == exit_codes.OK
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -230,6 +230,36 @@
 # --- the writer ------------------------------------------------------------------
 
 
+def test_an_entry_whose_mirror_is_behind_learns_of_others_as_it_reports():
+    store = make_store()
+    first, behind = CrashLedger(), CrashLedger()
+    for ledger, number in ((first, 1), (behind, 2)):
+        ledger.add(crash(number))
+        writer = CrashWriter(ledger, store, lambda: False, ManualClock())
+        writer.write(ledger.wait_due(16, 0.0))
+    assert [one.target for one in behind.crashes("f")] == ["i-1", "i-2"]
+    behind.take({}, 0)
+    assert len(behind.crashes("f")) == 2
+
+
+def test_a_crash_is_agreed_on_before_its_request_goes_on():
+    """Within an attempt the next send follows at once."""
+    store, ledger, stop = make_store(), CrashLedger(), threading.Event()
+    others = CrashLedger()
+    for number in (1, 2):
+        others.add(crash(number, at=990.0 + number, digest=fingerprint(REQUEST)))
+    writer = CrashWriter(others, store, lambda: False, ManualClock())
+    writer.write(others.wait_due(16, 0.0))
+    writer = CrashWriter(ledger, store, lambda: False, ManualClock())
+    task = threading.Thread(target=writer.run, args=(stop,), daemon=True)
+    task.start()
+    guarded = Guarded(ledger)
+    guarded.crash(3)
+    assert guarded.guard.blocked_for(REQUEST) == HOUR
+    stop.set()
+    task.join(2)
+
+
 def test_crashes_are_written_once_the_store_is_back():
     store, ledger = make_store(), CrashLedger()
     store.faults.down = True
