--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass
 
+from benchmarks.soak.caller import Caller
 from benchmarks.soak.cluster import RESTART_SECONDS, STOP_SECONDS, Cluster, Options
 from benchmarks.soak.trainer import Trainer
 from wigeonfront.http.client import Answer, Pool
@@ -36,23 +37,29 @@
     cluster = Cluster(seed, options)
     trainer = Trainer(cluster, seed)
     stop = threading.Event()
-    thread = threading.Thread(target=trainer.run, args=(stop,), daemon=True)
+    caller = Caller(cluster, seed)
+    runs = [trainer.run, *([caller.run] if options.crashing else [])]
+    threads = [threading.Thread(target=run, args=(stop,), daemon=True) for run in runs]
     try:
         cluster.start()
         wait_ready(cluster)
-        thread.start()
+        for thread in threads:
+            thread.start()
         wait_accepted(trainer)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             time.sleep(cluster.random.uniform(0.05, 1.2))
             cluster.inject()
         stop.set()
-        thread.join()
+        for thread in threads:
+            thread.join()
         cluster.calm()
         # A process that was told to stop is still answering calls.
         time.sleep(STOP_SECONDS + RESTART_SECONDS)
         wait_ready(cluster)
         trainer.finish(SETTLE_SECONDS)
+        if options.crashing:
+            caller.finish()
     finally:
         stop.set()
         cluster.close()
@@ -62,7 +69,7 @@
         sum(lot.accepted for lot in trainer.lots),
         trainer.calls,
         cluster.injected,
-        trainer.violations,
+        [*trainer.violations, *caller.violations],
         str(cluster.folder),
     )
 
@@ -110,15 +117,23 @@
     parser.add_argument(
         "--clocks", action="store_true", help="times of day differ, and jump"
     )
+    parser.add_argument(
+        "--crashing",
+        action="store_true",
+        help="some requests crash the targets that run them; not with --scored",
+    )
     parser.add_argument(
         "--processes", type=int, default=OPTIONS.entries, help="entries"
     )
     arguments = parser.parse_args()
+    if arguments.crashing and arguments.scored:
+        parser.error("--crashing does not go with --scored")
     options = Options(
         arguments.one_version,
         arguments.scored,
         arguments.disks,
         arguments.clocks,
+        arguments.crashing,
         arguments.processes,
     )
     first, _, last = arguments.seeds.partition("-")
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from platform_standins import deployment
+from platform_standins.crashing import CrashingService
 from platform_standins.deployment import ENGINES, MODEL, PLAIN
 from platform_standins.engine import Engine, PlainService
 from platform_standins.ports import free_port, free_ports
@@ -25,6 +26,8 @@
 DISKS = 3
 ENGINE_COUNT = 3
 SCORER_COUNT = 3
+CRASHER_COUNT = 3
+CRASHING_BODIES = frozenset((b"crashes you", b"crashes you, too"))
 STOP_SECONDS = 6
 RESTART_SECONDS = 0.7
 """Pause after which a process that has ended is started again."""
@@ -80,6 +83,8 @@
         disks are lost one at a time.
     clocks : bool
         The time of day differs between processes, and jumps.
+    crashing : bool
+        Some plain requests crash the targets that run them; not with `scored`.
     entries : int
     """
 
@@ -87,6 +92,7 @@
     scored: bool = False
     disks: bool = False
     clocks: bool = False
+    crashing: bool = False
     entries: int = 3
 
 
@@ -177,6 +183,9 @@
         self._starts = itertools.count(1_000_000)
         for scorer in self.scorers:
             deployment.register(self.rows, scorer.id, PLAIN, scorer.address)
+        self.crashing_bodies = CRASHING_BODIES
+        crashers = CRASHER_COUNT if options.crashing else 0
+        self.crashers = [self._crasher(number) for number in range(crashers)]
         self.entries = self._entries()
         self.disks = [self._disk(n) for n in range(DISKS if options.disks else 0)]
         self._wiped_at = -WIPE_PAUSE_SECONDS
@@ -195,6 +204,18 @@
         scorer.start()
         return scorer
 
+    def _crasher(self, number: int) -> CrashingService:
+        crasher = CrashingService(
+            self._free_address(),
+            f"i-c{number}",
+            lambda id, address: deployment.register(self.rows, id, PLAIN, address),
+            lambda id: self.rows.remove(f"servers/{id}"),
+            RESTART_SECONDS,
+        )
+        crasher.crashes |= CRASHING_BODIES
+        crasher.start()
+        return crasher
+
     def _entries(self) -> list[EntryProcess]:
         hosts = [self._host() for _ in range(self.options.entries)]
         ports = [free_ports(host, 3) for host in hosts]
@@ -316,7 +337,7 @@
                 one.process.wait(5)
         for entry in self.entries:
             entry.relay.close()
-        for server in (*self.engines, *self.scorers, self.store):
+        for server in (*self.engines, *self.scorers, *self.crashers, self.store):
             server.stop()
 
     # --- faults --------------------------------------------------------------
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,6 +43,12 @@
     assert played.accepted > 0
 
 
+def test_requests_that_crash_targets_are_kept_from_them_under_faults():
+    played = play(7, 4.0, Options(crashing=True))
+    assert played.violations == []
+    assert played.accepted > 0
+
+
 def test_the_ports_of_a_process_differ():
     ports = free_ports(loopback_host(), 500)
     assert len(set(ports)) == len(ports)
