A suspect has its target for itself; the first quarantine lasts ten minutes

After one crash a request is sent to a target of its own while there are others, and no other request to that one. Where only one target is left, it is shared.

--- a/benchmarks/mutations/decisions.py
+++ b/benchmarks/mutations/decisions.py
@@ -547,6 +547,20 @@
         "        if True:",
         "test_quarantine.py",
     ),
+    _mutation(
+        "requests share a target with a suspect",
+        "forwarding/forwarder.py",
+        "tried.union(self._guard.avoided(request))",
+        "tried",
+        "test_quarantine.py",
+    ),
+    _mutation(
+        "suspects that run are not known",
+        "quarantine/guard.py",
+        "        if not digest or not self._ledger.crashes(digest):",
+        "        if True:",
+        "test_quarantine.py",
+    ),
     _mutation(
         "every lost connection is a crash",
         "quarantine/guard.py",
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -106,9 +106,7 @@
             blocked = self._guard.blocked_for(request)
             if blocked:
                 return refusal("quarantined", may_have_run, blocked)
-            view = choose_target(
-                self._table.views(service), tried, self._failure_domain
-            )
+            view = self._choose(request, service, tried)
             if view is None:
                 # What a target has said says more than that there is no other.
                 if failed is not None:
@@ -131,6 +129,16 @@
             if not isinstance(step, SendAgain):
                 return step
 
+    def _choose(
+        self, request: ForwardRequest, service: str, tried: set[str]
+    ) -> TargetView | None:
+        """Return a target, if it can be one that no other request may crash."""
+        views = self._table.views(service)
+        avoided = tried.union(self._guard.avoided(request))
+        return choose_target(views, avoided, self._failure_domain) or choose_target(
+            views, tried, self._failure_domain
+        )
+
     def send(
         self,
         request: ForwardRequest,
@@ -155,15 +163,16 @@
         note = self._starts.note(request.account)
         outcome: Outcome = TimedOut()
         try:
-            outcome = self._exchange.send(
-                request,
-                target,
-                deadline,
-                caller,
-                run_seconds,
-                handle,
-                note.sent if request.account else do_nothing,
-            )
+            with self._guard.running(request, target):
+                outcome = self._exchange.send(
+                    request,
+                    target,
+                    deadline,
+                    caller,
+                    run_seconds,
+                    handle,
+                    note.sent if request.account else do_nothing,
+                )
         finally:
             seconds = self._clock.monotonic() - started
             answered = isinstance(outcome, Answered)
--- a/src/wigeonfront/forwarding/guard.py
+++ b/src/wigeonfront/forwarding/guard.py
@@ -1,5 +1,7 @@
 """What keeps requests that crash targets away from them, as forwarding sees it."""
 
+from collections.abc import Collection, Iterator
+from contextlib import AbstractContextManager, contextmanager
 from typing import Protocol
 
 from wigeonfront.forwarding.attempt import ForwardRequest
@@ -15,6 +17,14 @@
     def sample_blocked_for(self, request: ForwardRequest) -> float:
         """Return the same for the request of a sample."""
 
+    def avoided(self, request: ForwardRequest) -> Collection[str]:
+        """Return the ids of targets that another request may be about to crash."""
+
+    def running(
+        self, request: ForwardRequest, target: Target
+    ) -> AbstractContextManager[None]:
+        """Return a context in which `request` is at `target`."""
+
     def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
         """Note that the connection to `target` was lost under `request`.
 
@@ -39,6 +49,15 @@
         """Return 0."""
         return 0.0
 
+    def avoided(self, request: ForwardRequest) -> Collection[str]:
+        """Return none."""
+        return ()
+
+    @contextmanager
+    def running(self, request: ForwardRequest, target: Target) -> Iterator[None]:
+        """Do nothing at either end."""
+        yield
+
     def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
         """Ignore the loss."""
 
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -2,7 +2,8 @@
 
 import logging
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from wigeonfront.clock import Clock
@@ -23,7 +24,6 @@
 """How long after a lost connection, or before it, the start of a target's next
 incarnation shows that the target has crashed: it registers within this time."""
 
-
 AGREE_SECONDS = 0.1
 """Longest time for which a request that has crashed a target waits until it is known
 what other entries have seen of it: many times what the store takes."""
@@ -46,7 +46,7 @@
 
 
 class CrashGuard:
-    """A `wigeonfront.forwarding.guard.RequestGuard` that all entries share.
+    """A `RequestGuard` by the crashes that all entries have seen.
 
     A lost connection alone is no crash: the network may have reset it, or the target
     may have spoiled its answer. A target has crashed if its machine refuses the next
@@ -76,6 +76,8 @@
         self._refuses = refuses
         self._lock = threading.Lock()
         self._suspicions: list[_Suspicion] = []
+        # Requests under which a target has crashed that run now: fingerprint, target.
+        self._suspects_running: list[tuple[str, str]] = []
         # Targets that were replaced lately, with the monotonic time.
         self._replaced: dict[str, float] = {}
         self._crashes = metrics.counter(
@@ -114,6 +116,34 @@
         )
         return seconds
 
+    def avoided(self, request: ForwardRequest) -> Collection[str]:
+        """Return the ids of targets that another request may be about to crash.
+
+        What shares a target with it would be taken for the cause as well, and follow
+        it from target to target.
+        """
+        if not self._suspects_running:
+            return ()
+        digest = fingerprint(request)
+        with self._lock:
+            return {id for other, id in self._suspects_running if other != digest}
+
+    @contextmanager
+    def running(self, request: ForwardRequest, target: Target) -> Iterator[None]:
+        """Note, within the context, that `request` is at `target`."""
+        digest = "" if self._ledger.empty else fingerprint(request)
+        if not digest or not self._ledger.crashes(digest):
+            yield
+            return
+        suspect = digest, target.id
+        with self._lock:
+            self._suspects_running.append(suspect)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._suspects_running.remove(suspect)
+
     def lost(self, request: ForwardRequest, target: Target, seconds: float) -> None:
         """Note that the connection to `target` was lost under `request`.
 
--- a/src/wigeonfront/quarantine/policy.py
+++ b/src/wigeonfront/quarantine/policy.py
@@ -18,11 +18,14 @@
 ROUNDS_TO_QUARANTINE = 2
 """Sends, one after the end of the other, that these crashes must have ended."""
 
-QUARANTINE_SECONDS = 3600.0
-"""First time for which a request is not sent; it doubles with each further crash."""
+QUARANTINE_SECONDS = 600.0
+"""First time for which a request is not sent."""
+
+QUARANTINE_GROWTH = 6
+"""Factor by which it grows with each further crash."""
 
 MOST_QUARANTINE_SECONDS = 24 * 3600.0
-MOST_DOUBLINGS = 10
+MOST_GROWTHS = 3
 
 SAMPLE_RETRIES = 3
 """Runs that a quarantined sample still gets: its Lot waits for it, and only its owner
@@ -50,13 +53,13 @@
     >>> quarantine_end([crash("i-1", 10.0), crash("i-2", 20.0)])
     0.0
     >>> quarantine_end([crash("i-1", 10.0), crash("i-2", 20.0), crash("i-3", 30.0)])
-    3630.0
+    630.0
     """
     further = len(crashes) - CRASHES_TO_QUARANTINE
     if further < 0 or crash_rounds(crashes) < ROUNDS_TO_QUARANTINE:
         return 0.0
-    doubled = QUARANTINE_SECONDS * 2 ** min(further, MOST_DOUBLINGS)
-    return _newest(crashes) + min(doubled, MOST_QUARANTINE_SECONDS)
+    seconds = QUARANTINE_SECONDS * QUARANTINE_GROWTH ** min(further, MOST_GROWTHS)
+    return _newest(crashes) + min(seconds, MOST_QUARANTINE_SECONDS)
 
 
 def sample_retry_at(crashes: Collection[Crash]) -> float:
