Calls about Lots that give nothing are logged, and what is read and adopted

A line for each such call, for each reading of a Lot's results in the store, and for what a new owner begins with.

--- a/src/wigeonfront/platform/lot_front.py
+++ b/src/wigeonfront/platform/lot_front.py
@@ -40,6 +40,7 @@
 @dataclass(frozen=True, slots=True)
 class _EncodedPage:
     body: bytes
+    empty: bool
 
 
 class LotFront:
@@ -92,6 +93,8 @@
         outcome = ask(_id_of(name, configuration, admitted))
         if isinstance(outcome, LotUnknown) and _may_be_unscoped(name, configuration):
             outcome = ask(name)
+        if _gives_nothing(outcome):
+            _log_nothing(call, name, outcome)
         _answer(outcome, call, 200)
 
     def _read(self, call: RawCall) -> Callable[[str], Any]:
@@ -103,7 +106,8 @@
             page = self._lots.read(lot_id, after, min(wait, MOST_WAIT_SECONDS))
             if not isinstance(page, LotPage):
                 return page
-            return _EncodedPage(encode_page(page.total, after, page.results))
+            encoded = encode_page(page.total, after, page.results)
+            return _EncodedPage(encoded, empty=not page.results)
 
         return read
 
@@ -128,6 +132,25 @@
     return configuration.accounts is not None and SEPARATOR not in name
 
 
+def _gives_nothing(outcome: object) -> bool:
+    """Tell whether a caller gets nothing of a Lot; all else is not worth a log line."""
+    if isinstance(outcome, _EncodedPage):
+        return outcome.empty
+    return isinstance(outcome, LotUnknown | LotUnavailable)
+
+
+def _log_nothing(call: RawCall, lot_id: str, outcome: object) -> None:
+    event(
+        logger,
+        "lot_call",
+        lot=lot_id,
+        method=call.method,
+        target=call.target,
+        outcome=type(outcome).__name__.removeprefix("_"),
+        reason=getattr(outcome, "reason", ""),
+    )
+
+
 def _query(call: RawCall, name: str) -> str:
     values = parse_qs(call.query).get(name)
     return values[-1] if values else ""
--- a/src/wigeonfront/rollout/known_lots.py
+++ b/src/wigeonfront/rollout/known_lots.py
@@ -1,11 +1,13 @@
 """The Lots that other processes run or ran, and the store's rows of all."""
 
+import logging
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
+from wigeonfront.observability.logs import event
 from wigeonfront.rollout.head import HEAD_PREFIX, Head, LotState, decode_head
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.lot_answers import LotPage, LotUnavailable, LotUnknown
@@ -13,6 +15,8 @@
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import LotRepository, NoLot, NotKept
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class KnownLot:
@@ -170,6 +174,14 @@
                     known.add(have, found.results, final=False)
                 return LotPage(found.total, found.results[after - start :])
         more = self._repository.results(lot_id, have)
+        event(
+            logger,
+            "results_read",
+            lot=lot_id,
+            position=have,
+            outcome=type(more).__name__ if isinstance(more, NotKept) else "Read",
+            count=0 if isinstance(more, NotKept) else len(more),
+        )
         if isinstance(more, NotKept):
             return LotUnavailable(more.reason)
         # Nothing is added to a Lot once its end is written.
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -166,6 +166,15 @@
         if isinstance(spooled, Unreached):
             return False
         texts = self._repository.texts(lot_id)
+        event(
+            logger,
+            "lot_adopted",
+            lot=lot_id,
+            revision=head.revision,
+            results=len(results),
+            spooled=len(spooled),
+            texts=len(texts),
+        )
         now = self._clock.monotonic()
         known_for = now - self._heard_at.get(lot_id, now)
         self._on_start()
