An accepted Lot is not called unknown: disks are asked before a 404

Cause: a Lot that was accepted while the store was away lies on disks alone until its entry, or after 2 s a process with a disk, writes its head row. An entry took the missing row for a missing Lot. The entries that knew the Lot had been killed.

Change: before an entry says 404 it asks the registered disks which Lots they hold, and then the store once more. While a disk holds the Lot or does not answer it says 503. The same fault elsewhere: leases of disks lapse in a long outage, and entries then know of no disk; a row without a lease now names those that have ever registered, and for 7.7 s after an entry's start or the store's return one that is not back means 503 as well. One listing serves all callers of 0.25 s, so that unknown Lots don't flood the disks.

Why it works: all disks of a Lot have it before its 202, and drop it only once the store has its head row; the store is read after the disks.

--- a/src/wigeonfront/coordination/membership.py
+++ b/src/wigeonfront/coordination/membership.py
@@ -17,6 +17,8 @@
 ENTRY_PREFIX = "live/entry/"
 SIDE_PREFIX = "live/side/"
 STORAGE_PREFIX = "live/storage/"
+DISK_PREFIX = "live/disk/"
+"""Of rows without a lease: the processes with a disk that have ever registered."""
 
 RENEWALS_PER_LEASE = 3
 """Renewals in a lease's term, so that two may be lost."""
@@ -38,6 +40,10 @@
 LOOK_SECONDS = 0.25
 """Pause between two looks whether the process stops, or has got something to do."""
 
+LONGEST_ABSENCE_SECONDS = IDLE_TERM_SECONDS / RENEWALS_PER_LEASE + 1.0
+"""Time from the store's return in which every process that lives has registered again:
+the longest pause between two tries, and a call."""
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -130,6 +136,8 @@
         Tells whether others would have to take over its work if it were lost.
     incarnation : str
         One of its own in place of another after each start.
+    lasting_prefix : str
+        Of a second row that outlives the lease; without it there is none.
 
     Examples
     --------
@@ -160,11 +168,13 @@
         cores: float = 1.0,
         busy: Callable[[], bool] = lambda: True,
         incarnation: str = "",
+        lasting_prefix: str = "",
     ) -> None:
         self._busy = busy
         self._busy_at = clock.monotonic() - IDLE_AFTER_SECONDS
         self._on_registered = on_registered
         self._prefix = prefix
+        self._lasting_prefix = lasting_prefix
         self._store = store
         self._clock = clock
         self._busy_term = term
@@ -258,8 +268,11 @@
             member.failure_domain,
             member.cores,
         )
-        key = self._prefix + member.name
-        outcome = self._store.write((), (Put(key, msgspec.json.encode(row), lease),))
+        value = msgspec.json.encode(row)
+        puts = [Put(self._prefix + member.name, value, lease)]
+        if self._lasting_prefix:
+            puts.append(Put(self._lasting_prefix + member.name, value))
+        outcome = self._store.write((), tuple(puts))
         if not isinstance(outcome, Stored):
             event(logger, "register_failed", outcome=type(outcome).__name__)
             return False
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -46,6 +46,7 @@
 from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.rollout.owner_calls import EndServer, OwnerServer, SubmissionServer
+from wigeonfront.rollout.pending import PendingLots
 from wigeonfront.rollout.repository import LotRepository
 from wigeonfront.rollout.reward_call import RewardCaller
 from wigeonfront.rollout.runner import LotRunner
@@ -261,6 +262,7 @@
                 self._clock,
             ),
             SubmissionStore(self._spool),
+            PendingLots(self._spool, self._view.disks_seen, self._clock),
             lambda: self._loads.lot_started(),
             self._clock,
         )
--- a/src/wigeonfront/node/storage.py
+++ b/src/wigeonfront/node/storage.py
@@ -12,7 +12,11 @@
 
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.coordination.feed import DirectRows, FollowedRows, rotated
-from wigeonfront.coordination.membership import STORAGE_PREFIX, Registration
+from wigeonfront.coordination.membership import (
+    DISK_PREFIX,
+    STORAGE_PREFIX,
+    Registration,
+)
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.relay import RoutedStore
 from wigeonfront.coordination.rows import Put, Stored
@@ -98,6 +102,7 @@
             # A Lot names its disks: nobody takes over from one that is gone.
             busy=lambda: False,
             incarnation=disk,
+            lasting_prefix=DISK_PREFIX,
         )
 
     @property
@@ -154,7 +159,7 @@
             records.RETIRE_STATUS_PREFIX + name,
             records.encode_retire_status(done=True),
         )
-        outcome = self._store.write((), (put,))
+        outcome = self._store.write((), (put,), (DISK_PREFIX + name,))
         event(logger, "retired", node=name, outcome=type(outcome).__name__)
         if isinstance(outcome, Stored):
             self._answered.add(self._retired_at)
--- a/src/wigeonfront/node/store_view.py
+++ b/src/wigeonfront/node/store_view.py
@@ -10,6 +10,7 @@
     feed_sources,
 )
 from wigeonfront.coordination.membership import (
+    DISK_PREFIX,
     ENTRY_PREFIX,
     STORAGE_PREFIX,
     Member,
@@ -21,6 +22,7 @@
 from wigeonfront.node.settings import NodeSettings
 from wigeonfront.observability.logs import event
 from wigeonfront.platform import records
+from wigeonfront.rollout.pending import DisksSeen
 from wigeonfront.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -69,6 +71,7 @@
         self._store = store
         self._registration = registration
         self._clock = clock
+        self._started_at = clock.monotonic()
         self.operator = self._operator_mirror(on_operator)
         self.targets = self._target_mirror(on_targets)
         self.live = self._live_mirror(on_live)
@@ -109,6 +112,24 @@
             and (member := decode_member(row, STORAGE_PREFIX)) is not None
         ]
 
+    def disks_seen(self) -> DisksSeen:
+        """Return what is known of processes with a disk, registered or not."""
+        registered = self.disks()
+        names = {member.name for member in registered}
+        rows = self.live.state().rows
+        ever = {
+            key.removeprefix(DISK_PREFIX) for key in rows if key.startswith(DISK_PREFIX)
+        }
+        addresses = tuple(member.address for member in registered)
+        absent = tuple(sorted(ever - names))
+        return DisksSeen(addresses, absent, self._live_followed_for())
+
+    def _live_followed_for(self) -> float | None:
+        if self.live.failing or not self.live.ready:
+            return None
+        since = max(self._started_at, self.live.regained_at)
+        return self._clock.monotonic() - since
+
     def relays(self) -> list[str]:
         """Return the addresses of the other entries that may reach the store."""
         known = [member.address for member in self.members()]
--- a/src/wigeonfront/rollout/known_lots.py
+++ b/src/wigeonfront/rollout/known_lots.py
@@ -12,6 +12,7 @@
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.lot_answers import LotPage, LotUnavailable, LotUnknown
 from wigeonfront.rollout.owner_calls import OwnerClient
+from wigeonfront.rollout.pending import PendingLots
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import LotRepository, NoLot, NotKept
 
@@ -67,6 +68,7 @@
         Returns this process as a member.
     members : callable
         Returns the members that are registered.
+    pending : PendingLots
     """
 
     def __init__(
@@ -76,12 +78,14 @@
         owners: OwnerClient,
         me: Callable[[], Member],
         members: Callable[[], list[Member]],
+        pending: PendingLots,
     ) -> None:
         self._repository = repository
         self._mirror = mirror
         self._owners = owners
         self._me = me
         self._members = members
+        self._pending = pending
         self._lock = threading.Lock()
         self._known: dict[str, KnownLot] = {}
 
@@ -146,12 +150,24 @@
         known = self.lookup(lot_id)
         if known is not None:
             return known
+        head = self.head(lot_id)
+        if not isinstance(head, Head):
+            return head
+        return self.add(lot_id, KnownLot(head.total))
+
+    def head(self, lot_id: str) -> Head | LotUnknown | LotUnavailable:
+        """Read a Lot's head row; `LotUnknown` only where no such Lot is accepted."""
         head = self._repository.head(lot_id)
+        if isinstance(head, NoLot):
+            doubt = self._pending.doubt(lot_id)
+            if doubt:
+                return LotUnavailable(doubt)
+            head = self._repository.head(lot_id)
         if isinstance(head, NoLot):
             return LotUnknown()
         if isinstance(head, NotKept):
             return LotUnavailable(head.reason)
-        return self.add(lot_id, KnownLot(head.total))
+        return head
 
     def read(
         self, lot_id: str, after: int, wait: float
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -24,14 +24,13 @@
 )
 from wigeonfront.rollout.owner_calls import OwnedResults, OwnerClient
 from wigeonfront.rollout.ownership import NO_OWNER, owner_for
+from wigeonfront.rollout.pending import PendingLots
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import (
     AlreadyKept,
     InDoubt,
     Kept,
     LotRepository,
-    NoLot,
-    NotKept,
     OwnerReplaced,
 )
 from wigeonfront.rollout.runner import LotRunner
@@ -66,6 +65,7 @@
         Returns the members that are registered.
     spools : LotSpools
     submissions : SubmissionStore
+    pending : PendingLots
     on_start : callable
         Called before a Lot's first samples are sent.
     clock : Clock
@@ -80,6 +80,7 @@
         members: Callable[[], list[Member]],
         spools: LotSpools,
         submissions: SubmissionStore,
+        pending: PendingLots,
         on_start: Callable[[], None],
         clock: Clock,
     ) -> None:
@@ -100,7 +101,7 @@
             runner.settle,
             self._give_up,
         )
-        self._known = KnownLots(repository, mirror, self._owners, me, members)
+        self._known = KnownLots(repository, mirror, self._owners, me, members, pending)
         self._takeover = LotTakeover(
             repository,
             runner,
@@ -234,11 +235,9 @@
         if owner and self._owners.end(owner, lot_id):
             return Accepted()
         for _ in range(END_TRIES):
-            head = self._repository.head(lot_id)
-            if isinstance(head, NoLot):
-                return LotUnknown()
-            if isinstance(head, NotKept):
-                return LotUnavailable(head.reason)
+            head = self._known.head(lot_id)
+            if not isinstance(head, Head):
+                return head
             if head.state is LotState.ENDED:
                 return Accepted()
             if self._end_for(lot_id, head):
--- a/src/wigeonfront/spool/calls.py
+++ b/src/wigeonfront/spool/calls.py
@@ -65,6 +65,12 @@
 SpoolCall = Append | Seal | Forget
 
 
+class ListKeys(msgspec.Struct, frozen=True, tag="list_keys"):
+    """Tell the keys that begin with `prefix` and hold items, on whatever disk."""
+
+    prefix: str
+
+
 class Done(msgspec.Struct, frozen=True, tag="done"):
     """It is on the disk."""
 
@@ -91,3 +97,13 @@
 
 
 SpoolAnswer = Done | Gap | Fenced | Refused | Held
+
+
+class Keys(msgspec.Struct, frozen=True, tag="keys"):
+    """The keys that were asked for."""
+
+    keys: tuple[str, ...]
+
+
+SpoolRequest = SpoolCall | ListKeys
+SpoolReply = SpoolAnswer | Keys
--- a/src/wigeonfront/spool/client.py
+++ b/src/wigeonfront/spool/client.py
@@ -17,11 +17,14 @@
     Forget,
     Gap,
     Held,
+    Keys,
+    ListKeys,
     Refused,
     Seal,
-    SpoolAnswer,
     SpoolCall,
     SpoolMember,
+    SpoolReply,
+    SpoolRequest,
 )
 
 logger = logging.getLogger(__name__)
@@ -108,15 +111,32 @@
         for member in members:
             self._call(member, Forget(member.disk, key, fence, position))
 
-    def _call(self, member: SpoolMember, call: SpoolCall) -> SpoolAnswer:
-        now = self._clock.monotonic()
-        if now < self._avoided.get(member.address, 0.0):
-            return Refused("avoided")
-        body = msgspec.msgpack.encode(call)
-        reply = self._pools.post(member.address, SPOOL_PATH, body, ANSWER_SECONDS)
-        answer = _decoded(reply)
+    def keys(self, address: str, prefix: str) -> tuple[str, ...] | Unreached:
+        """Return the keys of one disk that begin with `prefix` and hold items."""
+        if self._avoids(address):
+            return Unreached()
+        answer = self._ask(address, ListKeys(prefix))
+        if isinstance(answer, Keys):
+            return answer.keys
+        reason = getattr(answer, "reason", "")
+        event(logger, "spool_not_listed", member=address, reason=reason)
+        return Unreached()
+
+    def _ask(self, address: str, request: SpoolRequest) -> SpoolReply:
+        body = msgspec.msgpack.encode(request)
+        answer = _decoded(self._pools.post(address, SPOOL_PATH, body, ANSWER_SECONDS))
         if isinstance(answer, Refused):
-            self._avoided[member.address] = self._clock.monotonic() + AVOID_SECONDS
+            self._avoided[address] = self._clock.monotonic() + AVOID_SECONDS
+        return answer
+
+    def _avoids(self, address: str) -> bool:
+        return self._clock.monotonic() < self._avoided.get(address, 0.0)
+
+    def _call(self, member: SpoolMember, call: SpoolCall) -> SpoolReply:
+        if self._avoids(member.address):
+            return Refused("avoided")
+        now = self._clock.monotonic()
+        answer = self._ask(member.address, call)
         event(
             logger,
             "spool_called",
@@ -131,12 +151,12 @@
         return answer
 
 
-def _decoded(reply: object) -> SpoolAnswer:
+def _decoded(reply: object) -> SpoolReply:
     if not isinstance(reply, Answer):
         return Refused(getattr(reply, "reason", "lost"))
     if reply.status != OK:
         return Refused(f"status {reply.status}")
     try:
-        return msgspec.msgpack.decode(reply.body, type=SpoolAnswer)
+        return msgspec.msgpack.decode(reply.body, type=SpoolReply)
     except msgspec.DecodeError as error:
         return Refused(f"malformed: {error}")
--- a/src/wigeonfront/spool/server.py
+++ b/src/wigeonfront/spool/server.py
@@ -6,7 +6,14 @@
 
 from wigeonfront.http.raw import RawCall
 from wigeonfront.observability.logs import event
-from wigeonfront.spool.calls import SPOOL_PATH, SpoolCall
+from wigeonfront.spool.calls import (
+    SPOOL_PATH,
+    Keys,
+    ListKeys,
+    SpoolAnswer,
+    SpoolCall,
+    SpoolRequest,
+)
 from wigeonfront.spool.file import SpoolFile
 
 logger = logging.getLogger(__name__)
@@ -35,11 +42,19 @@
             call.reply(UNKNOWN_PATH)
             return
         try:
-            asked = msgspec.msgpack.decode(call.body(MOST_CALL_BYTES), type=SpoolCall)
+            body = call.body(MOST_CALL_BYTES)
+            asked = msgspec.msgpack.decode(body, type=SpoolRequest)
         except msgspec.DecodeError as error:
             event(logger, "bad_spool_call", reason=str(error)[:200])
             call.reply(BAD_CALL)
             return
+        if isinstance(asked, ListKeys):
+            answer = Keys(tuple(self._file.held(asked.prefix)))
+        else:
+            answer = self._take(asked)
+        call.reply(OK, msgspec.msgpack.encode(answer))
+
+    def _take(self, asked: SpoolCall) -> SpoolAnswer:
         answer = self._file.take(asked)
         event(
             logger,
@@ -50,4 +65,4 @@
             answer=type(answer).__name__,
             held=self._file.item_count,
         )
-        call.reply(OK, msgspec.msgpack.encode(answer))
+        return answer
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 from rows_fakes import wait_for
 from wigeonfront.clock import ManualClock, SystemClock
 from wigeonfront.coordination.membership import (
+    DISK_PREFIX,
     ENTRY_PREFIX,
     IDLE_AFTER_SECONDS,
     IDLE_TERM_SECONDS,
@@ -69,6 +70,14 @@
     assert isinstance(row_of(rows), Absent)
 
 
+def test_a_lasting_row_outlives_the_lease(rows, running):
+    registration = running(made(rows, lasting_prefix=DISK_PREFIX))
+    rows.revoke_lease(registration._lease)
+    assert isinstance(row_of(rows), Absent)
+    row = rows.get(DISK_PREFIX + "n1")
+    assert decode_member(row, DISK_PREFIX) == registration.member
+
+
 def test_each_start_is_another_incarnation(rows):
     assert made(rows).member.incarnation != made(rows).member.incarnation
 
--- /dev/null
+++ b/tests/test_pending.py
@@ -0,0 +1,87 @@
+"""Whether a Lot that the store lacks may still be accepted, without a network."""
+
+import pytest
+
+from wigeonfront.clock import ManualClock
+from wigeonfront.coordination.membership import LONGEST_ABSENCE_SECONDS
+from wigeonfront.rollout.pending import (
+    LISTING_SECONDS,
+    DisksSeen,
+    PendingLots,
+    doubt_of_disks,
+)
+from wigeonfront.rollout.submissions import KEY_PREFIX
+from wigeonfront.spool import Unreached
+
+BACK = LONGEST_ABSENCE_SECONDS
+
+
+class ScriptedSpool:
+    """Disks that hold what they are told; those without an entry do not answer."""
+
+    def __init__(self, **held):
+        self.held = held
+        self.asked = []
+
+    def keys(self, address, prefix):
+        self.asked.append(address)
+        if address not in self.held:
+            return Unreached()
+        return tuple(KEY_PREFIX + lot for lot in self.held[address])
+
+
+def make_pending(spool, addresses=("d1", "d2"), clock=None):
+    seen = DisksSeen(addresses, (), 60.0)
+    return PendingLots(spool, lambda: seen, clock or ManualClock())
+
+
+@pytest.mark.parametrize(
+    ("absent", "followed_for", "doubt"),
+    [
+        ((), 0.0, ""),
+        ((), None, "store not followed"),
+        (("s1",), None, "store not followed"),
+        (("s1", "s2"), 0.0, "disk of s1 not back"),
+        (("s1",), BACK - 0.1, "disk of s1 not back"),
+        # Its machine is gone for good.
+        (("s1",), BACK, ""),
+    ],
+)
+def test_disks_that_are_not_registered(absent, followed_for, doubt):
+    assert doubt_of_disks(DisksSeen(("d1",), absent, followed_for)) == doubt
+
+
+@pytest.mark.parametrize(
+    ("held", "doubt"),
+    [
+        ({"d1": [], "d2": []}, ""),
+        ({"d1": ["l2"], "d2": ["l2"]}, ""),
+        ({"d1": ["l1"], "d2": []}, "on disks, not in the store yet"),
+        ({"d1": [], "d2": ["l1"]}, "on disks, not in the store yet"),
+        ({"d1": [], "d2": ["l2", "l1"]}, "on disks, not in the store yet"),
+        ({"d1": ["l1"]}, "on disks, not in the store yet"),
+        ({"d2": []}, "disk d1 not reached"),
+        ({"d1": []}, "disk d2 not reached"),
+    ],
+)
+def test_every_disk_must_say_that_it_has_no_such_lot(held, doubt):
+    assert make_pending(ScriptedSpool(**held)).doubt("l1") == doubt
+
+
+def test_without_disks_nothing_is_pending():
+    spool = ScriptedSpool()
+    assert make_pending(spool, addresses=()).doubt("l1") == ""
+    assert spool.asked == []
+
+
+def test_many_unknown_lots_cost_one_listing():
+    clock = ManualClock()
+    spool = ScriptedSpool(d1=["l7"], d2=[])
+    pending = make_pending(spool, clock=clock)
+    doubts = [pending.doubt(f"l{number}") for number in range(10)]
+    assert [number for number, doubt in enumerate(doubts) if doubt] == [7]
+    assert spool.asked == ["d1", "d2"]
+    spool.held["d2"].append("l8")
+    clock.advance(LISTING_SECONDS + 0.01)
+    assert pending.doubt("l8")
+    assert spool.asked == ["d1", "d2"] * 2
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -49,14 +49,15 @@
     assert played.accepted > 0
 
 
-# They failed in long plays; KNOWN-RED.txt says what was seen.
-NOT_MENDED = [
+LONG_PLAYS = [
+    # Not mended; KNOWN-RED.txt says what was seen.
     pytest.param(512, Options(crashing=True), id="512"),
+    # An accepted Lot was called unknown until a disk had it kept in the store.
     pytest.param(526, Options(disks=True, clocks=True, crashing=True), id="526"),
 ]
 
 
-@pytest.mark.parametrize(("seed", "options"), NOT_MENDED)
+@pytest.mark.parametrize(("seed", "options"), LONG_PLAYS)
 def test_an_accepted_lot_stays_readable_at_every_entry(seed, options):
     played = play(seed, 8.0, options)
     assert played.violations == []
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -9,7 +9,8 @@
 from deployed import BOUNDS, Deployment
 from rows_fakes import wait_for
 from test_entry_node import SAMPLES, call, check, read, read_all, submit
-from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.membership import DISK_PREFIX, Member
+from wigeonfront.coordination.rows import Absent
 from wigeonfront.platform import records
 from wigeonfront.rollout.head import LotState
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
@@ -246,6 +247,7 @@
         "state": "completed"
     }
     assert disk._spool.item_count == 0
+    assert isinstance(deployed.rows.get(DISK_PREFIX + "s0"), Absent)
     # No new Lot names it.
     wait_for(lambda: any(one.leaving for one in entry._view.disks()))
     assert entry._lots._spools.choose("l2") == ()
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -9,6 +9,7 @@
 from platform_standins.rows import MemoryRows
 from rows_fakes import make_lot, wait_for
 from test_entry_node import SAMPLES, call, check, read, read_all, submit
+from test_spooling import kill
 from wigeonfront.clock import ManualClock
 from wigeonfront.rollout.acceptance import Deferred, LotAcceptance
 from wigeonfront.rollout.head import Head, LotState
@@ -92,6 +93,51 @@
     wait_for(lambda: held(deployed) == 0)
 
 
+@pytest.mark.parametrize("lost", [0, 1])
+def test_a_lot_that_only_disks_have_is_not_called_unknown(deployed, lost):
+    """404 would tell its trainer that an accepted Lot is lost."""
+    first = add_entry(deployed, "n1")
+    deployed.rows.faults.down = True
+    assert submit(first, "l1").status == 202
+    kill(first, "l1")
+    for disk in deployed.disks[:lost]:
+        disk.stop()
+    deployed.rows.faults.down = False
+    second = add_entry(deployed, "n2")
+    assert call(second, "DELETE", "/lots/l1").status == 503
+    statuses = set()
+
+    def shown():
+        for path in ("/lots/l1?after=0", "/items/l1?id=l1-0"):
+            statuses.add(call(second, "GET", path).status)
+        return 200 in statuses
+
+    wait_for(shown, 10.0)
+    assert statuses == {200, 503}
+    check(deployed, read_all(second, "l1"))
+
+
+def test_a_lot_that_disks_had_is_not_called_unknown_once_their_leases_lapsed(deployed):
+    """A long outage outlives the leases; disks register again seconds after it."""
+    first = add_entry(deployed, "n1")
+    deployed.rows.faults.down = True
+    assert submit(first, "l1").status == 202
+    kill(first, "l1")
+    for disk in deployed.disks:
+        deployed.rows.remove(f"live/storage/{disk._settings.name}")
+    deployed.rows.faults.down = False
+    second = deployed.add_entry("n2")
+    wait_for(lambda: second._view.live.ready)
+    assert call(second, "GET", "/lots/l1?after=0").status == 503
+
+
+def test_a_lot_that_nobody_accepted_is_unknown(deployed):
+    entry = add_entry(deployed, "n1")
+    for path in ("/lots/l9?after=0", "/items/l9?id=l9-0"):
+        assert call(entry, "GET", path).status == 404
+    assert call(entry, "DELETE", "/lots/l9").status == 404
+
+
 def test_a_lot_outlives_a_planned_stop_in_an_outage(deployed):
     first, second = add_entry(deployed, "n1"), add_entry(deployed, "n2")
     deployed.rows.faults.down = True
