Results that others may have read are not missing at their owner

Cause: an owner shows results once it has heard that the store has them. Between the write and its answer the store has them, and an entry that reads the store shows them. That is milliseconds, and 1.3 s when the answer is lost: a time-out of 1 s and the pause before the next try.

Ruled out: another owner (no lot_claimed before), another entry's memory.

Change: the owner knows up to which position the store may have results. A reader of such a position waits up to 0.3 s for the answer, then gets 503 and a time to come back; another entry hears that the owner can't tell, and reads the store. A write that was refused for certain leaves no doubt: pages stay as they are while the store refuses.

Why it works: a result is visible elsewhere only if its write took effect, and every write that may have done so is counted from before its send until its batch is kept.

--- a/src/wigeonfront/rollout/keeping.py
+++ b/src/wigeonfront/rollout/keeping.py
@@ -123,6 +123,7 @@
                 progress.writing_since = self._clock.monotonic()
             position = len(progress.kept)
             texts = progress.snapshots()
+            progress.write_sent()
         outcome = self._repository.append(
             lot_id, progress.head_revision, position, batch, texts
         )
@@ -138,13 +139,14 @@
             outcome=name,
             detail=getattr(outcome, "reason", ""),
         )
-        if isinstance(outcome, Kept):
-            with self._changed:
+        with self._changed:
+            if isinstance(outcome, Kept):
                 # What was too much for the row counts as kept until it has grown.
                 progress.batch_kept(position, texts)
                 progress.writing_since = None
                 progress.flushed_at = self._clock.monotonic()
-                self._changed.notify_all()
-        elif isinstance(outcome, OwnerReplaced):
+            progress.write_ended(position, isinstance(outcome, InDoubt))
+            self._changed.notify_all()
+        if isinstance(outcome, OwnerReplaced):
             self._stop_lot(lot_id, "head row changed")
         return outcome
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -22,7 +22,11 @@
     LotUncertain,
     LotUnknown,
 )
-from wigeonfront.rollout.owner_calls import OwnedResults, OwnerClient
+from wigeonfront.rollout.owner_calls import (
+    OwnedResults,
+    OwnerClient,
+    ResultsInDoubt,
+)
 from wigeonfront.rollout.ownership import NO_OWNER, owner_for
 from wigeonfront.rollout.pending import PendingLots
 from wigeonfront.rollout.progress import LotProgress
@@ -180,6 +184,8 @@
         while True:
             left = max(0.0, deadline - self._clock.monotonic())
             owned = self._runner.read(lot_id, after, left)
+            if isinstance(owned, ResultsInDoubt):
+                return LotUnavailable(owned.reason)
             if owned is not None:
                 return LotPage(owned.total, owned.results)
             page = self._known.read(lot_id, after, left)
@@ -204,6 +210,8 @@
         ``None`` where this process does not know of all that are kept.
         """
         owned = self._runner.read(lot_id, after, wait)
+        if isinstance(owned, ResultsInDoubt):
+            return None
         if owned is not None:
             return owned
         known = self._known.get(lot_id)
--- a/src/wigeonfront/rollout/owner_calls.py
+++ b/src/wigeonfront/rollout/owner_calls.py
@@ -75,6 +75,16 @@
     whole: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class ResultsInDoubt:
+    """There may be results at the asked position that this process can't show.
+
+    Others may have read them, so that a page without results would be wrong.
+    """
+
+    reason: str
+
+
 class OwnerServer:
     """Answers other entries about Lots that are or were owned here.
 
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -240,6 +240,8 @@
         self.kept = list(results)
         self.unkept: list[SampleResult] = []
         self.in_doubt: list[SampleResult] = []
+        self._writes_under_way = 0
+        self._answer_lost = False
         self.flushed_at = 0.0
         self.ended = False
         self._groups: dict[str, GroupState] = {}
@@ -268,6 +270,15 @@
             return self.kept
         return self.results[: self.spooled]
 
+    @property
+    def possibly_kept(self) -> int:
+        """Position up to which the store may have results, and others have read them.
+
+        The store has a batch before its writer hears of that.
+        """
+        doubtful = self._writes_under_way or self._answer_lost
+        return len(self.kept) + (len(self.in_doubt) if doubtful else 0)
+
     @property
     def finished(self) -> bool:
         """Whether every sample has a kept result."""
@@ -314,8 +325,25 @@
             count = count_within(self.unkept, most_bytes)
             self.in_doubt = self.unkept[:count]
             self.unkept = self.unkept[count:]
+            self._answer_lost = False
         return self.in_doubt
 
+    def write_sent(self) -> None:
+        """Note that the present batch is on its way to the store."""
+        self._writes_under_way += 1
+
+    def write_ended(self, position: int, maybe_done: bool) -> None:
+        """Note that the write of the batch at `position` has ended.
+
+        Parameters
+        ----------
+        maybe_done : bool
+            Its answer was lost, so that it may have taken effect.
+        """
+        self._writes_under_way -= 1
+        if maybe_done and position == len(self.kept):
+            self._answer_lost = True
+
     def snapshots(self) -> dict[str, Text]:
         """Return the snapshots of the samples without a result, by their ids."""
         return {id: state.snapshot for id, state in self.open.items() if state.snapshot}
@@ -331,6 +359,7 @@
         if position == len(self.kept):
             self.kept.extend(self.in_doubt)
             self.in_doubt = []
+            self._answer_lost = False
         for id, text in texts.items():
             if id in self.open:
                 self.open[id].saved = text.extent
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -26,7 +26,7 @@
     expected_seconds,
     first_event_wait,
 )
-from wigeonfront.rollout.owner_calls import OwnedResults
+from wigeonfront.rollout.owner_calls import OwnedResults, ResultsInDoubt
 from wigeonfront.rollout.picking import Picker
 from wigeonfront.rollout.placing import OverloadWatch, SamplePlacer
 from wigeonfront.rollout.progress import LotProgress, SampleState
@@ -58,6 +58,10 @@
 PLACE_WAIT_SECONDS = 0.05
 """Pause of the sending thread while samples wait for a place."""
 
+DOUBT_WAIT_SECONDS = 0.3
+"""How long a reader waits in any case for the answer to a write that may have put the
+results it asks for into the store: many times what a write takes."""
+
 LEAST_RUN_SECONDS = 1.0
 """Time that a run gets though its sample may be given up sooner."""
 
@@ -239,23 +243,32 @@
                 if state.text.last_id
             }
 
-    def read(self, lot_id: str, after: int, wait: float) -> OwnedResults | None:
+    def read(
+        self, lot_id: str, after: int, wait: float
+    ) -> OwnedResults | ResultsInDoubt | None:
         """Return the results from `after` on that outlive this process.
 
+        ``None`` where it does not run the Lot.
+
         Parameters
         ----------
         wait : float
             Longest time, in seconds, to wait for a result.
         """
-        deadline = self._clock.monotonic() + wait
+        now = self._clock.monotonic()
+        deadline, doubt_deadline = now + wait, now + max(wait, DOUBT_WAIT_SECONDS)
         with self._lock:
             while True:
                 progress = self._lots.get(lot_id)
                 if progress is None:
                     return None
                 total = len(progress.lot.samples)
-                remaining = deadline - self._clock.monotonic()
                 shown = progress.shown
+                doubtful = len(shown) <= after < progress.possibly_kept
+                until = doubt_deadline if doubtful else deadline
+                remaining = until - self._clock.monotonic()
+                if remaining <= 0 and doubtful:
+                    return ResultsInDoubt("a write of results has no answer")
                 if len(shown) > after or after >= total or remaining <= 0:
                     whole = len(shown) <= len(progress.kept)
                     return OwnedResults(total, shown[after:], whole)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,7 +50,7 @@
 
 
 LONG_PLAYS = [
-    # Not mended; KNOWN-RED.txt says what was seen.
+    # Results that were read elsewhere were missing at their owner for a second.
     pytest.param(512, Options(crashing=True), id="512"),
     # An accepted Lot was called unknown until a disk had it kept in the store.
     pytest.param(526, Options(disks=True, clocks=True, crashing=True), id="526"),
