An owner that may have been replaced unnoticed shows no page without results

What callers saw: an owner that is cut off from the store and from all entries, or wakes after a pause, answered with pages without results for as long as it did not hear that another entry had taken its Lot over, though a trainer had read results there.

Cause: an owner took itself for the owner until its copy of the rows said otherwise.

Evidence: a test with real entries: the owner's way to the store is closed, the other entry takes the Lot over and shows all results, and the owner answers 200 with an empty page. It failed before this change.

Change: a registration knows until when its lease can't have lapsed (on the clock that counts suspensions, from the moment a renewal was sent) and since which revision of the store its row was never missing. An owner with nothing to show answers 503 from the moment on at which others may have taken over, until its copy is newer than its next registration. Results that it can show are right in any case: positions never change.

Why it works: others take a Lot over only once its owner's row has been missing for 1.5 s, which can't be before the lease may have lapsed.

--- a/src/wigeonfront/coordination/membership.py
+++ b/src/wigeonfront/coordination/membership.py
@@ -1,6 +1,7 @@
 """The processes that live, by rows under leases in the platform's store."""
 
 import logging
+import math
 import secrets
 import threading
 from collections.abc import Callable
@@ -74,6 +75,24 @@
     cores: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Presence:
+    """Since when and until when a process is surely registered, for all others.
+
+    Attributes
+    ----------
+    since_revision : int
+        Revision of the store at which its row was written, after it may have been
+        missing.
+    until : float
+        Time up to which its lease can't have lapsed, on the clock that counts
+        suspensions.
+    """
+
+    since_revision: int = 0
+    until: float = -math.inf
+
+
 class _MemberRow(msgspec.Struct):
     incarnation: str
     address: str
@@ -182,6 +201,7 @@
         self._term = term
         self._lease = 0
         self._revision = 0
+        self._presence = Presence()
         self.member = Member(
             name,
             incarnation or f"{name}.{secrets.token_hex(4)}",
@@ -200,6 +220,11 @@
         """Revision of the store at which the row was last written here."""
         return self._revision
 
+    @property
+    def presence(self) -> Presence:
+        """Since when and until when the others surely see it."""
+        return self._presence
+
     def run(self, stop: threading.Event) -> None:
         """Register and renew (a supervisor's task)."""
         failures = 0
@@ -222,6 +247,7 @@
     def restore(self) -> None:
         """Register anew, after the row was seen to be missing."""
         self._lease = 0
+        self._presence = Presence()
 
     def _wanted_term(self) -> float:
         now = self._clock.monotonic()
@@ -242,6 +268,7 @@
     def _register(self) -> bool:
         """Write the row under a new lease; one that it had before runs out."""
         term = self._wanted_term()
+        asked_at = self._clock.boottime()
         lease = self._store.grant_lease(term)
         if not isinstance(lease, Lease):
             return False
@@ -249,6 +276,7 @@
             return False
         self._lease = lease.lease
         self._term = term
+        self._presence = self._present_until(asked_at + lease.ttl)
         event(
             logger,
             "registered",
@@ -259,6 +287,12 @@
         self._on_registered()
         return True
 
+    def _present_until(self, until: float) -> Presence:
+        """Return the presence after the row was written under a new lease."""
+        was_there = self._clock.boottime() < self._presence.until
+        since = self._presence.since_revision if was_there else self._revision
+        return Presence(since, until)
+
     def _write(self, lease: int) -> bool:
         member = self.member
         row = _MemberRow(
@@ -280,10 +314,14 @@
         return True
 
     def _renew(self) -> bool:
+        asked_at = self._clock.boottime()
         outcome = self._store.renew_lease(self._lease)
         if isinstance(outcome, Lease):
+            until = asked_at + outcome.ttl
+            self._presence = replace(self._presence, until=until)
             return True
         event(logger, "renewal_failed", outcome=type(outcome).__name__)
         if isinstance(outcome, LeaseLost):
             self._lease = 0
+            self._presence = Presence()
         return False
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -246,6 +246,7 @@
             self._random,
             self._clock,
             self._metrics,
+            lambda: self._registration.presence,
         )
 
     def _make_lots(self) -> Lots:
@@ -254,6 +255,7 @@
             self._runner,
             self._view.live,
             lambda: self._registration.member,
+            lambda: self._registration.presence,
             self._view.members,
             LotSpools(
                 self._spool,
--- a/src/wigeonfront/rollout/known_lots.py
+++ b/src/wigeonfront/rollout/known_lots.py
@@ -5,13 +5,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wigeonfront.coordination.membership import Member
+from wigeonfront.clock import Clock
+from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.observability.logs import event
 from wigeonfront.rollout.head import HEAD_PREFIX, Head, LotState, decode_head
 from wigeonfront.rollout.lot import Lot, SampleResult
 from wigeonfront.rollout.lot_answers import LotPage, LotUnavailable, LotUnknown
 from wigeonfront.rollout.owner_calls import OwnerClient
+from wigeonfront.rollout.ownership import surely_owned
 from wigeonfront.rollout.pending import PendingLots
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import LotRepository, NoLot, NotKept
@@ -69,6 +71,7 @@
     members : callable
         Returns the members that are registered.
     pending : PendingLots
+    clock : Clock
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         me: Callable[[], Member],
         members: Callable[[], list[Member]],
         pending: PendingLots,
+        clock: Clock,
     ) -> None:
         self._repository = repository
         self._mirror = mirror
@@ -86,6 +90,7 @@
         self._me = me
         self._members = members
         self._pending = pending
+        self._clock = clock
         self._lock = threading.Lock()
         self._known: dict[str, KnownLot] = {}
 
@@ -216,6 +221,19 @@
             return known.owner if known is not None else ""
         return self._reader_of(head)
 
+    def surely_owned(self, run: LotProgress, presence: Presence) -> bool:
+        """Tell whether a Lot that is run here can have no other owner.
+
+        Parameters
+        ----------
+        run : LotProgress
+        presence : Presence
+            Of this process.
+        """
+        head = self._mirrored_head(run.lot.id)
+        revision = self._mirror.revision
+        return surely_owned(run, presence, head, revision, self._clock.boottime())
+
     def _mirrored_head(self, lot_id: str) -> Head | None:
         row = self._mirror.get(HEAD_PREFIX + lot_id)
         return decode_head(row) if row is not None else None
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from wigeonfront.clock import Clock
-from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.observability.logs import event
 from wigeonfront.rollout.acceptance import Deferred, LotAcceptance
@@ -65,6 +65,8 @@
         Of the rows that tell owners and members.
     me : callable
         Returns this process as a member.
+    presence : callable
+        Returns the `Presence` of this process.
     members : callable
         Returns the members that are registered.
     spools : LotSpools
@@ -81,6 +83,7 @@
         runner: LotRunner,
         mirror: Mirror,
         me: Callable[[], Member],
+        presence: Callable[[], Presence],
         members: Callable[[], list[Member]],
         spools: LotSpools,
         submissions: SubmissionStore,
@@ -93,6 +96,7 @@
         self._repository = repository
         self._runner = runner
         self._member = me
+        self._presence = presence
         self._members = members
         self._clock = clock
         self._spools = spools
@@ -105,7 +109,9 @@
             runner.settle,
             self._give_up,
         )
-        self._known = KnownLots(repository, mirror, self._owners, me, members, pending)
+        self._known = KnownLots(
+            repository, mirror, self._owners, me, members, pending, clock
+        )
         self._takeover = LotTakeover(
             repository,
             runner,
@@ -183,7 +189,7 @@
         deadline = self._clock.monotonic() + wait
         while True:
             left = max(0.0, deadline - self._clock.monotonic())
-            owned = self._runner.read(lot_id, after, left)
+            owned = self._read_owned(lot_id, after, left)
             if isinstance(owned, ResultsInDoubt):
                 return LotUnavailable(owned.reason)
             if owned is not None:
@@ -209,7 +215,7 @@
 
         ``None`` where this process does not know of all that are kept.
         """
-        owned = self._runner.read(lot_id, after, wait)
+        owned = self._read_owned(lot_id, after, wait)
         if isinstance(owned, ResultsInDoubt):
             return None
         if owned is not None:
@@ -219,6 +225,18 @@
             return None
         return OwnedResults(known.total, known.results[after:])
 
+    def _read_owned(
+        self, lot_id: str, after: int, wait: float
+    ) -> OwnedResults | ResultsInDoubt | None:
+        """Return results of a Lot that is run here; none are shown only if sure."""
+        found = self._runner.read(lot_id, after, wait)
+        if not isinstance(found, OwnedResults) or found.results or after >= found.total:
+            return found
+        run = self._runner.owned(lot_id)
+        if run is not None and self._known.surely_owned(run, self._presence()):
+            return found
+        return ResultsInDoubt("another entry may own the Lot")
+
     def body(self, lot_id: str, sample_id: str) -> bytes | LotUnknown | LotUnavailable:
         """Return the body of a sample."""
         lot = self._load(lot_id)
--- a/src/wigeonfront/rollout/ownership.py
+++ b/src/wigeonfront/rollout/ownership.py
@@ -5,13 +5,21 @@
 from collections.abc import Collection, Mapping
 
 from wigeonfront.coordination import rendezvous
-from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.lot import Lot
+from wigeonfront.rollout.progress import LotProgress
 
 NO_OWNER = ""
 """Owner of a Lot that its last owner handed over."""
 
+OWNER_GRACE_SECONDS = 1.5
+"""How long an owner's row may be missing before its Lots are taken over: an owner that
+lives registers again within three tries."""
+
+CLOCK_MARGIN_SECONDS = 0.2
+"""Part of that time by which two VMs may measure it apart."""
+
 CLAIM_STEP_SECONDS = 0.7
 """Time after which the next member in a Lot's order claims it: the one before may be
 gone, and still be registered."""
@@ -77,6 +85,38 @@
     return sorted(claims, key=lambda lot_id: heads[lot_id].submitted_at)
 
 
+def surely_owned(
+    run: LotProgress,
+    presence: Presence,
+    head: Head | None,
+    copy_revision: int,
+    now: float,
+) -> bool:
+    """Tell whether no other process can have taken over a Lot that is run here.
+
+    An owner that is cut off, or wakes after a pause, may have been replaced.
+
+    Parameters
+    ----------
+    run : LotProgress
+    presence : Presence
+        Of this process.
+    head : Head or None
+        In this process's copy of the store's rows.
+    copy_revision : int
+        Revision of the store that the copy is as of.
+    now : float
+        Time on the clock that counts suspensions.
+    """
+    if head is not None and head.revision > run.head_revision:
+        return False
+    # The copy shows who took over while this process was not registered.
+    unbroken = run.present_since == presence.since_revision
+    if not unbroken and copy_revision < presence.since_revision:
+        return False
+    return now < presence.until + OWNER_GRACE_SECONDS - CLOCK_MARGIN_SECONDS
+
+
 def owner_for(
     lot: Lot, members: Collection[Member], failure_domain: str
 ) -> Member | None:
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -217,6 +217,8 @@
         Monotonic time of the last write to the spool.
     owed : int
         Position up to which results may have been shown, here or by an earlier owner.
+    present_since : int
+        Of the owner's `Presence`, its revision as the Lot came to it.
     """
 
     def __init__(
@@ -233,6 +235,7 @@
         self.spooled = 0
         self.spooled_at = 0.0
         self.owed = 0
+        self.present_since = 0
         self.due_at = times.likely_since + lot.due_seconds
         self.gives_up_at = times.since + lot.give_up_seconds
         self.lot = lot
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -13,6 +13,7 @@
 
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
+from wigeonfront.coordination.membership import Presence
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.after_run import GiveUp, TextWhole, outcome_of, settle
@@ -84,6 +85,8 @@
         Draws the services of split routes.
     clock : Clock
     metrics : wigeonfront.observability.metrics.Registry
+    presence : callable, optional
+        Returns the `Presence` of this process.
 
     Attributes
     ----------
@@ -107,7 +110,9 @@
         random: Random,
         clock: Clock,
         metrics: Registry,
+        presence: Callable[[], Presence] = Presence,
     ) -> None:
+        self._presence = presence
         self._table = table
         self._samples = samples
         self._configuration = configuration
@@ -166,6 +171,7 @@
             progress = begin_progress(
                 lot, head_revision, left, self._recent, now, self._clock.time()
             )
+            progress.present_since = self._presence().since_revision
             self._lots[lot.id] = progress
             self._run_revisions[lot.id] = head_revision
             whole = [state for state in progress.open.values() if state.text.whole]
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -13,7 +13,7 @@
 from wigeonfront.rollout.inheritance import Inheritance
 from wigeonfront.rollout.known_lots import KnownLots
 from wigeonfront.rollout.lot import Lot
-from wigeonfront.rollout.ownership import claimable_lots
+from wigeonfront.rollout.ownership import OWNER_GRACE_SECONDS, claimable_lots
 from wigeonfront.rollout.repository import Kept, LotRepository
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.spooling import LotSpools
@@ -21,10 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-OWNER_GRACE_SECONDS = 1.5
-"""How long an owner's row may be missing before its Lots are taken over: an owner that
-lives registers again within three tries."""
-
 CLAIM_PAUSE_SECONDS = 0.2
 
 
--- a/tests/test_lot_ownership.py
+++ b/tests/test_lot_ownership.py
@@ -3,15 +3,19 @@
 import pytest
 
 from rows_fakes import make_lot
-from wigeonfront.coordination.membership import Member
+from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.rollout.head import Head, LotState
 from wigeonfront.rollout.ownership import (
     CLAIM_STEP_SECONDS,
+    CLOCK_MARGIN_SECONDS,
     NO_OWNER,
+    OWNER_GRACE_SECONDS,
     claim_pause,
     claimable_lots,
     owner_for,
+    surely_owned,
 )
+from wigeonfront.rollout.progress import LotProgress
 
 ME = Member("n1", "n1.aa", "10.0.0.1:1")
 OTHER = Member("n2", "n2.bb", "10.0.0.2:1")
@@ -137,3 +141,42 @@
     for gone in others:
         left = [one for one in members if one is not gone]
         assert owner_for(lots[0], left, "z1").name == owner
+
+
+LAST = 100.0 + OWNER_GRACE_SECONDS - CLOCK_MARGIN_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("changes", "sure"),
+    [
+        pytest.param({}, True, id="registered"),
+        pytest.param({"now": LAST - 0.01}, True, id="lapsed, nobody takes over yet"),
+        pytest.param({"now": LAST}, False, id="others may have taken over"),
+        pytest.param({"present_since": 0}, False, id="was missing, copy too old"),
+        pytest.param(
+            {"present_since": 0, "copy": 20}, True, id="was missing, nobody took over"
+        ),
+        pytest.param(
+            {"present_since": 0, "copy": 20, "head": 19}, False, id="was replaced"
+        ),
+        pytest.param({"head": 8}, True, id="its own head"),
+        pytest.param({"head": 9}, False, id="another head"),
+        pytest.param({"run": 0}, True, id="no head yet"),
+        pytest.param({"run": 0, "head": 9}, False, id="a head that it did not write"),
+        pytest.param({"presence": Presence()}, False, id="not registered"),
+    ],
+)
+def test_whether_a_lot_that_is_run_here_may_have_another_owner(changes, sure):
+    state = {
+        "run": 8,
+        "present_since": 20,
+        "presence": Presence(20, 100.0),
+        "copy": 10,
+        "head": None,
+        "now": 99.0,
+    } | changes
+    run = LotProgress(make_lot(), state["run"], [])
+    run.present_since = state["present_since"]
+    head = state["head"] and Head("", LotState.OPEN, 3, revision=state["head"])
+    found = surely_owned(run, state["presence"], head, state["copy"], state["now"])
+    assert found is sure
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,6 +14,7 @@
     IDLE_TERM_SECONDS,
     RENEWALS_PER_LEASE,
     Member,
+    Presence,
     Registration,
     decode_member,
     renewal_pause,
@@ -93,6 +94,41 @@
     wait_for(lambda: len(told) == 2)
 
 
+def test_a_presence_lasts_as_long_as_the_lease_surely_does(rows):
+    clock = ManualClock(100.0)
+    registration = made(rows, clock)
+    assert registration.presence == Presence()
+    registration._register()
+    first = registration.presence
+    assert first == Presence(rows.revision, 100.0 + TERM)
+    clock.advance(1.0)
+    registration._renew()
+    assert registration.presence == Presence(first.since_revision, 101.0 + TERM)
+    rows.faults.down = True
+    registration._renew()
+    assert registration.presence.until == 101.0 + TERM
+    rows.faults.down = False
+    # Another term: the row was never missing.
+    registration._register()
+    assert registration.presence == Presence(first.since_revision, 101.0 + TERM)
+    # It may have been.
+    clock.advance(TERM)
+    registration._register()
+    assert registration.presence == Presence(rows.revision, 103.0 + TERM)
+    assert rows.revision > first.since_revision
+
+
+def test_a_lease_that_is_lost_or_a_row_that_is_missed_ends_a_presence(rows):
+    registration = made(rows, ManualClock(100.0))
+    registration._register()
+    rows.revoke_lease(registration._lease)
+    registration._renew()
+    assert registration.presence == Presence()
+    registration._register()
+    registration.restore()
+    assert registration.presence == Presence()
+
+
 def test_a_missing_row_is_written_again_when_it_is_noticed(rows, running):
     registration = running(made(rows, term=0.3))
     rows.write((), (), (ENTRY_PREFIX + "n1",))
--- /dev/null
+++ b/tests/test_owner_cut_off.py
@@ -0,0 +1,47 @@
+"""An owner that may have been replaced and not have heard of it."""
+
+import pytest
+
+from deployed import Deployment
+from platform_standins.relay import Relay
+from rows_fakes import loopback_host, wait_for
+from test_entry_node import check, read, read_all, submit
+from wigeonfront.http.encoding import parse_address
+
+
+@pytest.fixture
+def deployed():
+    made = Deployment()
+    yield made
+    made.close()
+
+
+def make_relay(deployed, host, port=0):
+    return Relay((host, port), parse_address(deployed.store.address))
+
+
+def cut_off(entry, relay):
+    """Leave an entry nothing but its callers; its calls are refused, not in doubt."""
+    entry._view.relays = lambda: []
+    entry._view._sources = lambda: []
+    relay.close()
+
+
+def test_an_owner_that_was_replaced_unnoticed_shows_no_empty_page(deployed):
+    """A trainer has read the results at the next owner."""
+    relay = make_relay(deployed, loopback_host())
+    host, port = relay.address
+    owner = deployed.add_entry("n1", store=f"{host}:{port}")
+    other = deployed.add_entry("n2")
+    for engine in deployed.engines:
+        engine.faults.event_seconds = 0.2
+    submit(owner, "l1")
+    wait_for(lambda: "l1" in other._lots.heads())
+    cut_off(owner, relay)
+    assert read(owner, "l1")[0] == 200
+    page = read_all(other, "l1")
+    check(deployed, page)
+    assert read(owner, "l1")[0] == 503
+    relay = make_relay(deployed, host, port)
+    assert read_all(owner, "l1") == page
+    relay.close()
