The only target of a service is waited for up to the deadline

Cause: a request that may be repeated waits half of the time left for one target, so that another can still serve it; it did so where no other was left. It was then out at a target, nobody could be asked, and nothing was certain any more.

Change: where no other target is left the answer is waited for up to the deadline. On a kept connection, which may be silent while new ones work, half of the time as before, then the same target once more on a new one; a refusal there says nothing of the first send.

--- a/examples/platform_standins/engine.py
+++ b/examples/platform_standins/engine.py
@@ -234,6 +234,8 @@
         Monotonic times at which requests began to run, by id.
     failed : Counter of str
         Answers of 500, by the request's id.
+    refusal_pause : float
+        Seconds before a refusal.
     statuses : dict of str to int
         Status that a request gets, by its id.
     headers : dict of str to dict
@@ -244,6 +246,7 @@
         self.id = id
         self.status = 200
         self.refuse = False
+        self.refusal_pause = 0.0
         self.cut = False
         self.pause = 0.0
         self.seen: list[tuple[str, str, bytes]] = []
@@ -262,6 +265,7 @@
             call.reply(421, headers=((names.NOT_EXECUTED, "1"),))
             return
         if self.refuse:
+            time.sleep(self.refusal_pause)
             call.reply(503, headers=((names.NOT_EXECUTED, "1"),))
             return
         self.headers[id] = lower_headers(call)
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -224,6 +224,7 @@
         run_seconds: float | None = None,
         handle: CallHandle | None = None,
         on_sent: OnSent = do_nothing,
+        kept_until: float | None = None,
     ) -> Outcome:
         """Send `request` and read the whole answer.
 
@@ -231,12 +232,12 @@
         ----------
         deadline : float
             Monotonic time at which waiting ends.
-        caller, run_seconds, handle, on_sent
+        caller, run_seconds, handle, on_sent, kept_until
             As for `open`.
         """
         started = self._clock.monotonic()
         call = self.open(
-            request, target, deadline, caller, run_seconds, handle, on_sent
+            request, target, deadline, caller, run_seconds, handle, on_sent, kept_until
         )
         if isinstance(call, TimedOut):
             return TimedOut(self._clock.monotonic() - started)
@@ -268,6 +269,7 @@
         run_seconds: float | None = None,
         handle: CallHandle | None = None,
         on_sent: OnSent = do_nothing,
+        kept_until: float | None = None,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         """Send `request` and return once the head of the answer has come.
 
@@ -283,6 +285,10 @@
             Ends the request from another thread.
         on_sent : callable
             Called once the whole request is on its way; again if it is sent anew.
+        kept_until : float, optional
+            Monotonic time until which the head is waited for on a kept connection,
+            which may have fallen silent; a request that may be repeated is then sent
+            again on a new one.
         """
         idle = None if request.repeatable else FRESH_IDLE_SECONDS
         connection = (
@@ -296,23 +302,28 @@
             connection.close()
             return CallerGone()
         send = _Send(request, target, connection, handle, self._clock.monotonic())
-        outcome = self._send_on(send, deadline, caller, run_seconds, on_sent)
+        until = deadline
+        if connection.used and kept_until is not None:
+            until = min(deadline, kept_until)
+        outcome = self._send_on(send, until, caller, run_seconds, on_sent)
         if isinstance(outcome, Broken) and outcome.lost:
             self._lost(send, outcome.reason)
-        stale = isinstance(outcome, Broken) and connection.used
+        dropped = isinstance(outcome, Broken) and connection.used
+        silent = isinstance(outcome, TimedOut) and until < deadline
         if not isinstance(outcome, OpenCall):
             connection.reset()
         if isinstance(outcome, TimedOut):
             # A network that is cut there would hold what goes out on the others.
             self._connections.forget(target.id)
-        if stale and request.repeatable:
-            # The target had dropped the kept connection: once more on a new one.
+        if (dropped or silent) and request.repeatable:
+            # The kept connection does not work: once more on a new one.
             self._connections.forget(target.id)
             again = self.open(
                 request, target, deadline, caller, run_seconds, handle, on_sent
             )
-            # The target's process has ended, so the first send may have run.
-            return outcome if _target_ended(again) else again
+            refused = isinstance(again, NotExecuted)
+            # The first send may have run, unless a living target had dropped it.
+            return outcome if refused and (silent or _target_ended(again)) else again
         if handle is not None and handle.cancelled and isinstance(outcome, Broken):
             return CallerGone()
         return outcome
@@ -428,10 +439,8 @@
                 caller = None
 
 
-def _target_ended(outcome: OpenCall | Outcome) -> bool:
+def _target_ended(outcome: NotExecuted) -> bool:
     """Tell whether the process that a request was meant for is gone or unreachable."""
-    if not isinstance(outcome, NotExecuted):
-        return False
     return outcome.status == 0 or outcome.replaced
 
 
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+from collections.abc import Sequence
 from random import Random
 
 from wigeonfront.clock import Clock
@@ -16,7 +17,7 @@
 from wigeonfront.forwarding.exchange import Exchange, do_nothing
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
-from wigeonfront.forwarding.placement import choose_target
+from wigeonfront.forwarding.placement import choose_target, usable_targets
 from wigeonfront.forwarding.steps import (
     DropRequest,
     Fail,
@@ -106,7 +107,8 @@
             blocked = self._guard.blocked_for(request)
             if blocked:
                 return refusal("quarantined", may_have_run, blocked)
-            view = self._choose(request, service, tried)
+            usable = usable_targets(self._table.views(service), tried)
+            view = self._choose(request, usable)
             if view is None:
                 # What a target has said says more than that there is no other.
                 if failed is not None:
@@ -114,8 +116,10 @@
                 return refusal("no target", may_have_run)
             now = self._clock.monotonic()
             state = SendState(request.repeatable, sends_left, deadline - now)
-            until = now + most_wait(state, view.latency)
-            outcome = self.send(request, view, until, caller)
+            patience = now + most_wait(state, view.latency)
+            # Leaving a target serves nobody where there is no other to go to.
+            until = patience if len(usable) > 1 else deadline
+            outcome = self.send(request, view, until, caller, kept_until=patience)
             tried.add(view.target.id)
             if isinstance(outcome, Answered):
                 failed = outcome
@@ -130,13 +134,12 @@
                 return step
 
     def _choose(
-        self, request: ForwardRequest, service: str, tried: set[str]
+        self, request: ForwardRequest, usable: Sequence[TargetView]
     ) -> TargetView | None:
         """Return a target, if it can be one that no other request may crash."""
-        views = self._table.views(service)
-        avoided = tried.union(self._guard.avoided(request))
-        return choose_target(views, avoided, self._failure_domain) or choose_target(
-            views, tried, self._failure_domain
+        avoided = self._guard.avoided(request)
+        return choose_target(usable, avoided, self._failure_domain) or choose_target(
+            usable, (), self._failure_domain
         )
 
     def send(
@@ -147,6 +150,7 @@
         caller: socket.socket | None = None,
         run_seconds: float | None = None,
         handle: CallHandle | None = None,
+        kept_until: float | None = None,
     ) -> Outcome:
         """Send a request to one target, and take what its end says of the target.
 
@@ -154,7 +158,7 @@
         ----------
         deadline : float
             Monotonic time at which waiting ends.
-        caller, run_seconds, handle
+        caller, run_seconds, handle, kept_until
             As for `Exchange.open`.
         """
         target = view.target
@@ -172,6 +176,7 @@
                     run_seconds,
                     handle,
                     note.sent if request.account else do_nothing,
+                    kept_until,
                 )
         finally:
             seconds = self._clock.monotonic() - started
--- a/src/wigeonfront/forwarding/placement.py
+++ b/src/wigeonfront/forwarding/placement.py
@@ -12,6 +12,21 @@
 """Seconds assumed for a target that has not answered."""
 
 
+def usable_targets(
+    views: Sequence[TargetView], excluded: Collection[str]
+) -> list[TargetView]:
+    """Return the targets that a request may be sent to.
+
+    Parameters
+    ----------
+    excluded : collection of str
+        Ids of targets that this request was sent to.
+    """
+    return [
+        view for view in views if not view.draining and view.target.id not in excluded
+    ]
+
+
 def choose_target(
     views: Sequence[TargetView], excluded: Collection[str], failure_domain: str
 ) -> TargetView | None:
@@ -27,9 +42,7 @@
     failure_domain : str
         Where the request is now.
     """
-    usable = [
-        view for view in views if not view.draining and view.target.id not in excluded
-    ]
+    usable = usable_targets(views, excluded)
     healthy = [view for view in usable if view.available]
     return min(
         healthy or usable,
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -203,6 +203,15 @@
     assert reply["outcome"]["retry_after"] > 0
 
 
+def test_what_the_only_target_refuses_late_was_not_run(deployed, apis):
+    """It was given up at half of the time, and called unknown."""
+    api = apis("n1")
+    deployed.plain.refuse = True
+    deployed.plain.refusal_pause = 0.9
+    status, reply = api.call("POST", "/v1/requests", REQUEST)
+    assert (status, reply["outcome"]["kind"]) == (503, "not_run")
+
+
 def test_a_request_with_a_key_runs_once_wherever_it_is_repeated(deployed, apis):
     first, second = apis("n1"), apis("n2")
     deployed.plain.pause = 0.3
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -327,6 +327,36 @@
     assert found == status
 
 
+def test_a_slow_target_is_waited_for_where_there_is_no_other(services):
+    services[0].pause = 0.7
+    ended = forward_by(make_forwarder(services[:1]), seconds=1.0)
+    assert isinstance(ended, ReturnAnswer)
+    assert ended.answer.status == 200
+
+
+@pytest.mark.parametrize(
+    ("after_silence", "status"),
+    [
+        pytest.param(WHOLE, 200, id="answered"),
+        pytest.param(
+            b"HTTP/1.1 503 X\r\nWigeonfront-Not-Executed: 1\r\n" + EMPTY,
+            502,
+            id="refused",
+        ),
+    ],
+)
+def test_a_silent_kept_connection_to_the_only_target_is_not_waited_for(
+    after_silence, status
+):
+    """A refusal on the new connection tells nothing of the first send."""
+    only = RawTarget(WHOLE, b"", after_silence)
+    forwarder, _, _ = forwarder_to([target(only.address)])
+    ends = [forward_by(forwarder, seconds=1.0) for _ in range(2)]
+    found = [getattr(end, "answer", end).status for end in ends]
+    assert found == [200, status]
+    assert (only.connections, only.requests) == (2, 3)
+
+
 def test_a_target_that_was_replaced_gets_no_more_work(services):
     """Its registration stands for seconds after another one took its address."""
     gone = Target("i-gone", "s", services[0].address, "zi-0", 4)
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -250,7 +250,17 @@
         self.script = list(script)
         self.sent = []
 
-    def send(self, request, target, deadline, caller, run_seconds, handle, on_sent):
+    def send(
+        self,
+        request,
+        target,
+        deadline,
+        caller,
+        run_seconds,
+        handle,
+        on_sent,
+        kept_until,
+    ):
         on_sent()
         outcome, share = self.script.pop(0)
         left = max(0.0, deadline - self.clock.monotonic())
