--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -2,15 +2,16 @@
 
 import http.client
 import logging
+import math
 import select
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
-from urllib3 import BaseHTTPResponse, HTTPHeaderDict
-from urllib3.exceptions import HTTPError, ReadTimeoutError
+from urllib3 import HTTPHeaderDict
+from urllib3.exceptions import HTTPError
 
 from wigeonfront.clock import Clock
 from wigeonfront.forwarding.attempt import (
@@ -27,12 +28,12 @@
 from wigeonfront.forwarding.fingerprint import fingerprint
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.forwarding.open_call import OpenCall, do_nothing
 from wigeonfront.observability.logs import event
 from wigeonfront.targets.target import Target
 
 logger = logging.getLogger(__name__)
 
-READ_BYTES = 65_536
 MOST_ANSWER_BYTES = 64 * 1024 * 1024
 REFUSAL_BODY_SECONDS = 0.1
 """Longest wait for the rest of a refusal, whose body comes with its head."""
@@ -43,12 +44,6 @@
 
 
 OnSent = Callable[[], None]
-OnLost = Callable[[str], None]
-"""Called with the reason why a connection was lost under a request."""
-
-
-def do_nothing() -> None:
-    """Ignore that a request is on its way."""
 
 
 class TargetProtocol(Protocol):
@@ -72,104 +67,6 @@
         """Return the headers of the answer that the caller gets."""
 
 
-class OpenCall:
-    """A request whose answer's head has come and whose body is still unread.
-
-    Parameters
-    ----------
-    connection : Connection
-    response : urllib3.BaseHTTPResponse
-    connections : Connections
-    handle : CallHandle, optional
-    on_lost : callable
-        Called when the body breaks off.
-    on_answered : callable
-        Called once the whole body was read.
-    """
-
-    def __init__(
-        self,
-        connection: Connection,
-        response: BaseHTTPResponse,
-        connections: Connections,
-        handle: CallHandle | None = None,
-        on_lost: OnLost = lambda reason: None,
-        on_answered: Callable[[], None] = do_nothing,
-    ) -> None:
-        self._connection = connection
-        self._response = response
-        self._connections = connections
-        self._handle = handle
-        self._on_lost = on_lost
-        self._on_answered = on_answered
-
-    @property
-    def status(self) -> int:
-        """Status of the answer."""
-        return self._response.status
-
-    @property
-    def headers(self) -> HTTPHeaderDict:
-        """Headers of the answer."""
-        return self._response.headers
-
-    @property
-    def framed(self) -> bool:
-        """Whether the answer tells its own end."""
-        chunked = self.headers.get("Transfer-Encoding", "").lower() == "chunked"
-        return chunked or "Content-Length" in self.headers
-
-    def pieces(self, silence: float) -> Iterator[bytes]:
-        """Yield the body as it arrives.
-
-        Parameters
-        ----------
-        silence : float
-            Longest wait between two pieces, in seconds.
-
-        Raises
-        ------
-        urllib3.exceptions.HTTPError, OSError, http.client.HTTPException
-            When the body breaks off or falls silent.
-        """
-        self._connection.sock.settimeout(silence)
-        try:
-            while piece := self._response.read1(READ_BYTES):
-                yield piece
-        except (TimeoutError, ReadTimeoutError):
-            self._connections.forget(self._connection.target_id)
-            raise
-        except (HTTPError, OSError, http.client.HTTPException) as error:
-            self._on_lost(f"body:{type(error).__name__}")
-            raise
-        if self._response.length_remaining:
-            self._on_lost("body:IncompleteRead")
-            raise http.client.IncompleteRead(b"", self._response.length_remaining)
-
-    def finish(self) -> None:
-        """Keep the connection after the whole body was read."""
-        self._on_answered()
-        if self._handle is not None:
-            self._handle.detach()
-        original = getattr(self._response, "_original_response", None)
-        will_close = original is None or original.will_close
-        if will_close or self._connection.link.sock is None:
-            self._response.close()
-            self._connection.close()
-            return
-        keep_alive = self._response.headers.get("Keep-Alive", "")
-        self._connections.give_back(self._connection, keep_alive)
-
-    def abort(self) -> None:
-        """Have the thread that reads the body fail; it then closes the connection."""
-        self._connection.shut_down()
-
-    def close(self) -> None:
-        """Reset the connection, which tells the target to stop."""
-        self._connection.reset()
-        self._response.close()
-
-
 @dataclass(frozen=True, slots=True)
 class _Send:
     """One request on one connection.
@@ -290,12 +187,8 @@
             which may have fallen silent; a request that may be repeated is then sent
             again on a new one.
         """
-        idle = None if request.repeatable else FRESH_IDLE_SECONDS
-        connection = (
-            self._connections.take(target.id, target.address)
-            if idle is None
-            else self._connections.take(target.id, target.address, idle)
-        )
+        most_idle = math.inf if request.repeatable else FRESH_IDLE_SECONDS
+        connection = self._connections.take(target.id, target.address, most_idle)
         if isinstance(connection, NoConnection):
             return NotExecuted(connection.reason)
         if handle is not None and not handle.attach(connection.sock):
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -14,9 +14,10 @@
     Outcome,
     TimedOut,
 )
-from wigeonfront.forwarding.exchange import Exchange, do_nothing
+from wigeonfront.forwarding.exchange import Exchange
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.forwarding.open_call import do_nothing
 from wigeonfront.forwarding.placement import choose_target, usable_targets
 from wigeonfront.forwarding.steps import (
     DropRequest,
--- a/src/wigeonfront/forwarding/streams.py
+++ b/src/wigeonfront/forwarding/streams.py
@@ -11,13 +11,9 @@
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Route
 from wigeonfront.forwarding.attempt import CallerGone, ForwardRequest, NotExecuted
-from wigeonfront.forwarding.exchange import (
-    Exchange,
-    OpenCall,
-    TargetProtocol,
-    caller_closed,
-)
+from wigeonfront.forwarding.exchange import Exchange, TargetProtocol, caller_closed
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
+from wigeonfront.forwarding.open_call import OpenCall
 from wigeonfront.forwarding.placement import choose_target
 from wigeonfront.forwarding.steps import (
     GATEWAY_TIMEOUT,
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -15,9 +15,10 @@
     NotExecuted,
     TimedOut,
 )
-from wigeonfront.forwarding.exchange import Exchange, OpenCall
+from wigeonfront.forwarding.exchange import Exchange
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.forwarding.open_call import OpenCall
 from wigeonfront.rollout.events import EventReader, Text
 from wigeonfront.rollout.lot import Lot, Sample
 from wigeonfront.rollout.run_outcomes import (
