A next owner shows no page without the results that the last one had on disks

Cause: results that the store does not take are shown once disks have them. A next owner reads them back from a disk and has the store keep them first; until then it showed only what the store had, though it knows that more may have been shown.

Change: positions up to which an earlier owner may have shown results count as possibly read, like those whose write has no answer: 503, and another entry reads the store.

Test: an owner that shows results in an outage is killed; neither the store nor the disks take results of the next one. It failed before (200 and an empty page for 503).

--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -282,6 +282,14 @@
         doubtful = self._writes_under_way or self._answer_lost
         return len(self.kept) + (len(self.in_doubt) if doubtful else 0)
 
+    @property
+    def possibly_read(self) -> int:
+        """Position up to which results may have been read, here or elsewhere.
+
+        An earlier owner may have shown what this one has from a disk.
+        """
+        return max(self.possibly_kept, self.owed)
+
     @property
     def finished(self) -> bool:
         """Whether every sample has a kept result."""
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -270,11 +270,11 @@
                     return None
                 total = len(progress.lot.samples)
                 shown = progress.shown
-                doubtful = len(shown) <= after < progress.possibly_kept
+                doubtful = len(shown) <= after < progress.possibly_read
                 until = doubt_deadline if doubtful else deadline
                 remaining = until - self._clock.monotonic()
                 if remaining <= 0 and doubtful:
-                    return ResultsInDoubt("a write of results has no answer")
+                    return ResultsInDoubt("results that may be read are not kept")
                 if len(shown) > after or after >= total or remaining <= 0:
                     whole = len(shown) <= len(progress.kept)
                     return OwnedResults(total, shown[after:], whole)
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -15,6 +15,7 @@
 from wigeonfront.rollout.head import LotState
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 from wigeonfront.rollout.progress import LotProgress
+from wigeonfront.rollout.repository import NotKept
 from wigeonfront.rollout.spooling import (
     PART_PAUSE_SECONDS,
     SPOOL_AFTER_SECONDS,
@@ -22,6 +23,7 @@
     spool_due,
 )
 from wigeonfront.spool import SpoolMember
+from wigeonfront.spool.calls import Append, Refused
 
 DISKS = 2
 
@@ -140,6 +142,25 @@
     assert read_all(second, "l1") == page
 
 
+def test_a_next_owner_shows_no_page_without_what_the_last_one_showed(deployed):
+    """It has the results from a disk, and the store has yet to take them."""
+    first = add_entry(deployed, "n1")
+    second = add_entry(deployed, "n2")
+    page = run_in_an_outage(deployed, first)
+    kill(first, "l1")
+    append = second._repository.append
+    second._repository.append = lambda *arguments: NotKept("refused by the test")
+    for disk in deployed.disks:
+        disk._spool.take = lambda call, take=disk._spool.take: (
+            Refused("full") if isinstance(call, Append) else take(call)
+        )
+    deployed.rows.faults.down = False
+    wait_for(lambda: second._runner.owned("l1"), 10.0)
+    assert read(second, "l1")[0] == 503
+    second._repository.append = append
+    assert read_all(second, "l1") == page
+
+
 def test_an_entry_that_reaches_no_owner_shows_no_page_that_may_lack_results(deployed):
     first = add_entry(deployed, "n1")
     second = add_entry(deployed, "n2")
