What a next owner has from a disk is kept at once

Test: with that sleep at 60 s the results of a disk were not kept within 5 s before; now they are at once.

--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -178,6 +178,8 @@
             for state in whole:
                 self._text_ended(progress, state)
             self._work.notify_all()
+            # Results that a disk had are to be kept, and then shown.
+            self._results.notify_all()
 
     def settle(self, lot_id: str, head_revision: int) -> None:
         """Note that the head row of a deferred Lot is written."""
--- a/tests/test_lot_runner.py
+++ b/tests/test_lot_runner.py
@@ -16,11 +16,14 @@
     ServiceShare,
 )
 from wigeonfront.observability.metrics import Registry
+from wigeonfront.rollout import keeping
 from wigeonfront.rollout.events import StreamEvent, Text
-from wigeonfront.rollout.lot import Lot, Sample
+from wigeonfront.rollout.inheritance import Inheritance
+from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 from wigeonfront.rollout.order import Waiting
 from wigeonfront.rollout.placing import SamplePlacer
 from wigeonfront.rollout.progress import LotProgress
+from wigeonfront.rollout.repository import Kept
 from wigeonfront.rollout.run_outcomes import (
     RunBroken,
     RunCompleted,
@@ -255,3 +258,33 @@
     sending(runner)
     wait_for(lambda: len(runs.began) == 3)
     assert runs.seconds == pytest.approx([100.0, 40.0, LEAST_RUN_SECONDS])
+
+
+class KeptAt:
+    """A repository that notes what it is asked to keep."""
+
+    def __init__(self):
+        self.batches = []
+
+    def append(self, lot_id, head_revision, position, batch, texts):
+        self.batches.append((lot_id, position, [result.id for result in batch]))
+        return Kept(head_revision)
+
+
+def test_results_that_a_disk_had_are_kept_as_soon_as_a_lot_is_adopted(monkeypatch):
+    """Until then they can't be shown, though the last owner has shown them."""
+    monkeypatch.setattr(keeping, "IDLE_WAIT_SECONDS", 60.0)
+    runner = make_runner(ScriptedRuns(), {"a": 1})
+    repository = runner.keeper._repository = KeptAt()
+    stop = threading.Event()
+    thread = threading.Thread(target=runner.keeper.run, args=(stop,), daemon=True)
+    thread.start()
+    wait_for(lambda: runner._results._waiters)
+    lot = Lot("l1", "h", "/", (Sample("s1", "/x", (), b""),))
+    runner.adopt(lot, 7, Inheritance(spooled=(SampleResult("s1", True),)))
+    wait_for(lambda: repository.batches)
+    assert repository.batches == [("l1", 0, ["s1"])]
+    stop.set()
+    with runner._results:
+        runner._results.notify_all()
+    thread.join()
