--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,21 @@
+"""The tests that KNOWN-RED.txt lists: they fail for a known fault."""
+
+from pathlib import Path
+
+LIST = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+
+
+def entries(text):
+    """Return the lines of a list that name a test."""
+    lines = (line.strip() for line in text.splitlines())
+    return [line for line in lines if line and not line.startswith("#")]
+
+
+def name_of(entry):
+    """Return the node id of the test that an entry names."""
+    return entry.partition(", ")[0]
+
+
+def read_entries():
+    """Return the entries of the list; none where there is no list."""
+    return entries(LIST.read_text()) if LIST.exists() else []
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,56 @@
+"""Just the tests that KNOWN-RED.txt lists are passed over."""
+
+import pytest
+
+from conftest import pytest_collection_modifyitems
+from known_red import LIST, entries, name_of
+
+LISTED = """
+# test, cause, issue
+tests/test_a.py::test_one[512], a cause, with a comma, issue 3; command
+
+tests/test_b.py::test_two, not traced, issue 4; command
+"""
+
+
+def test_an_entry_names_a_test():
+    names = [name_of(entry) for entry in entries(LISTED)]
+    assert names == ["tests/test_a.py::test_one[512]", "tests/test_b.py::test_two"]
+
+
+class Item:
+    def __init__(self, nodeid):
+        self.nodeid = nodeid
+
+
+class Config:
+    def __init__(self, known_red):
+        self.known_red = known_red
+        self.hook = self
+        self.deselected = []
+
+    def getoption(self, name):
+        return self.known_red
+
+    def pytest_deselected(self, items):
+        self.deselected.extend(item.nodeid for item in items)
+
+
+@pytest.mark.parametrize(
+    ("asked", "over"),
+    [
+        (False, ["tests/test_a.py::test_one[512]", "tests/test_b.py::test_two"]),
+        (True, []),
+    ],
+)
+def test_no_other_test_is_passed_over(monkeypatch, tmp_path, asked, over):
+    path = tmp_path / LIST.name
+    path.write_text(LISTED)
+    monkeypatch.setattr("known_red.LIST", path)
+    names = ["a.py::test_one[512]", "a.py::test_one[5120]", "b.py::test_two", "b.py::x"]
+    names = [f"tests/test_{name}" for name in names]
+    items = [Item(name) for name in names]
+    config = Config(asked)
+    pytest_collection_modifyitems(config, items)
+    assert config.deselected == over
+    assert [item.nodeid for item in items] == [one for one in names if one not in over]
