--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from benchmarks.mutations.decisions import MUTATIONS
 from benchmarks.rounds.__main__ import FIRST_SEED, chosen_plays
 from benchmarks.rounds.ablation import Planner, Task, play_task
 from benchmarks.rounds.ablation import table as ablation_table
@@ -94,6 +95,14 @@
     compile(changed.read_text(), str(changed), "exec")
 
 
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda one: one.change.name)
+def test_the_lines_of_each_mutation_stand_there_once(mutation):
+    text = (ROOT / PACKAGE / mutation.change.file).read_text()
+    assert [text.count(old) for old, _ in mutation.change.changes] == [1] * len(
+        mutation.change.changes
+    )
+
+
 def test_a_copy_takes_only_what_is_built(tmp_path):
     """Caches of tools change while a checkout is copied; here one is broken."""
     checkout = copy_without(MECHANISMS[0], ROOT, tmp_path)
