A row that is missed while its lease is renewed ends the presence

Found by reading the change again: the mirror's thread may have the process register anew while a renewal is out; its answer then made a presence without a beginning, with which an owner would never have waited for its copy. Test: failed before.

--- a/src/wigeonfront/coordination/membership.py
+++ b/src/wigeonfront/coordination/membership.py
@@ -314,11 +314,12 @@
         return True
 
     def _renew(self) -> bool:
-        asked_at = self._clock.boottime()
+        presence, asked_at = self._presence, self._clock.boottime()
         outcome = self._store.renew_lease(self._lease)
         if isinstance(outcome, Lease):
-            until = asked_at + outcome.ttl
-            self._presence = replace(self._presence, until=until)
+            # The row may have been missed meanwhile.
+            if self._presence is presence:
+                self._presence = replace(presence, until=asked_at + outcome.ttl)
             return True
         event(logger, "renewal_failed", outcome=type(outcome).__name__)
         if isinstance(outcome, LeaseLost):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -129,6 +129,20 @@
     assert registration.presence == Presence()
 
 
+def test_a_row_that_is_missed_during_a_renewal_ends_the_presence(rows):
+    registration = made(rows, ManualClock(100.0))
+    registration._register()
+    renew = rows.renew_lease
+
+    def renew_and_miss(lease):
+        registration.restore()
+        return renew(lease)
+
+    rows.renew_lease = renew_and_miss
+    registration._renew()
+    assert registration.presence == Presence()
+
+
 def test_a_missing_row_is_written_again_when_it_is_noticed(rows, running):
     registration = running(made(rows, term=0.3))
     rows.write((), (), (ENTRY_PREFIX + "n1",))
