following: log when a target is used without a registration, and its end once

During the grace after an outage each update logged target_gone again although the target still got requests, so the log said the opposite of what happened, and no line told why a target was kept. target_kept now names the target once, whether the store is failing and how long ago it was regained; target_gone follows when it is dropped.

No decision changes. The new test fails without the change.

--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -176,8 +176,9 @@
         rows = mirror.state().rows
         with self._lock:
             registered = self._registered(rows)
+            missing_before = set(self._missing_since)
             kept = self._still_valid(registered, mirror)
-            self._log(registered)
+            self._log(registered, kept, missing_before, mirror)
             gone = replaced_targets(self._known.values(), registered.values())
             self._known = {**kept, **registered}
             targets = list(self._known.values())
@@ -247,7 +248,13 @@
             id: target for id, target in kept.items() if target.address not in taken
         }
 
-    def _log(self, registered: dict[str, Target]) -> None:
+    def _log(
+        self,
+        registered: Mapping[str, Target],
+        kept: Collection[str],
+        missing_before: Collection[str],
+        mirror: Mirror,
+    ) -> None:
         """Log a summary of the changes, and each change of a target that was used here.
 
         Each process learns of each target, so a line for every change of a target would
@@ -256,24 +263,40 @@
         changed = [
             target for id, target in registered.items() if self._known.get(id) != target
         ]
-        gone = [id for id in self._known if id not in registered]
+        gone = [id for id in self._known if id not in registered and id not in kept]
+        newly_kept = [id for id in kept if id not in missing_before]
         for target in changed:
             if self._table.was_used(target.id):
                 _log_target(target)
+        for id in newly_kept:
+            if self._table.was_used(id):
+                self._log_kept(id, mirror)
         for id in gone:
             if self._table.was_used(id):
                 event(logger, "target_gone", id=id)
         added = sum(target.id not in self._known for target in changed)
-        if added or gone:
+        if added or gone or newly_kept:
             event(
                 logger,
                 "targets",
                 known=len(registered),
                 come=added,
                 gone=len(gone),
+                kept=len(kept),
                 draining=sum(target.draining for target in registered.values()),
             )
 
+    def _log_kept(self, id: str, mirror: Mirror) -> None:
+        """Log that a target without a registration is still used, and why."""
+        now = self._clock.monotonic()
+        event(
+            logger,
+            "target_kept",
+            id=id,
+            store_failing=mirror.failing,
+            regained_seconds_ago=now - mirror.regained_at,
+        )
+
 
 def _log_target(target: Target) -> None:
     event(
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -233,3 +233,24 @@
     followed.follower.expire(followed.mirror)
     assert followed.ids == {"i-1"}
     assert followed.gone == []
+
+
+def test_a_target_used_without_a_registration_is_logged_once_until_it_is_dropped(
+    followed, caplog
+):
+    followed.register("i-1")
+    followed.table.record_started("i-1")
+    followed.rows.faults.down = True
+    assert not followed.mirror._list()
+    followed.rows.faults.down = False
+    followed.rows.remove("servers/i-1")
+    with caplog.at_level("INFO"):
+        followed.refresh()
+        followed.follower.expire(followed.mirror)
+        assert caplog.text.count("event=target_kept id=i-1 ") == 1
+        assert "event=target_gone" not in caplog.text
+        followed.clock.advance(REREGISTRATION_SECONDS + 0.1)
+        followed.follower.expire(followed.mirror)
+        followed.follower.expire(followed.mirror)
+    assert caplog.text.count("event=target_kept id=i-1 ") == 1
+    assert caplog.text.count("event=target_gone id=i-1") == 1
