Failing test: a target that leaves soon after an outage is used past the drain bound

An entry notices the return of the store up to 2.6 s late; from 3 s after the return on a target whose registration is removed must get nothing later than 2 s after that.

--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -16,12 +16,16 @@
     TargetFollower,
     replaced_targets,
 )
+from wigeonfront.node.settings import Bounds
 from wigeonfront.platform import records
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
 
 SERVICE = "s"
 
+CONTACT_SECONDS = 3.0
+DRAIN_SECONDS = Bounds().drain_seconds
+
 
 class Followed:
     """A follower with its store, whose mirror lists the rows when a test says so."""
@@ -254,3 +258,33 @@
         followed.follower.expire(followed.mirror)
     assert caplog.text.count("event=target_kept id=i-1 ") == 1
     assert caplog.text.count("event=target_gone id=i-1") == 1
+
+
+@pytest.mark.parametrize(
+    ("noticed_after", "leaves_after"),
+    [
+        (0.0, CONTACT_SECONDS),
+        (1.4, CONTACT_SECONDS),
+        (1.4, 3.2),
+        (2.0, CONTACT_SECONDS),
+        (2.0, 4.2),
+        (2.6, CONTACT_SECONDS),
+    ],
+)
+def test_a_target_that_leaves_after_an_outage_gets_no_work_past_the_drain_bound(
+    followed, noticed_after, leaves_after
+):
+    """Both times count from the return of the store."""
+    followed.register("i-1")
+    followed.rows.faults.down = True
+    assert not followed.mirror._list()
+    followed.clock.advance(5.0)
+    followed.rows.faults.down = False
+    followed.clock.advance(noticed_after)
+    followed.refresh()
+    followed.clock.advance(leaves_after - noticed_after)
+    followed.rows.remove("servers/i-1")
+    followed.refresh()
+    followed.clock.advance(DRAIN_SECONDS)
+    followed.follower.expire(followed.mirror)
+    assert followed.ids == set()
