A target that leaves soon after an outage of the store gets no work past the drain bound

What callers saw: requests still reached an engine 2,002 to 2,056 ms after its registration had been removed, where 2,000 ms are allowed. The engine could have ended under them.

Cause: registrations that vanish around an outage of the store stay valid for 2.3 s, as live targets register again within about two seconds of its return. That time was counted from the moment at which the row vanished, if this was up to 2.3 s after the entry had noticed the return. So a target that left 3.2 s after the return, at an entry that noticed the return 1.3 s late, was used for 2.3 s more, and the bound is 2.0 s.

Change: the time counts from the return of the store alone. A registration that is missing after that is not valid, whenever it vanished.

Why it works: bounds hold from 3 s after the return on, so a removal from then on is in force 2 s later, 5 s after the return; the grace ends 2.3 s after the return was noticed, so an entry may notice it up to 2.7 s late.

One case of test_a_registration_that_expires_around_an_outage_stays_valid_for_a_while was wrong: it asked that a registration which vanishes 1.0 s after the return be valid until 3.2 s after it, past the two seconds that the platform promises. Its times now count from the return, with one case more; each case still checks both sides of the end.

--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -17,8 +17,8 @@
 logger = logging.getLogger(__name__)
 
 REREGISTRATION_SECONDS = 2.3
-"""How long a registration that vanished around an outage of the store still counts as
-valid: live targets register again within about two seconds."""
+"""Time after the return of the store by which live targets have registered again. Until
+then a registration that has vanished still counts as valid."""
 
 
 class BadRowLog:
@@ -166,7 +166,8 @@
         self._on_gone = on_gone
         self._lock = threading.Lock()
         self._known: dict[str, Target] = {}
-        self._missing_since: dict[str, float] = {}
+        # Ids of the known targets without a registration.
+        self._kept: frozenset[str] = frozenset()
         # Newest known start of each target in Unix ms, also of targets that are gone.
         self._starts: dict[str, int] = {}
         self._bad_rows = BadRowLog()
@@ -176,11 +177,11 @@
         rows = mirror.state().rows
         with self._lock:
             registered = self._registered(rows)
-            missing_before = set(self._missing_since)
             kept = self._still_valid(registered, mirror)
-            self._log(registered, kept, missing_before, mirror)
+            self._log(registered, kept, mirror)
             gone = replaced_targets(self._known.values(), registered.values())
             self._known = {**kept, **registered}
+            self._kept = frozenset(kept)
             targets = list(self._known.values())
         self._table.set_targets(targets)
         for id in gone:
@@ -218,7 +219,7 @@
     def expire(self, mirror: Mirror) -> None:
         """Drop registrations that were not renewed in time after an outage."""
         with self._lock:
-            waiting = bool(self._missing_since)
+            waiting = bool(self._kept)
         if waiting:
             self.update(mirror)
 
@@ -227,22 +228,11 @@
     ) -> dict[str, Target]:
         """Return vanished targets whose lease may only have expired in an outage."""
         now = self._clock.monotonic()
-        gone = [id for id in self._known if id not in registered]
-        self._missing_since = {id: self._missing_since.get(id, now) for id in gone}
-        kept: dict[str, Target] = {}
-        for id in gone:
-            around_outage = (
-                mirror.failing
-                or self._missing_since[id] - mirror.regained_at < REREGISTRATION_SECONDS
-            )
-            back_by = (
-                max(self._missing_since[id], mirror.regained_at)
-                + REREGISTRATION_SECONDS
-            )
-            if around_outage and (mirror.failing or now < back_by):
-                kept[id] = self._known[id]
-            else:
-                del self._missing_since[id]
+        if not may_lack_registrations(mirror.failing, mirror.regained_at, now):
+            return {}
+        kept = {
+            id: target for id, target in self._known.items() if id not in registered
+        }
         taken = {target.address for target in registered.values()}
         return {
             id: target for id, target in kept.items() if target.address not in taken
@@ -252,7 +242,6 @@
         self,
         registered: Mapping[str, Target],
         kept: Collection[str],
-        missing_before: Collection[str],
         mirror: Mirror,
     ) -> None:
         """Log a summary of the changes, and each change of a target that was used here.
@@ -264,7 +253,7 @@
             target for id, target in registered.items() if self._known.get(id) != target
         ]
         gone = [id for id in self._known if id not in registered and id not in kept]
-        newly_kept = [id for id in kept if id not in missing_before]
+        newly_kept = [id for id in kept if id not in self._kept]
         for target in changed:
             if self._table.was_used(target.id):
                 _log_target(target)
@@ -309,6 +298,25 @@
     )
 
 
+def may_lack_registrations(failing: bool, regained_at: float, now: float) -> bool:
+    """Return whether live targets may lack a registration because of an outage.
+
+    The time counts from the return of the store, not from the moment at which a
+    registration vanishes: a target that leaves soon after an outage would otherwise be
+    used for as long as one that lost its lease.
+
+    Parameters
+    ----------
+    failing : bool
+        Whether the store does not answer now.
+    regained_at : float
+        Monotonic time at which the store last answered again after an outage.
+    now : float
+        Monotonic time.
+    """
+    return failing or now < regained_at + REREGISTRATION_SECONDS
+
+
 def newest_at_address(
     targets: dict[str, Target], revisions: dict[str, int]
 ) -> dict[str, Target]:
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -195,12 +195,14 @@
         # During the outage, just after it, and long after it.
         (-1.0, True),
         (1.0, True),
+        (REREGISTRATION_SECONDS - 0.2, True),
         (REREGISTRATION_SECONDS + 0.1, False),
     ],
 )
 def test_a_registration_that_expires_around_an_outage_stays_valid_for_a_while(
     followed, lapsed_after, held
 ):
+    """All times count from the return of the store."""
     followed.register("i-1")
     followed.rows.faults.down = True
     assert not followed.mirror._list()
@@ -216,7 +218,8 @@
         followed.rows.remove("servers/i-1")
         followed.refresh()
     assert followed.ids == ({"i-1"} if held else set())
-    followed.clock.advance(REREGISTRATION_SECONDS - 0.1)
+    elapsed = max(0.0, lapsed_after)
+    followed.clock.advance(max(0.0, REREGISTRATION_SECONDS - 0.1 - elapsed))
     followed.follower.expire(followed.mirror)
     assert followed.ids == ({"i-1"} if held else set())
     followed.clock.advance(0.2)
