A mirror that has lost its source asks without waiting, so its return is noticed sooner

What callers could see: the time for which registrations lost in an outage stay valid begins when the entry notices the return of the store. The later that is, the later a target that has left gets its last request.

Cause: the watch with which a mirror finds out whether its source is back waits for a change as usual, 0.6 s for targets. That comes on top of the pause between two tries and of a call that was lost just before the return, and a lost call hangs for its wait in addition to its own time limit.

Change: while its source is lost a mirror's watch waits for nothing. The longest delay is then one lost call (1.3 s) and one pause (1.0 s); a test adds the time for which registrations stay valid, and compares the sum with the bounds.

Test: fails before the change, which waited 0.6 s in the first call after the failure.

--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -227,7 +227,9 @@
         self._changed.notify_all()
 
     def _watch(self) -> bool:
-        changes = self._source.watch(self._prefix, self._revision, self._wait)
+        # A call that waits for a change would notice the end of an outage late.
+        wait = 0.0 if self.failing else self._wait
+        changes = self._source.watch(self._prefix, self._revision, wait)
         if isinstance(changes, Unavailable):
             self._note_failure("watch", changes.reason)
             return False
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -88,6 +88,37 @@
     assert store.faults.calls < 6
 
 
+class RecordedWaits:
+    """A store whose watches are recorded with the time that they may wait."""
+
+    age = 0.0
+
+    def __init__(self, store):
+        self.store = store
+        self.waits = []
+
+    def list(self, prefix):
+        return self.store.list(prefix)
+
+    def watch(self, prefix, after, timeout):
+        self.waits.append(timeout)
+        return self.store.watch(prefix, after, 0.0)
+
+
+def test_the_return_of_a_source_is_noticed_without_waiting_for_a_change():
+    store = make_store()
+    source = RecordedWaits(store)
+    mirror = Mirror(source, PREFIX, SystemClock(), wait=0.6)
+    assert mirror._list()
+    assert mirror._watch()
+    store.faults.down = True
+    assert not mirror._watch()
+    store.faults.down = False
+    assert mirror._watch()
+    assert mirror._watch()
+    assert source.waits == [0.6, 0.6, 0.0, 0.6]
+
+
 class OutdatedSource:
     """A source whose listings are older than the changes of its watch."""
 
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -9,7 +9,8 @@
 from rows_fakes import make_store
 from wigeonfront.clock import ManualClock
 from wigeonfront.coordination.feed import DirectRows
-from wigeonfront.coordination.mirror import Mirror
+from wigeonfront.coordination.mirror import MAX_RETRY_SECONDS, Mirror
+from wigeonfront.coordination.relay import RELAY_CALL_SECONDS
 from wigeonfront.node.following import (
     REREGISTRATION_SECONDS,
     ConfigurationFollower,
@@ -18,6 +19,7 @@
 )
 from wigeonfront.node.settings import Bounds
 from wigeonfront.platform import records
+from wigeonfront.platform.metadata_store import CALL_SECONDS
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
 
@@ -291,3 +293,9 @@
     followed.clock.advance(DRAIN_SECONDS)
     followed.follower.expire(followed.mirror)
     assert followed.ids == set()
+
+
+def test_the_grace_after_an_outage_ends_within_the_drain_bound_of_a_later_removal():
+    # A call that was lost just before the return, and the pause after it.
+    noticed_after = max(CALL_SECONDS, RELAY_CALL_SECONDS) + MAX_RETRY_SECONDS
+    assert noticed_after + REREGISTRATION_SECONDS < CONTACT_SECONDS + DRAIN_SECONDS
