A request is not sent again late to a target that has begun to leave meanwhile

What callers could see: a request that waits on a kept connection which no longer works is sent again on a new connection to the same target, after half of its time, which may be seconds. If the target began to leave meanwhile, it got the request past the drain bound, and might have ended under it.

Cause: the second send used the choice of the first; no one asked whether the target still took work. All other sends follow a new choice.

Change: a second send more than 0.5 s after the first needs a target that is registered and not draining; otherwise the first outcome stands, and a request that may be repeated goes to another target. Sooner the target may have it: it serves for 2 s and more after its notice, and it is just then that it closes kept connections.

--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -44,7 +44,17 @@
 repeated: if the target closed it meanwhile, it would be uncertain whether the request
 ran."""
 
+MAX_RESEND_SECONDS = 0.5
+"""Time after the first send for which a request may be sent again to a target that has
+begun to leave meanwhile: a quarter of the time for which such a target still serves,
+because senders learn of it late."""
+
 OnSent = Callable[[], None]
+AcceptsWork = Callable[[str], bool]
+
+
+def _always(target_id: str) -> bool:
+    return True
 
 
 class TargetProtocol(Protocol):
@@ -99,6 +109,9 @@
     clock : Clock
     guard : RequestGuard, optional
         Learns which connections were lost and which requests were answered.
+    accepts_work : callable, optional
+        Returns whether the target with an id has not begun to leave. It is asked before
+        a request is sent to its target a second time. By default no target leaves.
     """
 
     def __init__(
@@ -107,11 +120,13 @@
         protocol: TargetProtocol,
         clock: Clock,
         guard: RequestGuard = NO_GUARD,
+        accepts_work: AcceptsWork = _always,
     ) -> None:
         self._connections = connections
         self._protocol = protocol
         self._clock = clock
         self._guard = guard
+        self._accepts_work = accepts_work
 
     def send(
         self,
@@ -224,6 +239,8 @@
         if (dropped or silent) and request.repeatable:
             # The reused connection does not work, so retry on a new one.
             self._connections.close_idle_to(target.id)
+            if not self._may_resend(send):
+                return outcome
             second = self.open(
                 request, target, deadline, caller, run_seconds, handle, on_sent
             )
@@ -235,6 +252,11 @@
             return CallerGone()
         return outcome
 
+    def _may_resend(self, send: _Send) -> bool:
+        """Return whether the request may be sent to its target a second time."""
+        elapsed = self._clock.monotonic() - send.started
+        return elapsed < MAX_RESEND_SECONDS or self._accepts_work(send.target.id)
+
     def _send_on_connection(
         self,
         send: _Send,
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -132,7 +132,11 @@
             self._ledger, self._store, self._is_first_member, clock
         )
         self._exchange = Exchange(
-            self._connections, PlatformTargets(), clock, self._guard
+            self._connections,
+            PlatformTargets(),
+            clock,
+            self._guard,
+            self._table.accepts_work,
         )
         self._starts = StartLog(clock)
         self._forwarder = self._make_forwarder()
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -174,6 +174,11 @@
             state = self._states.get(id)
             return state is not None and state.used
 
+    def accepts_work(self, id: str) -> bool:
+        """Return whether the target `id` is known and not draining."""
+        target = self.get(id)
+        return target is not None and not target.draining
+
     def get(self, id: str) -> Target | None:
         """Return the target `id`, or ``None`` if it is not known."""
         with self._lock:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,6 @@
 """Forwarding over real sockets to fake targets."""
 
+import random
 import socket
 import threading
 import time
@@ -24,9 +25,11 @@
     TimedOut,
 )
 from wigeonfront.forwarding.connections import idle_seconds
+from wigeonfront.forwarding.exchange import MAX_RESEND_SECONDS
 from wigeonfront.forwarding.fingerprint import fingerprint
 from wigeonfront.forwarding.steps import Fail, ReturnAnswer
 from wigeonfront.platform.target_calls import PlatformTargets, forwarded_headers
+from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
 
 SEAL = b"Wigeonfront-Attempt-Id: r1\r\nWigeonfront-Server-Seal: s\r\n"
@@ -366,6 +369,37 @@
     assert (only.connections, only.requests) == (2, 3)
 
 
+@pytest.mark.parametrize("draining", [True, False])
+@pytest.mark.parametrize(
+    ("end", "patience", "outcome", "requests"),
+    [
+        ((b"", "close"), 5.0, Answered, 3),
+        (b"", 0.5 * MAX_RESEND_SECONDS, Answered, 3),
+        (b"", 1.2 * MAX_RESEND_SECONDS, TimedOut, 2),
+    ],
+)
+def test_a_request_is_not_sent_again_late_to_a_target_that_has_left(
+    end, patience, outcome, requests, draining
+):
+    raw = RawTarget(WHOLE, end, WHOLE)
+    chosen = target(raw.address)
+    table = TargetTable(SystemClock(), random.Random(1))
+    table.set_targets([chosen])
+    exchange = Exchange(
+        Connections(SystemClock()),
+        PlatformTargets(),
+        SystemClock(),
+        accepts_work=table.accepts_work,
+    )
+    until = time.monotonic() + 5
+    assert isinstance(exchange.send(request(), chosen, until), Answered)
+    table.set_targets([replace(chosen, draining=True)] if draining else [])
+    reuse_deadline = time.monotonic() + patience
+    found = exchange.send(request(), chosen, until, reuse_deadline=reuse_deadline)
+    assert isinstance(found, outcome)
+    assert raw.requests == requests
+
+
 def test_a_replaced_target_gets_no_more_requests(services):
     """Its registration lasts for seconds after another target has taken its address."""
     gone = Target("i-gone", "s", services[0].address, "zi-0", 4)
