A target that leaves while only one entry is cut off gets no work from it after the cut

What callers could see: an entry that was cut off from the store and the other entries kept using engines that had left meanwhile, for 2.3 s after the cut. Where it noticed the end of the cut 0.7 s late or more, that is past the 3 s after which its bounds hold again.

Cause: registrations that vanish around an outage of the store stay valid for a while. An entry could not tell such an outage from a cut of its own way to the store, in which no target loses its lease.

Change: an entry whose source failed asks two others, once it has an answer again, for how long they have followed the store without a gap. An outage of the store was over by then, so the time of 2.3 s counts from there. A mirror measures its gaps by the age of its rows, as a call that waits until an outage ends never fails.

Tests: the new ones of the follower failed before.

--- a/src/wigeonfront/coordination/feed.py
+++ b/src/wigeonfront/coordination/feed.py
@@ -17,7 +17,7 @@
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.rows import Changes, Listing, RowSource, Unavailable
-from wigeonfront.http.client import Answer, NotSent
+from wigeonfront.http.client import Answer, NotSent, Unanswered
 from wigeonfront.http.pools import Pools
 from wigeonfront.http.raw import RawCall
 from wigeonfront.observability.logs import event
@@ -48,6 +48,10 @@
 """Time for which a source that refused the connection is not asked again; a process
 that restarts accepts connections by then."""
 
+MAX_PEERS_ASKED = 2
+"""Number of processes that are asked for how long they have followed the store. One
+that does not answer delays the new rows by up to `ANSWER_MARGIN_SECONDS`."""
+
 MAX_WAIT_SECONDS = 5.0
 """Longest wait for a change that one answer to a follower may take."""
 
@@ -60,10 +64,20 @@
 
 
 class FeedChanges(msgspec.Struct, frozen=True, tag="changes"):
-    """Changes after a revision."""
+    """Changes after a revision.
+
+    Attributes
+    ----------
+    changes : Changes
+    age : float
+        Time by which the rows may be behind the store, in seconds.
+    followed : float
+        Time for which the mirror has followed its rows without a break, in seconds.
+    """
 
     changes: Changes
     age: float
+    followed: float = 0.0
 
 
 class FeedRefused(msgspec.Struct, frozen=True, tag="refused"):
@@ -92,6 +106,8 @@
 
 FeedAnswer = FeedListing | FeedChanges | FeedRefused
 
+Reply = Answer | NotSent | Unanswered
+
 
 class DirectRows:
     """The store itself as a `RowSource`, whose answers are never out of date.
@@ -106,6 +122,10 @@
         self._store = store
         self.age = 0.0
 
+    def followed_elsewhere(self, prefix: str, after: int) -> float:
+        """Return 0, as no other process is asked."""
+        return 0.0
+
     def list(self, prefix: str) -> Listing | Unavailable:
         """Read all rows below `prefix`."""
         return self._store.list(prefix)
@@ -146,7 +166,8 @@
             listing = Listing(tuple(state.rows.values()), state.revision)
             return FeedListing(listing, mirror.age)
         wait = min(request.wait, MAX_WAIT_SECONDS)
-        return FeedChanges(mirror.changes_after(request.after, wait), mirror.age)
+        changes = mirror.changes_after(request.after, wait)
+        return FeedChanges(changes, mirror.age, mirror.followed_seconds)
 
 
 class FollowedRows:
@@ -162,6 +183,9 @@
     clock : Clock
     interval : float
         Time between two calls of a source to the store, in seconds.
+    peers : callable, optional
+        Returns the addresses of processes that follow the rows as well. After a failure
+        of this source they are asked for how long they have followed the store.
     """
 
     def __init__(
@@ -170,9 +194,11 @@
         sources: Callable[[], Sequence[str]],
         clock: Clock,
         interval: float,
+        peers: Callable[[], Sequence[str]] = tuple,
     ) -> None:
         self._direct = direct
         self._sources = sources
+        self._peers = peers
         self._clock = clock
         self._max_age = interval + AGE_SLACK_SECONDS
         self._pools = Pools(CONNECT_SECONDS)
@@ -204,6 +230,19 @@
         self._note_source("", 0.0)
         return self._direct.watch(prefix, after, timeout)
 
+    def followed_elsewhere(self, prefix: str, after: int) -> float:
+        """Return the longest time in seconds for which a peer has followed the rows."""
+        call = FeedCall(prefix, after)
+        addresses = self._peers()[:MAX_PEERS_ASKED]
+        return max(
+            (self._followed_by(address, call) for address in addresses), default=0.0
+        )
+
+    def _followed_by(self, address: str, call: FeedCall) -> float:
+        """Return for how many seconds a peer has followed the rows; 0 if unknown."""
+        answer = _feed_answer(self._post(address, call))
+        return answer.followed if isinstance(answer, FeedChanges) else 0.0
+
     def _usable_sources(self) -> Sequence[str]:
         now = self._clock.monotonic()
         addresses = self._sources()
@@ -221,14 +260,12 @@
 
     def _ask(self, address: str, call: FeedCall) -> FeedAnswer | None:
         """Return a source's answer, or ``None`` where the source can't be used."""
-        body = msgspec.json.encode(call)
-        timeout = call.wait + ANSWER_MARGIN_SECONDS
-        reply = self._pools.post(address, FEED_PATH, body, timeout)
+        reply = self._post(address, call)
         reason, pause = "no answer", AVOID_SECONDS
         if isinstance(reply, NotSent) and reply.refused:
             reason, pause = "refused", REFUSED_AVOID_SECONDS
         elif isinstance(reply, Answer) and reply.status == OK:
-            answer = _decode(reply.body)
+            answer = _feed_answer(reply)
             if isinstance(answer, FeedRefused):
                 reason = answer.reason
             elif answer is not None and answer.age <= self._max_age:
@@ -239,6 +276,11 @@
         event(logger, "source_lost", source=address, prefix=call.prefix, reason=reason)
         return None
 
+    def _post(self, address: str, call: FeedCall) -> Reply:
+        body = msgspec.json.encode(call)
+        timeout = call.wait + ANSWER_MARGIN_SECONDS
+        return self._pools.post(address, FEED_PATH, body, timeout)
+
 
 def feed_sources(
     own_member: Member, members: Iterable[Member], seeds: Sequence[str]
@@ -293,8 +335,10 @@
     return [*addresses[start:], *addresses[:start]]
 
 
-def _decode(body: bytes) -> FeedAnswer | None:
+def _feed_answer(reply: Reply) -> FeedAnswer | None:
+    if not isinstance(reply, Answer) or reply.status != OK:
+        return None
     try:
-        return msgspec.json.decode(body, type=FeedAnswer)
+        return msgspec.json.decode(reply.body, type=FeedAnswer)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -39,6 +39,11 @@
 """Shortest time by which the mirror must have become more recent before it answers a
 waiting follower that there is no change."""
 
+MAX_DELAY_SECONDS = 0.5
+"""Delay of an answer beyond the interval between two calls, above which the rows no
+longer count as followed without a break. A store outage that is shorter than a break
+ends no lease."""
+
 MAX_KEPT_CHANGES = 500
 """Number of changes kept for followers; a follower that is further behind lists the
 rows again."""
@@ -123,6 +128,9 @@
         self._listed = False
         self._failing_since: float | None = None
         self._regained_at = -1e9
+        self._returned_at = self._returned_before = -1e9
+        # Monotonic time since which the rows are followed without a break.
+        self._followed_since = -1e9
 
     @property
     def prefix(self) -> str:
@@ -144,6 +152,27 @@
         """Monotonic time at which the store last answered again after an outage."""
         return self._regained_at
 
+    @property
+    def store_returned_at(self) -> float:
+        """Monotonic time by which the last outage of the store had ended.
+
+        It is earlier than `regained_at` if other processes followed the store while
+        this one was still cut off from it.
+        """
+        return self._returned_at
+
+    @property
+    def followed_seconds(self) -> float:
+        """Time for which the rows have been followed without a break, in seconds."""
+        if self.failing or self.age > self._max_interval:
+            return 0.0
+        return self._clock.monotonic() - self._followed_since
+
+    @property
+    def _max_interval(self) -> float:
+        """Longest time between two answers without a break, in seconds."""
+        return self._pause + self._wait + MAX_DELAY_SECONDS
+
     @property
     def revision(self) -> int:
         """Revision of the store at which the rows were last known."""
@@ -210,12 +239,14 @@
         if isinstance(listing, Unavailable):
             self._note_failure("list", listing.reason)
             return False
-        self._note_answer()
+        regained = self._note_answer()
         with self._lock:
             if listing.revision >= self._revision:
                 self._replace(listing.rows, listing.revision)
             self._listed = True
         self._log_listing(listing)
+        if regained:
+            self._ask_for_return()
         self._on_change(self)
         return True
 
@@ -233,10 +264,12 @@
         if isinstance(changes, Unavailable):
             self._note_failure("watch", changes.reason)
             return False
-        self._note_answer()
+        regained = self._note_answer()
         if changes.compacted:
             event(logger, "history_gone", prefix=self._prefix, after=self._revision)
             self._listed = False
+            if regained:
+                self._ask_for_return()
             return True
         with self._lock:
             for change in changes.changes:
@@ -244,6 +277,8 @@
             self._revision = max(self._revision, changes.revision)
             if changes.changes:
                 self._changed.notify_all()
+        if regained:
+            self._ask_for_return()
         if changes.changes:
             self._on_change(self)
         return True
@@ -265,13 +300,17 @@
             self._failing_since = self._clock.monotonic()
             event(logger, "store_lost", prefix=self._prefix, call=call, reason=reason)
 
-    def _note_answer(self) -> None:
+    def _note_answer(self) -> bool:
+        """Record an answer; return whether it has ended a failure."""
+        now = self._clock.monotonic()
         with self._lock:
-            self._fresh_at = self._clock.monotonic() - self._source.age
+            fresh_at = now - self._source.age
+            if fresh_at - self._fresh_at > self._max_interval:
+                self._followed_since = fresh_at
+            self._fresh_at = fresh_at
             self._changed.notify_all()
         if self._failing_since is None:
-            return
-        now = self._clock.monotonic()
+            return False
         event(
             logger,
             "store_regained",
@@ -280,6 +319,18 @@
         )
         self._failing_since = None
         self._regained_at = now
+        self._returned_before, self._returned_at = self._returned_at, now
+        return True
+
+    def _ask_for_return(self) -> None:
+        """Ask other processes when the store returned, after a failure has ended.
+
+        If only this process was cut off, they have followed the store all the while.
+        """
+        followed = self._source.followed_elsewhere(self._prefix, self._revision)
+        returned_at = self._regained_at - followed
+        self._returned_at = max(self._returned_before, returned_at)
+        event(logger, "store_returned", prefix=self._prefix, seconds_ago=followed)
 
     def _log_listing(self, listing: Listing) -> None:
         event(
--- a/src/wigeonfront/coordination/rows.py
+++ b/src/wigeonfront/coordination/rows.py
@@ -182,3 +182,9 @@
     @property
     def age(self) -> float:
         """Time by which the last answer was behind the store, in seconds."""
+
+    def followed_elsewhere(self, prefix: str, after: int) -> float:
+        """Return for how many seconds other processes have followed the rows.
+
+        An outage of the store has ended before that time; 0 if nothing is known.
+        """
--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -228,7 +228,7 @@
     ) -> dict[str, Target]:
         """Return vanished targets whose lease may only have expired in an outage."""
         now = self._clock.monotonic()
-        if not may_lack_registrations(mirror.failing, mirror.regained_at, now):
+        if not may_lack_registrations(mirror.failing, mirror.store_returned_at, now):
             return {}
         kept = {
             id: target for id, target in self._known.items() if id not in registered
@@ -283,7 +283,7 @@
             "target_kept",
             id=id,
             store_failing=mirror.failing,
-            regained_seconds_ago=now - mirror.regained_at,
+            returned_seconds_ago=now - mirror.store_returned_at,
         )
 
 
@@ -298,7 +298,7 @@
     )
 
 
-def may_lack_registrations(failing: bool, regained_at: float, now: float) -> bool:
+def may_lack_registrations(failing: bool, returned_at: float, now: float) -> bool:
     """Return whether live targets may lack a registration because of an outage.
 
     The time counts from the return of the store, not from the moment at which a
@@ -309,12 +309,12 @@
     ----------
     failing : bool
         Whether the store does not answer now.
-    regained_at : float
-        Monotonic time at which the store last answered again after an outage.
+    returned_at : float
+        Monotonic time by which the last outage of the store had ended.
     now : float
         Monotonic time.
     """
-    return failing or now < regained_at + REREGISTRATION_SECONDS
+    return failing or now < returned_at + REREGISTRATION_SECONDS
 
 
 def newest_at_address(
--- a/src/wigeonfront/node/store_view.py
+++ b/src/wigeonfront/node/store_view.py
@@ -1,6 +1,7 @@
 """An entry's view of the platform's store, kept up to date by three mirrors."""
 
 import logging
+from collections.abc import Callable, Sequence
 
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.feed import (
@@ -8,6 +9,7 @@
     FollowedRows,
     RowSource,
     feed_sources,
+    rotated,
 )
 from wigeonfront.coordination.membership import (
     DISK_PREFIX,
@@ -176,7 +178,7 @@
     def _target_mirror(self, on_change: OnChange) -> Mirror:
         seconds = self._settings.bounds.drain_seconds * WATCH_SHARE
         return Mirror(
-            self._rows(seconds),
+            self._rows(seconds, self._peers),
             records.TARGET_PREFIX,
             self._clock,
             on_change,
@@ -194,10 +196,16 @@
             LIVE_WATCH_SECONDS,
         )
 
-    def _rows(self, interval: float) -> RowSource:
+    def _rows(
+        self, interval: float, peers: Callable[[], Sequence[str]] = tuple
+    ) -> RowSource:
         """Return the source of a mirror: another entry's mirror, or the store."""
         direct = DirectRows(self._store)
-        return FollowedRows(direct, self._sources, self._clock, interval)
+        return FollowedRows(direct, self._sources, self._clock, interval, peers)
+
+    def _peers(self) -> list[str]:
+        """Return the other entries, in an order that differs between entries."""
+        return rotated(self.relays(), self._settings.peer_address)
 
     def _sources(self) -> list[str]:
         """Return the addresses of the entries whose mirrors to follow."""
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -8,9 +8,10 @@
 
 from platform_standins.server import StandInServer
 from rows_fakes import free_address, make_store, wait_for
-from wigeonfront.clock import SystemClock
+from wigeonfront.clock import ManualClock, SystemClock
 from wigeonfront.coordination.feed import (
     FOLLOWERS_PER_ENTRY,
+    MAX_PEERS_ASKED,
     DirectRows,
     FeedServer,
     FollowedRows,
@@ -88,18 +89,14 @@
     assert store.faults.calls < 6
 
 
-class RecordedWaits:
+class RecordedWaits(DirectRows):
     """A store whose watches are recorded with the time that they may wait."""
 
-    age = 0.0
-
     def __init__(self, store):
+        super().__init__(store)
         self.store = store
         self.waits = []
 
-    def list(self, prefix):
-        return self.store.list(prefix)
-
     def watch(self, prefix, after, timeout):
         self.waits.append(timeout)
         return self.store.watch(prefix, after, 0.0)
@@ -323,3 +320,60 @@
     for server in servers:
         server.stop()
     assert waits == [1.0, 0.0]
+
+
+@pytest.mark.parametrize(
+    ("calls", "followed"),
+    [
+        # Pairs of the seconds before a call and whether it succeeds.
+        ([(9.0, True)], 0.0),
+        ([(1.0, True), (1.0, True)], 2.0),
+        ([(1.0, True), (1.4, True)], 2.4),
+        # A call that waits for an outage to end has left a gap.
+        ([(1.0, True), (3.0, True)], 0.0),
+        ([(1.0, True), (1.0, False)], 0.0),
+        ([(1.0, True), (1.0, False), (1.0, True), (0.5, True)], 0.5),
+    ],
+)
+def test_rows_are_followed_since_the_last_gap_between_two_answers(calls, followed):
+    store, clock = make_store(), ManualClock(100.0)
+    mirror = Mirror(DirectRows(store), PREFIX, clock, pause=0.4, wait=0.6)
+    assert mirror._list()
+    for seconds, answered in calls:
+        clock.advance(seconds)
+        store.faults.down = not answered
+        assert mirror._list() is answered
+    assert mirror.followed_seconds == pytest.approx(followed)
+
+
+def test_old_rows_are_not_followed():
+    clock = ManualClock(100.0)
+    mirror = Mirror(DirectRows(make_store()), PREFIX, clock, pause=0.4, wait=0.6)
+    assert mirror._list()
+    clock.advance(1.4)
+    assert mirror.followed_seconds == pytest.approx(1.4)
+    clock.advance(0.2)
+    assert mirror.followed_seconds == 0.0
+
+
+@pytest.mark.parametrize(
+    ("peers", "followed"),
+    [
+        ([], 0.0),
+        (["dead"], 0.0),
+        (["alive"], 6.0),
+        (["dead", "alive"], 6.0),
+        (["dead"] * MAX_PEERS_ASKED + ["alive"], 0.0),
+    ],
+)
+def test_peers_tell_for_how_long_they_have_followed_the_store(fed, peers, followed):
+    store, mirror, address, _ = fed
+    assert mirror._list()
+    mirror._followed_since -= 6.0
+    addresses = [address if peer == "alive" else free_address() for peer in peers]
+    rows = FollowedRows(
+        DirectRows(store), lambda: [], SystemClock(), 1.0, lambda: addresses
+    )
+    found = rows.followed_elsewhere(PREFIX, mirror.revision)
+    assert found == pytest.approx(followed, abs=1.0)
+    assert rows.followed_elsewhere("no mirror", 0) == 0.0
--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -29,6 +29,15 @@
 DRAIN_SECONDS = Bounds().drain_seconds
 
 
+class Source(DirectRows):
+    """The store, and the time for which other processes have followed it."""
+
+    followed = 0.0
+
+    def followed_elsewhere(self, prefix, after):
+        return self.followed
+
+
 class Followed:
     """A follower with its store, whose mirror lists the rows when a test says so."""
 
@@ -40,11 +49,9 @@
         self.follower = TargetFollower(
             self.table, self.clock, lambda: None, self.gone.append
         )
+        self.source = Source(self.rows)
         self.mirror = Mirror(
-            DirectRows(self.rows),
-            records.TARGET_PREFIX,
-            self.clock,
-            self.follower.update,
+            self.source, records.TARGET_PREFIX, self.clock, self.follower.update
         )
 
     def register(self, id, port=5, **changes):
@@ -299,3 +306,51 @@
     # A call that was lost just before the return, and the pause after it.
     noticed_after = max(CALL_SECONDS, RELAY_CALL_SECONDS) + MAX_RETRY_SECONDS
     assert noticed_after + REREGISTRATION_SECONDS < CONTACT_SECONDS + DRAIN_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("others_followed", "held_for"),
+    [
+        # An outage of the store, which others notice at the same time or sooner.
+        (0.0, REREGISTRATION_SECONDS),
+        (1.0, REREGISTRATION_SECONDS - 1.0),
+        # Only this entry was cut off, for 5 s.
+        (4.0, 0.0),
+        (60.0, 0.0),
+    ],
+)
+def test_a_target_that_leaves_while_only_this_entry_is_cut_off_is_dropped_at_once(
+    followed, others_followed, held_for
+):
+    followed.source.followed = others_followed
+    followed.register("i-1")
+    followed.rows.faults.down = True
+    assert not followed.mirror._list()
+    followed.clock.advance(5.0)
+    followed.rows.remove("servers/i-1")
+    followed.rows.faults.down = False
+    followed.refresh()
+    assert followed.ids == ({"i-1"} if held_for else set())
+    followed.clock.advance(max(0.0, held_for - 0.1))
+    followed.follower.expire(followed.mirror)
+    assert followed.ids == ({"i-1"} if held_for else set())
+    followed.clock.advance(0.2)
+    followed.follower.expire(followed.mirror)
+    assert followed.ids == set()
+
+
+def test_a_cut_of_this_entry_alone_does_not_end_the_time_after_an_outage(followed):
+    followed.register("i-1")
+    for others_followed in (0.0, 60.0):
+        followed.source.followed = others_followed
+        followed.rows.faults.down = True
+        assert not followed.mirror._list()
+        followed.clock.advance(1.0)
+        followed.rows.faults.down = False
+        followed.refresh()
+    followed.rows.remove("servers/i-1")
+    followed.refresh()
+    assert followed.ids == {"i-1"}
+    followed.clock.advance(REREGISTRATION_SECONDS - 1.0)
+    followed.follower.expire(followed.mirror)
+    assert followed.ids == set()
