--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -377,3 +377,33 @@
     found = rows.followed_elsewhere(PREFIX, mirror.revision)
     assert found == pytest.approx(followed, abs=1.0)
     assert rows.followed_elsewhere("no mirror", 0) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("age", "wait"),
+    [(0.4, 0.6), (1.0, 0.6), (1.4, 0.3), (2.5, 0.0)],
+)
+def test_a_source_that_is_cut_off_is_left_before_the_rows_are_too_old(
+    running, age, wait
+):
+    store, clock = make_store(), ManualClock(100.0)
+    mirror = Mirror(DirectRows(store), PREFIX, clock, wait=0.01)
+    assert mirror._list()
+    feed = FeedServer(lambda: {PREFIX: mirror})
+    waits = []
+
+    def answer(call):
+        body = call.body(1_000)
+        waits.append(msgspec.json.decode(body)["wait"])
+        call.body = lambda limit: body
+        feed.answer(call)
+
+    server = StandInServer(free_address(), answer, threads=2)
+    server.start()
+    rows = FollowedRows(DirectRows(store), lambda: [server.address], clock, 1.0)
+    rows.list(PREFIX)
+    clock.advance(age)
+    threading.Timer(0.1, clock.advance, (1.0,)).start()
+    rows.watch(PREFIX, mirror.revision, 0.6)
+    server.stop()
+    assert waits == [0.0, pytest.approx(wait)]
