mirror: what follows a regained source is one step, and one line of the log

A follower notes only the age of its sources' answers: while it asks the store no source is usable. No decision changes.

--- a/benchmarks/mutations/decisions.py
+++ b/benchmarks/mutations/decisions.py
@@ -50,8 +50,8 @@
     _mutation(
         "a failure of one entry counts as an outage of the store",
         "coordination/mirror.py",
-        "returned_at = self._regained_at - followed",
-        "returned_at = self._regained_at",
+        "self._returned_at = max(self._returned_at, now - followed)",
+        "self._returned_at = now",
         "test_target_follower.py",
     ),
     _mutation(
--- a/src/wigeonfront/coordination/feed.py
+++ b/src/wigeonfront/coordination/feed.py
@@ -11,7 +11,6 @@
 import threading
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import TypeVar
 
 import msgspec
 
@@ -110,8 +109,6 @@
 
 Reply = Answer | NotSent | Unanswered
 
-_DirectAnswer = TypeVar("_DirectAnswer", Listing | Unavailable, Changes | Unavailable)
-
 
 class DirectRows:
     """The store itself as a `RowSource`, whose answers are never out of date.
@@ -209,8 +206,8 @@
         self._avoided_until: dict[str, float] = {}
         self._lock = threading.Lock()
         self._current = ""
-        # Monotonic time as of which the rows of the last answer were known.
-        self._fresh_at: float | None = None
+        # Monotonic time as of which a source's last answer was known; no limit before.
+        self._fresh_at = math.inf
         self.age = 0.0
 
     def list(self, prefix: str) -> Listing | Unavailable:
@@ -221,7 +218,7 @@
                 self._note_source(address, answer.age)
                 return answer.listing
         self._note_source("", 0.0)
-        return self._noted(self._direct.list(prefix))
+        return self._direct.list(prefix)
 
     def watch(self, prefix: str, after: int, timeout: float) -> Changes | Unavailable:
         """Wait up to `timeout` seconds for changes after a revision."""
@@ -234,20 +231,12 @@
             # The wait is used up, so the next source is asked without one.
             wait = 0.0
         self._note_source("", 0.0)
-        return self._noted(self._direct.watch(prefix, after, timeout))
+        return self._direct.watch(prefix, after, timeout)
 
     def _seconds_until_too_old(self) -> float:
         """Return for how long a source that has no news may be waited for."""
-        if self._fresh_at is None:
-            return math.inf
         return max(0.0, self._fresh_at + self._max_age - self._clock.monotonic())
 
-    def _noted(self, answer: _DirectAnswer) -> _DirectAnswer:
-        """Return an answer of the store, and note how recent the rows are."""
-        if not isinstance(answer, Unavailable):
-            self._fresh_at = self._clock.monotonic()
-        return answer
-
     def followed_elsewhere(self, prefix: str, after: int) -> float:
         """Return the longest time in seconds for which a peer has followed the rows."""
         call = FeedCall(prefix, after)
--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -128,7 +128,7 @@
         self._listed = False
         self._failing_since: float | None = None
         self._regained_at = -1e9
-        self._returned_at = self._returned_before = -1e9
+        self._returned_at = -1e9
         # Monotonic time since which the rows are followed without a break.
         self._followed_since = -1e9
 
@@ -239,14 +239,12 @@
         if isinstance(listing, Unavailable):
             self._note_failure("list", listing.reason)
             return False
-        regained = self._note_answer()
+        self._note_answer()
         with self._lock:
             if listing.revision >= self._revision:
                 self._replace(listing.rows, listing.revision)
             self._listed = True
         self._log_listing(listing)
-        if regained:
-            self._ask_for_return()
         self._on_change(self)
         return True
 
@@ -264,12 +262,10 @@
         if isinstance(changes, Unavailable):
             self._note_failure("watch", changes.reason)
             return False
-        regained = self._note_answer()
+        self._note_answer()
         if changes.compacted:
             event(logger, "history_gone", prefix=self._prefix, after=self._revision)
             self._listed = False
-            if regained:
-                self._ask_for_return()
             return True
         with self._lock:
             for change in changes.changes:
@@ -277,8 +273,6 @@
             self._revision = max(self._revision, changes.revision)
             if changes.changes:
                 self._changed.notify_all()
-        if regained:
-            self._ask_for_return()
         if changes.changes:
             self._on_change(self)
         return True
@@ -300,8 +294,7 @@
             self._failing_since = self._clock.monotonic()
             event(logger, "store_lost", prefix=self._prefix, call=call, reason=reason)
 
-    def _note_answer(self) -> bool:
-        """Record an answer; return whether it has ended a failure."""
+    def _note_answer(self) -> None:
         now = self._clock.monotonic()
         with self._lock:
             fresh_at = now - self._source.age
@@ -309,28 +302,25 @@
                 self._followed_since = fresh_at
             self._fresh_at = fresh_at
             self._changed.notify_all()
-        if self._failing_since is None:
-            return False
+        if self._failing_since is not None:
+            self._note_regained(now)
+
+    def _note_regained(self, now: float) -> None:
+        """Record the end of a failure, and by when the store had returned.
+
+        If only this process was cut off, others have followed the store all the while.
+        """
+        followed = self._source.followed_elsewhere(self._prefix, self._revision)
         event(
             logger,
             "store_regained",
             prefix=self._prefix,
             seconds=now - self._failing_since,
+            followed_elsewhere=followed,
         )
-        self._failing_since = None
         self._regained_at = now
-        self._returned_before, self._returned_at = self._returned_at, now
-        return True
-
-    def _ask_for_return(self) -> None:
-        """Ask other processes when the store returned, after a failure has ended.
-
-        If only this process was cut off, they have followed the store all the while.
-        """
-        followed = self._source.followed_elsewhere(self._prefix, self._revision)
-        returned_at = self._regained_at - followed
-        self._returned_at = max(self._returned_before, returned_at)
-        event(logger, "store_returned", prefix=self._prefix, seconds_ago=followed)
+        self._returned_at = max(self._returned_at, now - followed)
+        self._failing_since = None
 
     def _log_listing(self, listing: Listing) -> None:
         event(
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -74,8 +74,8 @@
 """Maximum of idle connections of other processes that are kept open."""
 
 UPKEEP_INTERVAL_SECONDS = 0.25
-"""Interval between two checks for idle connections and lapsed registrations. By it a
-registration is used longer than it is valid."""
+"""Interval between two checks for idle connections and lapsed registrations. A lapsed
+registration is used for up to this time longer."""
 
 UNREADY_SECONDS = 2.3
 """Time from the stop signal until no more connections arrive: the platform checks the
