--- a/tests/test_target_follower.py
+++ b/tests/test_target_follower.py
@@ -63,6 +63,10 @@
     def refresh(self):
         assert self.mirror._list()
 
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+        self.follower.expire(self.mirror)
+
     @property
     def ids(self):
         return {view.target.id for view in self.table.views(SERVICE)}
@@ -216,8 +220,7 @@
     followed.register("i-1")
     followed.rows.faults.down = True
     assert not followed.mirror._list()
-    followed.clock.advance(10.0)
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(10.0)
     assert followed.ids == {"i-1"}
     followed.rows.faults.down = False
     if lapsed_after < 0:
@@ -229,11 +232,9 @@
         followed.refresh()
     assert followed.ids == ({"i-1"} if held else set())
     elapsed = max(0.0, lapsed_after)
-    followed.clock.advance(max(0.0, REREGISTRATION_SECONDS - 0.1 - elapsed))
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(max(0.0, REREGISTRATION_SECONDS - 0.1 - elapsed))
     assert followed.ids == ({"i-1"} if held else set())
-    followed.clock.advance(0.2)
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(0.2)
     assert followed.ids == set()
 
 
@@ -246,8 +247,7 @@
     followed.refresh()
     followed.clock.advance(REREGISTRATION_SECONDS - 0.1)
     followed.register("i-1")
-    followed.clock.advance(1.0)
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(1.0)
     assert followed.ids == {"i-1"}
     assert followed.gone == []
 
@@ -266,8 +266,7 @@
         followed.follower.expire(followed.mirror)
         assert caplog.text.count("event=target_kept id=i-1 ") == 1
         assert "event=target_gone" not in caplog.text
-        followed.clock.advance(REREGISTRATION_SECONDS + 0.1)
-        followed.follower.expire(followed.mirror)
+        followed.pass_time(REREGISTRATION_SECONDS + 0.1)
         followed.follower.expire(followed.mirror)
     assert caplog.text.count("event=target_kept id=i-1 ") == 1
     assert caplog.text.count("event=target_gone id=i-1") == 1
@@ -298,8 +297,7 @@
     followed.clock.advance(leaves_after - noticed_after)
     followed.rows.remove("servers/i-1")
     followed.refresh()
-    followed.clock.advance(DRAIN_SECONDS)
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(DRAIN_SECONDS)
     assert followed.ids == set()
 
 
@@ -333,11 +331,9 @@
     followed.rows.faults.down = False
     followed.refresh()
     assert followed.ids == ({"i-1"} if held_for else set())
-    followed.clock.advance(max(0.0, held_for - 0.1))
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(max(0.0, held_for - 0.1))
     assert followed.ids == ({"i-1"} if held_for else set())
-    followed.clock.advance(0.2)
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(0.2)
     assert followed.ids == set()
 
 
@@ -353,6 +349,5 @@
     followed.rows.remove("servers/i-1")
     followed.refresh()
     assert followed.ids == {"i-1"}
-    followed.clock.advance(REREGISTRATION_SECONDS - 1.0)
-    followed.follower.expire(followed.mirror)
+    followed.pass_time(REREGISTRATION_SECONDS - 1.0)
     assert followed.ids == set()
