--- /dev/null
+++ b/src/wigeonfront/capacity/__init__.py
@@ -0,0 +1,9 @@
+"""Decisions about engine capacity that several entries and trainers share.
+
+Each owner of Lots tells the other owners what its Lots still demand of the engines
+(`demand`). From this picture all owners decide alike, without a coordinator.
+"""
+
+from wigeonfront.capacity.demand import DemandBook, LotDemand, trainer_key
+
+__all__ = ["DemandBook", "LotDemand", "trainer_key"]
--- /dev/null
+++ b/src/wigeonfront/capacity/demand.py
@@ -0,0 +1,145 @@
+"""What the Lots of all owners still demand of the engines.
+
+A process knows the demand of its own Lots exactly. The demand of other owners' Lots it
+knows from their reports, which are a fraction of a second old and are dropped once they
+are older than `REPORT_TTL_SECONDS`.
+"""
+
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from wigeonfront.clock import Clock
+from wigeonfront.rollout.lot import Lot
+
+REPORT_TTL_SECONDS = 2.0
+"""Age beyond which an owner's report no longer counts: eight rounds of the exchange.
+
+It is about the time after which another entry takes over the Lots of an owner that is
+gone.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class LotDemand:
+    """What one open Lot still demands of the engines of its service.
+
+    Attributes
+    ----------
+    lot : str
+        Id of the Lot.
+    trainer : str
+        Key of the trainer that submitted the Lot; see `trainer_key`.
+    service : str
+    model : str
+    weight : float
+        Weight of the trainer when engine slots are short; above 0.
+    due_in : float
+        Seconds until the Lot is due; negative if it is late.
+    gives_up_in : float
+        Seconds until samples of the Lot are given up.
+    running : int
+        Samples that are at engines.
+    waiting : int
+        Samples without a run that belong to groups the trainer still waits for.
+    seconds : float
+        Seconds of engine slots that the groups still take for which the trainer waits.
+    """
+
+    lot: str
+    trainer: str
+    service: str
+    model: str
+    weight: float
+    due_in: float
+    gives_up_in: float
+    running: int
+    waiting: int
+    seconds: float
+
+
+def trainer_key(lot: Lot) -> str:
+    """Return the key of a Lot's trainer: its account, its route and its model."""
+    return f"{lot.account} {lot.host}{lot.prefix} {lot.model}"
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    demands: tuple[LotDemand, ...]
+    received_at: float
+
+
+class DemandBook:
+    """The demands of all owners' Lots, as far as this process knows; thread-safe.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._own: _Report = _Report((), 0.0)
+        # Reports of other owners by their addresses.
+        self._reports: dict[str, _Report] = {}
+
+    def set_own(self, demands: Iterable[LotDemand]) -> None:
+        """Replace the demands of the Lots that this process owns."""
+        with self._lock:
+            self._own = _Report(tuple(demands), self._clock.monotonic())
+
+    def own(self) -> list[LotDemand]:
+        """Return the demands of the Lots that this process owns."""
+        with self._lock:
+            return _as_of(self._own, self._clock.monotonic())
+
+    def set_reported(self, owner: str, demands: Iterable[LotDemand]) -> None:
+        """Replace what another owner has reported.
+
+        Parameters
+        ----------
+        owner : str
+            Address of the owner.
+        demands : iterable of LotDemand
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            self._reports[owner] = _Report(tuple(demands), now)
+            self._drop_old(now)
+
+    def demands(self, service: str) -> list[LotDemand]:
+        """Return all owners' demands on a service, the own ones first.
+
+        A Lot that was taken over is listed once, with its present owner's demand.
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            self._drop_old(now)
+            newest_first = sorted(
+                self._reports.values(), key=lambda report: -report.received_at
+            )
+            by_lot: dict[str, LotDemand] = {}
+            for report in (self._own, *newest_first):
+                for demand in _as_of(report, now):
+                    if demand.service == service:
+                        by_lot.setdefault(demand.lot, demand)
+        return list(by_lot.values())
+
+    def _drop_old(self, now: float) -> None:
+        self._reports = {
+            owner: report
+            for owner, report in self._reports.items()
+            if now - report.received_at <= REPORT_TTL_SECONDS
+        }
+
+
+def _as_of(report: _Report, now: float) -> list[LotDemand]:
+    """Return a report's demands with their times counted from `now`."""
+    age = now - report.received_at
+    return [
+        replace(
+            demand, due_in=demand.due_in - age, gives_up_in=demand.gives_up_in - age
+        )
+        for demand in report.demands
+    ]
--- a/src/wigeonfront/configuration.py
+++ b/src/wigeonfront/configuration.py
@@ -57,6 +57,8 @@
         Whether each sample must come from a single version of the weights.
     public : bool
         Whether calls need no API key.
+    share_weight : float
+        Weight of each trainer of a route for Lots while engine slots are short.
     """
 
     name: str
@@ -73,6 +75,7 @@
     max_queue: float = 0.0
     single_version: bool = False
     public: bool = False
+    share_weight: float = 1.0
 
     @property
     def repeatable(self) -> bool:
@@ -125,6 +128,8 @@
         Models that the service's engines serve; empty for plain services.
     event_tokens : int
         Tokens in one event of an engine's stream.
+    engine_tokens : int
+        Tokens that the memory of one engine holds; 0 if unknown.
     """
 
     name: str
@@ -133,6 +138,7 @@
     slots: int = 0
     models: tuple[str, ...] = ()
     event_tokens: int = 1
+    engine_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/platform/records.py
+++ b/src/wigeonfront/platform/records.py
@@ -49,6 +49,9 @@
 """Largest numbers that are accepted in a row; a larger one is a mistake of its writer.
 They are ten times the requests that any machine runs at once, an hour, and a day."""
 
+MAX_SHARE_WEIGHT = 1_000
+"""Largest weight of a trainer: a larger one leaves the others without a slot."""
+
 MAX_PORT = 65_535
 
 
@@ -75,6 +78,7 @@
     deadline_ms: float = 0.0
     max_queue_s: float = msgspec.field(name="maxQueueS", default=0.0)
     single_version: bool = False
+    share_weight: Annotated[float, msgspec.Meta(gt=0, le=MAX_SHARE_WEIGHT)] = 1.0
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -84,6 +88,8 @@
 
 class _Engine(msgspec.Struct, frozen=True, rename="camel"):
     slot_count: int = 0
+    # Tokens that running requests and cached prompts occupy together at most.
+    kv_capacity_tokens: int = 0
     # Number of tokens in one event of a stream.
     stride: int = 1
     models: list[_Model] = []
@@ -284,6 +290,7 @@
         lot_deadline=wire.deadline_ms / 1000,
         max_queue=wire.max_queue_s,
         single_version=wire.single_version,
+        share_weight=wire.share_weight,
     )
 
 
@@ -296,4 +303,5 @@
         slots=engine.slot_count,
         models=tuple(model.name for model in engine.models),
         event_tokens=max(1, engine.stride),
+        engine_tokens=max(0, engine.kv_capacity_tokens),
     )
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -55,6 +55,34 @@
     assert found.limits.body_bytes == 100_000
 
 
+def with_share_weight(weight):
+    document = msgspec.json.decode(deployment.configuration(7))
+    document["routes"][3]["shareWeight"] = weight
+    return records.decode_configuration(msgspec.json.encode(document))
+
+
+@pytest.mark.parametrize("weight", [0.25, 1, 1000])
+def test_a_route_for_lots_has_a_share_weight(weight):
+    assert with_share_weight(weight).routes[3].share_weight == weight
+
+
+@pytest.mark.parametrize("weight", [0, -1, 1000.5, "2", None])
+def test_a_bad_share_weight_is_refused_with_its_place(weight):
+    found = with_share_weight(weight)
+    assert isinstance(found, records.BadRow)
+    assert "$.routes[3].shareWeight" in found.reason
+
+
+@pytest.mark.parametrize("tokens", [0, 64_898])
+def test_the_memory_of_an_engine_is_decoded(tokens):
+    document = msgspec.json.decode(deployment.configuration(7))
+    for service in document["services"]:
+        if service["name"] == deployment.ENGINES:
+            service["engine"]["kvCapacityTokens"] = tokens
+    found = records.decode_configuration(msgspec.json.encode(document))
+    assert found.services[deployment.ENGINES].engine_tokens == tokens
+
+
 @pytest.mark.parametrize("kind", ["", "something new", "non_idempotent"])
 def test_requests_of_an_unknown_kind_are_not_repeatable(kind):
     found = records.decode_configuration(deployment.configuration(kind=kind))
