overload: groups that can still be whole in time go first, the longest samples before others

Cause: as soon as the slots were a little short, the group with the least time went first, so that the long samples of the wanted groups began last and a step ended late though nearly all of it fitted. Change: the wanted groups that fit until the Lots are due are planned, and their samples go by the latest start; with less than 0.7 of the wanted groups planned, the order is as before.

--- a/src/wigeonfront/rollout/overload.py
+++ b/src/wigeonfront/rollout/overload.py
@@ -2,9 +2,11 @@
 
 Only whole groups are of use to a trainer's step. While the engines' slots suffice, the
 longest samples go first, so that a step ends as early as possible. While they don't,
-that order would begin every group and complete none in time. Then the group that needs
-the least time is completed before the next one begins, whatever Lot it belongs to. This
-module holds decisions and data only.
+that order would begin every group and complete none in time. If most of the groups that
+trainers wait for can still be whole in time, these go first, their longest samples
+before the others; all other groups wait. If fewer can, the group that needs the least
+time is completed before the next one begins, whatever Lot it belongs to. This module
+holds decisions and data only.
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -17,6 +19,18 @@
 LATE_FACTOR = 1.6
 """Multiple of a Lot's due time until which late groups are of use to its trainer."""
 
+USABLE_SHARE = 0.85
+"""Share of the slots' time until a Lot is due that groups can be planned into.
+
+Estimates are rough, and slots stay empty while the last samples of a group run.
+"""
+
+MIN_PLANNED_SHARE = 0.7
+"""Share of the wanted groups that must fit for the longest samples to go first.
+
+With fewer, groups that hold long samples keep slots from many short groups.
+"""
+
 MIN_SECONDS_LEFT = 0.05
 """Minimum of the remaining time that is assumed for a sample without a result."""
 
@@ -34,7 +48,7 @@
     Attributes
     ----------
     late : bool
-        The group can't be whole in time.
+        The group can't, or need not, be whole in time.
     begun : int
         0 if one of the group's samples runs or has generated text, else 1.
     seconds : float
@@ -135,6 +149,15 @@
     work = {progress.lot.id: _work_by_group(progress, seconds) for progress in lots}
     if _fits(lots, work, slots, now):
         return {}
+    planned = _planned_groups(lots, work, slots, now)
+    if len(planned) >= MIN_PLANNED_SHARE * sum(map(_missing_groups, lots)):
+        return {
+            (progress.lot.id, group): _planned_rank(
+                group_work, (progress.lot.id, group) in planned
+            )
+            for progress in lots
+            for group, group_work in work[progress.lot.id].items()
+        }
     return {
         (progress.lot.id, group): _rank(progress, group_work, now)
         for progress in lots
@@ -170,14 +193,50 @@
     """
     needed = 0.0
     for progress in sorted(lots, key=lambda lot: lot.due_at):
-        missing = max(0, progress.wanted_groups - progress.whole_groups)
         shortest = sorted(group.seconds for group in work[progress.lot.id].values())
-        needed += sum(shortest[:missing])
+        needed += sum(shortest[: _missing_groups(progress)])
         if needed > slots * _time_left(progress, now):
             return False
     return True
 
 
+def _planned_groups(
+    lots: Sequence[LotProgress],
+    work: Mapping[str, Mapping[str, _GroupWork]],
+    slots: float,
+    now: float,
+) -> set[GroupKey]:
+    """Return the groups to complete until their Lots are due, as many as fit.
+
+    Begun groups go before others of their Lot, and short ones before long ones. The
+    Lot that is due first gets the slots' time first.
+    """
+    planned: set[GroupKey] = set()
+    needed = 0.0
+    for progress in sorted(lots, key=lambda lot: lot.due_at):
+        room = USABLE_SHARE * slots * _time_left(progress, now)
+        groups = sorted(
+            work[progress.lot.id].items(),
+            key=lambda item: (not item[1].begun, item[1].seconds),
+        )
+        for name, group in groups[: _missing_groups(progress)]:
+            if needed + group.seconds <= room:
+                needed += group.seconds
+                planned.add((progress.lot.id, name))
+    return planned
+
+
+def _missing_groups(progress: LotProgress) -> int:
+    return max(0, progress.wanted_groups - progress.whole_groups)
+
+
+def _planned_rank(found: _GroupWork, planned: bool) -> GroupRank:
+    """Return the rank of a group; all planned groups have the same one."""
+    if planned:
+        return GroupRank()
+    return GroupRank(True, 0 if found.begun else 1, found.seconds)
+
+
 def _time_left(progress: LotProgress, now: float) -> float:
     """Return the seconds until a Lot is due, or until late groups are of no use."""
     left = progress.due_at - now
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -19,7 +19,7 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from statistics import mean
 
 import pytest
@@ -179,6 +179,11 @@
     assert ranked >= 1.5 * share_in_time(slots, ranked=False)
 
 
+@pytest.mark.parametrize(("slots", "gain"), [(48, 0.4), (54, 0.25), (60, 0.03)])
+def test_planned_groups_are_whole_in_time_while_slots_are_a_little_short(slots, gain):
+    assert share_in_time(slots, True) >= share_in_time(slots, False) + gain
+
+
 @pytest.mark.parametrize("slots", [66, 90])
 def test_ranks_cost_nothing_where_slots_suffice(slots):
     assert share_in_time(slots, True) >= share_in_time(slots, False) - 0.02
@@ -227,6 +232,31 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("slots", "order"),
+    [
+        # Three of the four wanted groups fit: their longest sample goes first.
+        (3.5, ["c", "a", "b", "d", "unwanted"]),
+        # Two fit: the group with the least time goes first.
+        (2.0, ["a", "b", "c", "d", "unwanted"]),
+    ],
+)
+def test_the_longest_samples_go_first_only_if_most_wanted_groups_fit(slots, order):
+    progress = lot_of({"a": 2, "b": 2, "c": 2, "d": 3, "unwanted": 5}, wanted=4)
+    seconds = {"a-0": 3.0, "a-1": 3.0, "b-0": 3.0, "b-1": 3.0, "c-0": 5.0, "c-1": 3.0}
+
+    def remaining(state):
+        return seconds.get(state.sample.id, 6.0)
+
+    for state in progress.open.values():
+        tokens = int(remaining(state) / TOKEN_SECONDS)
+        state.sample = replace(state.sample, expected_tokens=tokens)
+    ranks = ranks_in_overload([progress], slots, 0.0, remaining)
+    waiting = waiting_samples([progress], 0.0, ranks)
+    groups = [sample.state.sample.group for sample in waiting]
+    assert list(dict.fromkeys(groups)) == order
+
+
 def view(own, others, slots=6, available=True, draining=False):
     target = Target("t", "s", "h:1", "z", slots)
     return TargetView(target, own, 0.0, available, draining, {}, {}, others=others)
