--- a/src/wigeonfront/forwarding/attempt.py
+++ b/src/wigeonfront/forwarding/attempt.py
@@ -112,4 +112,12 @@
     waited: float = 0.0
 
 
-Outcome = Answered | NotExecuted | Broken | CallerGone | TimedOut
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another send of the request was answered first, so this one was ended.
+
+    The request may have run.
+    """
+
+
+Outcome = Answered | NotExecuted | Broken | CallerGone | TimedOut | Superseded
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -78,6 +78,35 @@
         """Return those headers of the answer that are passed on to the caller."""
 
 
+@dataclass(slots=True)
+class SlowWait:
+    """Whom to tell that the head of an answer is awaited for long.
+
+    Attributes
+    ----------
+    at : float
+        Monotonic time, in seconds, from which the wait counts as long.
+    notify : callable
+        Called once, in the thread that waits.
+    notified : bool
+        Whether `notify` was called.
+    """
+
+    at: float
+    notify: Callable[[], None]
+    notified: bool = False
+
+    def check(self, now: float) -> None:
+        """Call `notify` if the wait counts as long and it was not called before."""
+        if not self.notified and now >= self.at:
+            self.notified = True
+            self.notify()
+
+    def limit(self, now: float, remaining: float) -> float:
+        """Return the seconds to wait, `remaining` at most, until the next check."""
+        return remaining if self.notified else min(remaining, self.at - now)
+
+
 @dataclass(frozen=True, slots=True)
 class _Send:
     """A send of one request on one connection.
@@ -138,6 +167,7 @@
         handle: CallHandle | None = None,
         on_sent: OnSent = do_nothing,
         reuse_deadline: float | None = None,
+        slow: SlowWait | None = None,
     ) -> Outcome:
         """Send `request` and read the whole answer.
 
@@ -145,7 +175,7 @@
         ----------
         deadline : float
             Monotonic time at which the wait for the answer ends.
-        caller, run_seconds, handle, on_sent, reuse_deadline
+        caller, run_seconds, handle, on_sent, reuse_deadline, slow
             As for `open`.
         """
         started = self._clock.monotonic()
@@ -158,11 +188,14 @@
             handle,
             on_sent,
             reuse_deadline,
+            slow,
         )
         if isinstance(call, TimedOut):
             return TimedOut(self._clock.monotonic() - started)
         if not isinstance(call, OpenCall):
             return call
+        if handle is not None:
+            handle.record_answer_begun()
         body = bytearray()
         try:
             for piece in call.pieces(max(0.05, deadline - self._clock.monotonic())):
@@ -190,6 +223,7 @@
         handle: CallHandle | None = None,
         on_sent: OnSent = do_nothing,
         reuse_deadline: float | None = None,
+        slow: SlowWait | None = None,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         """Send `request` and return once the head of the answer has arrived.
 
@@ -210,7 +244,11 @@
             Monotonic time at which the wait for the head ends on a reused connection,
             which may no longer work. A request that may be repeated is then sent again
             on a new connection.
+        slow : SlowWait, optional
+            Told if the head is awaited for long.
         """
+        if handle is not None and handle.cancelled:
+            return CallerGone()
         max_idle_seconds = (
             math.inf if request.repeatable else MAX_IDLE_UNREPEATABLE_SECONDS
         )
@@ -226,7 +264,9 @@
         until = deadline
         if connection.used and reuse_deadline is not None:
             until = min(deadline, reuse_deadline)
-        outcome = self._send_on_connection(send, until, caller, run_seconds, on_sent)
+        outcome = self._send_on_connection(
+            send, until, caller, run_seconds, on_sent, slow
+        )
         if isinstance(outcome, Broken) and outcome.lost:
             self._report_lost_connection(send, outcome.reason)
         dropped = isinstance(outcome, Broken) and connection.used
@@ -236,13 +276,21 @@
         if isinstance(outcome, TimedOut):
             # A network partition may hold back requests sent on the other connections.
             self._connections.close_idle_to(target.id)
-        if (dropped or silent) and request.repeatable:
+        cancelled = handle is not None and handle.cancelled
+        if (dropped or silent) and request.repeatable and not cancelled:
             # The reused connection does not work, so retry on a new one.
             self._connections.close_idle_to(target.id)
             if not self._may_resend(send):
                 return outcome
             second = self.open(
-                request, target, deadline, caller, run_seconds, handle, on_sent
+                request,
+                target,
+                deadline,
+                caller,
+                run_seconds,
+                handle,
+                on_sent,
+                slow=slow,
             )
             refused = isinstance(second, NotExecuted)
             # The first send may have run, unless the target is still alive and had
@@ -264,6 +312,7 @@
         caller: socket.socket | None,
         run_seconds: float | None,
         on_sent: OnSent,
+        slow: SlowWait | None,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         request, http_connection = send.request, send.connection.http_connection
         remaining = deadline - self._clock.monotonic()
@@ -286,7 +335,7 @@
         except (HTTPError, OSError, http.client.HTTPException) as error:
             return Broken(f"send:{type(error).__name__}", lost=True)
         on_sent()
-        waited = self._wait_for_head(http_connection.sock, deadline, caller)
+        waited = self._wait_for_head(http_connection.sock, deadline, caller, slow)
         if waited is not None:
             return waited
         return self._read_head(send, deadline)
@@ -349,7 +398,11 @@
         call.finish()
 
     def _wait_for_head(
-        self, sock: socket.socket, deadline: float, caller: socket.socket | None
+        self,
+        sock: socket.socket,
+        deadline: float,
+        caller: socket.socket | None,
+        slow: SlowWait | None,
     ) -> CallerGone | TimedOut | None:
         """Wait until the answer begins, and watch the caller's connection meanwhile.
 
@@ -360,9 +413,13 @@
         if caller is not None:
             poll.register(caller, select.POLLIN)
         while True:
-            remaining = deadline - self._clock.monotonic()
+            now = self._clock.monotonic()
+            remaining = deadline - now
             if remaining <= 0:
                 return TimedOut()
+            if slow is not None:
+                slow.check(now)
+                remaining = slow.limit(now, remaining)
             ready = {number for number, _ in poll.poll(remaining * 1000)}
             if sock.fileno() in ready:
                 return None
--- a/src/wigeonfront/forwarding/guard.py
+++ b/src/wigeonfront/forwarding/guard.py
@@ -17,6 +17,9 @@
     def sample_blocked_for(self, request: ForwardRequest) -> float:
         """Return the same for the request of a sample of a Lot."""
 
+    def is_suspect(self, request: ForwardRequest) -> bool:
+        """Return whether targets have crashed under `request`."""
+
     def targets_to_avoid(self, request: ForwardRequest) -> Collection[str]:
         """Return the ids of targets that another request may be about to crash."""
 
@@ -51,6 +54,10 @@
         """Return 0."""
         return 0.0
 
+    def is_suspect(self, request: ForwardRequest) -> bool:
+        """Return ``False``."""
+        return False
+
     def targets_to_avoid(self, request: ForwardRequest) -> Collection[str]:
         """Return no targets."""
         return ()
--- a/src/wigeonfront/forwarding/handle.py
+++ b/src/wigeonfront/forwarding/handle.py
@@ -18,6 +18,8 @@
         self._socket: socket.socket | None = None
         self._cancelled = False
         self._interrupted = False
+        self._superseded = False
+        self._answer_begun = False
 
     @property
     def cancelled(self) -> bool:
@@ -29,6 +31,16 @@
         """Whether this process itself ended the current send."""
         return self._interrupted
 
+    @property
+    def superseded(self) -> bool:
+        """Whether the call was cancelled because another send was answered."""
+        return self._superseded
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether the head of an answer has arrived."""
+        return self._answer_begun
+
     def attach(self, sock: socket.socket | None) -> bool:
         """Attach the socket of a send; return ``False`` if the call was cancelled."""
         with self._lock:
@@ -49,6 +61,17 @@
             self._cancelled = True
             self._shut_down()
 
+    def supersede(self) -> None:
+        """End the call for good, as another send of its request was answered."""
+        with self._lock:
+            self._superseded = True
+            self._cancelled = True
+            self._shut_down()
+
+    def record_answer_begun(self) -> None:
+        """Record that the head of an answer has arrived."""
+        self._answer_begun = True
+
     def interrupt(self) -> None:
         """End the current send; the call may be sent again."""
         with self._lock:
--- /dev/null
+++ b/src/wigeonfront/forwarding/hedging.py
@@ -0,0 +1,314 @@
+"""Decides when a plain request is sent to a second target while the first is awaited.
+
+The load that these decisions answer: some targets of a service accept requests and stay
+silent while callers want answers within a fraction of a second. A hedged request goes
+to a second target once it has waited noticeably longer than the service's recent
+answers took. A token bucket per service bounds the additional sends, so that a service
+that is slow because of overload doesn't get more work.
+
+`HedgingState` keeps what one process knows; the functions are pure. Nothing is shared
+between processes.
+"""
+
+import threading
+from collections import deque
+from dataclasses import dataclass, field
+
+from wigeonfront.clock import Clock
+from wigeonfront.forwarding.steps import UNRESPONSIVE_SECONDS
+from wigeonfront.targets.circuit import Evidence
+
+HEDGE_PERCENTILE = 0.95
+"""Share of the recent answers that the hedge delay exceeds at least."""
+
+HEDGE_FACTOR = 1.5
+"""Hedge delay as a multiple of that percentile, so that ordinary variation of the
+latency causes few second sends."""
+
+MIN_HEDGE_SECONDS = 0.05
+"""Minimum hedge delay: pauses of processes and retransmissions take this long."""
+
+MAX_ANSWERS = 256
+"""Recent answers of a service from which the percentile is taken."""
+
+MIN_ANSWERS = 10
+"""Number of recent answers below which a service's latency counts as unknown."""
+
+ANSWER_TTL_SECONDS = 30.0
+"""Time for which an answer counts as recent."""
+
+PERCENTILE_TTL_SECONDS = 0.1
+"""Time for which a computed percentile is reused."""
+
+BUDGET_SHARE = 0.1
+"""Tokens that each first send of a request adds to its service's budget."""
+
+BUDGET_BURST = 10.0
+"""Maximum number of tokens in a budget, with which it also begins."""
+
+SILENCE_TTL_SECONDS = 10.0
+"""Time after which an observed silence no longer counts, if no request was sent."""
+
+
+# --- decisions ---------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class SendAgain:
+    """Send the request to a second target now."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeepWaiting:
+    """Wait for the first target only.
+
+    Attributes
+    ----------
+    reason : str
+    """
+
+    reason: str
+
+
+Decision = SendAgain | KeepWaiting
+
+SPENT = KeepWaiting("budget")
+
+
+@dataclass(frozen=True, slots=True)
+class HedgeState:
+    """State of a request whose first send has waited for the hedge delay.
+
+    Attributes
+    ----------
+    suspect : bool
+        Whether targets have crashed under the request.
+    other_available : bool
+        Whether another target is available and has a free slot.
+    may_send : bool
+        Whether the request may be repeated, and sends and time are left.
+    tokens : float
+        Tokens in the service's budget.
+    """
+
+    suspect: bool
+    other_available: bool
+    may_send: bool
+    tokens: float
+
+
+def decide(state: HedgeState) -> Decision:
+    """Return whether a request that waits for one target goes to a second one."""
+    if not state.may_send:
+        return KeepWaiting("no sends left")
+    if state.suspect:
+        # It would run on two targets at once and might crash both.
+        return KeepWaiting("suspect")
+    if not state.other_available:
+        return KeepWaiting("no other target")
+    return SendAgain() if state.tokens >= 1 else SPENT
+
+
+def hedge_delay(percentile: float | None) -> float | None:
+    """Return the seconds after which a second send is considered.
+
+    Parameters
+    ----------
+    percentile : float or None
+        `HEDGE_PERCENTILE` of the service's latency in seconds; ``None`` if unknown.
+
+    Returns
+    -------
+    float or None
+        ``None`` if there is to be no second send.
+
+    Examples
+    --------
+    >>> hedge_delay(0.1), hedge_delay(0.001), hedge_delay(None)
+    (0.15000000000000002, 0.05, None)
+    """
+    if percentile is None:
+        return None
+    return max(MIN_HEDGE_SECONDS, HEDGE_FACTOR * percentile)
+
+
+# --- observations ------------------------------------------------------------
+
+
+class RecentLatencies:
+    """The latencies of a service's recent successful answers, in seconds."""
+
+    def __init__(self) -> None:
+        self._answers: deque[tuple[float, float]] = deque(maxlen=MAX_ANSWERS)
+        self._percentile: float | None = None
+        self._computed_at = float("-inf")
+
+    def add(self, now: float, seconds: float) -> None:
+        """Record an answer that arrived at `now` and took `seconds`."""
+        self._answers.append((now, seconds))
+
+    def percentile(self, now: float) -> float | None:
+        """Return `HEDGE_PERCENTILE` of the latency; ``None`` if it is unknown."""
+        if now - self._computed_at >= PERCENTILE_TTL_SECONDS:
+            self._computed_at = now
+            self._percentile = self._compute(now)
+        return self._percentile
+
+    def _compute(self, now: float) -> float | None:
+        while self._answers and self._answers[0][0] < now - ANSWER_TTL_SECONDS:
+            self._answers.popleft()
+        if len(self._answers) < MIN_ANSWERS:
+            return None
+        ordered = sorted(seconds for _, seconds in self._answers)
+        return ordered[int(HEDGE_PERCENTILE * (len(ordered) - 1))]
+
+
+class RetryBudget:
+    """A token bucket that bounds the additional sends to one service.
+
+    Each first send of a request adds `BUDGET_SHARE` tokens and each additional send
+    takes one. A retry after a silent target is never refused, because the request would
+    fail without it, but it takes a token if there is one: hedges wait until the retries
+    are paid for.
+
+    Examples
+    --------
+    >>> budget = RetryBudget()
+    >>> [budget.take() for _ in range(11)].count(True)
+    10
+    """
+
+    def __init__(self) -> None:
+        self._tokens = BUDGET_BURST
+
+    @property
+    def tokens(self) -> float:
+        """Number of tokens; not negative."""
+        return self._tokens
+
+    def add_first_send(self) -> None:
+        """Record the first send of a request."""
+        self._tokens = min(BUDGET_BURST, self._tokens + BUDGET_SHARE)
+
+    def take(self) -> bool:
+        """Take a token for a hedge; return ``False`` if there is none."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def charge(self) -> None:
+        """Take a token, or what is left of one, for a retry that is made anyway."""
+        self._tokens = max(0.0, self._tokens - 1)
+
+
+@dataclass(slots=True)
+class Silence:
+    """How long a target has been silent while requests waited for it.
+
+    Hedged requests leave a silent target long before its silence counts as a failure.
+    Their waits since the target's last answer are therefore added up; waits that
+    overlap count once.
+
+    Attributes
+    ----------
+    seconds : float
+        Seconds of silence since the target's last answer.
+    until : float
+        Monotonic time at which the last wait ended.
+    """
+
+    seconds: float = 0.0
+    until: float = field(default=float("-inf"))
+
+    def add(self, started: float, ended: float) -> Evidence:
+        """Add a wait that ended without an answer; return what the silence shows."""
+        if started - self.until > SILENCE_TTL_SECONDS:
+            self.seconds = 0.0
+        self.seconds += max(0.0, ended - max(started, self.until))
+        self.until = max(self.until, ended)
+        return "failure" if self.seconds >= UNRESPONSIVE_SECONDS else "none"
+
+
+@dataclass(slots=True)
+class _ServiceState:
+    latencies: RecentLatencies = field(default_factory=RecentLatencies)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+
+
+class HedgingState:
+    """Latencies and budgets of services and silences of targets; thread-safe.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._services: dict[str, _ServiceState] = {}
+        self._silences: dict[str, Silence] = {}
+
+    def delay(self, service: str) -> float | None:
+        """Return the hedge delay in seconds; ``None`` for no second send."""
+        with self._lock:
+            latencies = self._service(service).latencies
+            return hedge_delay(latencies.percentile(self._clock.monotonic()))
+
+    def tokens(self, service: str) -> float:
+        """Return the number of tokens in the budget of `service`."""
+        with self._lock:
+            return self._service(service).budget.tokens
+
+    def record_first_send(self, service: str) -> None:
+        """Record the first send of a request, which adds to the budget."""
+        with self._lock:
+            self._service(service).budget.add_first_send()
+
+    def take_token(self, service: str) -> bool:
+        """Take a token for a hedge; return ``False`` if the budget is spent."""
+        with self._lock:
+            return self._service(service).budget.take()
+
+    def charge_retry(self, service: str) -> None:
+        """Charge the budget for a retry after a silent target."""
+        with self._lock:
+            self._service(service).budget.charge()
+
+    def record_alive(self, target_id: str) -> None:
+        """Record that the target has answered, even with an error or a refusal."""
+        with self._lock:
+            self._silences.pop(target_id, None)
+
+    def record_latency(self, service: str, seconds: float) -> None:
+        """Record that a successful answer of `service` took `seconds`."""
+        with self._lock:
+            latencies = self._service(service).latencies
+            latencies.add(self._clock.monotonic(), seconds)
+
+    def record_cut(self, target_id: str, started: float) -> Evidence:
+        """Record that a send which got no answer was ended now by this process.
+
+        Parameters
+        ----------
+        target_id : str
+        started : float
+            Monotonic time at which the send started.
+
+        Returns
+        -------
+        Evidence
+            ``"failure"`` once the target has been silent for `UNRESPONSIVE_SECONDS`.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            self._silences = {
+                id: silence
+                for id, silence in self._silences.items()
+                if now - silence.until <= SILENCE_TTL_SECONDS
+            }
+            return self._silences.setdefault(target_id, Silence()).add(started, now)
+
+    def _service(self, name: str) -> _ServiceState:
+        return self._services.setdefault(name, _ServiceState())
--- a/src/wigeonfront/forwarding/steps.py
+++ b/src/wigeonfront/forwarding/steps.py
@@ -9,6 +9,7 @@
     CallerGone,
     NotExecuted,
     Outcome,
+    Superseded,
     TimedOut,
 )
 from wigeonfront.targets.circuit import Evidence
@@ -210,3 +211,8 @@
 @health_evidence.register
 def _(outcome: CallerGone) -> Evidence:
     return "none"
+
+
+@health_evidence.register
+def _(outcome: Superseded) -> Evidence:
+    return "none"
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -23,6 +23,7 @@
 from wigeonfront.coordination.relay import RelayServer, RoutedStore
 from wigeonfront.forwarding import Connections, Exchange
 from wigeonfront.forwarding.forwarder import Forwarder
+from wigeonfront.forwarding.hedging import HedgingState
 from wigeonfront.forwarding.streams import StreamForwarder
 from wigeonfront.http.raw import RawCall, RawServer, close_all
 from wigeonfront.node.assigning import EntryAssignment
@@ -217,6 +218,9 @@
         seconds = self._metrics.histogram(
             "send_seconds", "Time of a send.", ("service",)
         )
+        hedges = self._metrics.counter(
+            "hedges_total", "Second sends of requests.", ("service", "outcome")
+        )
         return Forwarder(
             self._table,
             self._exchange,
@@ -227,6 +231,8 @@
             seconds,
             self._starts,
             self._guard,
+            HedgingState(self._clock),
+            hedges,
         )
 
     def _make_streams(self) -> StreamForwarder:
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -118,6 +118,12 @@
         )
         return seconds
 
+    def is_suspect(self, request: ForwardRequest) -> bool:
+        """Return whether targets have crashed under `request`."""
+        return not self._ledger.empty and bool(
+            self._ledger.crashes(fingerprint(request))
+        )
+
     def targets_to_avoid(self, request: ForwardRequest) -> Collection[str]:
         """Return the ids of targets that another request may be about to crash.
 
@@ -133,11 +139,10 @@
     @contextmanager
     def running(self, request: ForwardRequest, target: Target) -> Iterator[None]:
         """Return a context manager that spans the run of `request` at `target`."""
-        digest = "" if self._ledger.empty else fingerprint(request)
-        if not digest or not self._ledger.crashes(digest):
+        if not self.is_suspect(request):
             yield
             return
-        suspect = digest, target.id
+        suspect = fingerprint(request), target.id
         with self._lock:
             self._suspects_running.append(suspect)
         try:
--- a/src/wigeonfront/rollout/reward_call.py
+++ b/src/wigeonfront/rollout/reward_call.py
@@ -11,6 +11,7 @@
     ForwardRequest,
     NotExecuted,
     Outcome,
+    Superseded,
     TimedOut,
 )
 from wigeonfront.forwarding.forwarder import Forwarder
@@ -163,5 +164,5 @@
 
 
 @_without_answer.register
-def _(outcome: CallerGone) -> CallOutcome:
+def _(outcome: CallerGone | Superseded) -> CallOutcome:
     return CallCancelled()
--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -266,6 +266,7 @@
         handle,
         on_sent,
         reuse_deadline,
+        slow,
     ):
         on_sent()
         outcome, share = self.script.pop(0)
