--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -23,11 +23,15 @@
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.hedging import (
     SPENT,
+    SUSPICION_SECONDS,
+    UNPROVEN_SECONDS,
     Decision,
     HedgeState,
     HedgingState,
     KeepWaiting,
     decide,
+    second_targets,
+    unsuspected_targets,
 )
 from wigeonfront.forwarding.open_call import do_nothing
 from wigeonfront.forwarding.placement import choose_target, usable_targets
@@ -74,6 +78,8 @@
         Number of further targets to which the request may be sent.
     hedged : bool
         Whether the route allows a second send while the first is awaited.
+    objective : float
+        Latency objective of the route, in seconds.
     tried : set of str
         Ids of the targets to which it was sent.
     may_have_run : bool
@@ -87,6 +93,7 @@
     caller: socket.socket | None
     sends_left: int
     hedged: bool
+    objective: float
     tried: set[str] = field(default_factory=set)
     may_have_run: bool = False
     error_answer: Answered | None = None
@@ -185,6 +192,7 @@
             caller,
             max(1, route.max_attempts),
             request.repeatable and route.max_attempts >= MIN_HEDGED_ATTEMPTS,
+            route.objective,
         )
         if work.hedged and self._hedging is not None:
             self._hedging.record_first_send(work.service)
@@ -193,7 +201,9 @@
             if blocked:
                 return refusal("quarantined", work.may_have_run, blocked)
             usable = usable_targets(self._table.views(work.service), work.tried)
-            view = self._choose(request, usable)
+            view = self._choose_unsuspected(work, usable) or self._choose(
+                request, usable
+            )
             if view is None:
                 # A target's error tells the caller more than "no target" would.
                 if work.error_answer is not None:
@@ -258,7 +268,7 @@
             return None
         if work.sends_left < MIN_HEDGED_ATTEMPTS or len(usable) < 2:
             return None
-        return self._hedging.delay(work.service)
+        return self._hedging.delay(work.service, work.objective)
 
     def _plan_hedge(
         self, work: _Forwarding, first: TargetView, started: float, delay: float
@@ -267,10 +277,14 @@
         if self._hedging is None:
             return None
         now = self._clock.monotonic()
+        self._hedging.record_slow(first.target.id)
         tried = {*work.tried, first.target.id}
-        views = usable_targets(self._table.views(work.service), tried)
-        free = [view for view in views if view.available and view.free_slots > 0]
-        view = self._choose(work.request, free)
+        others = second_targets(
+            usable_targets(self._table.views(work.service), tried),
+            self._hedging.slow_targets(UNPROVEN_SECONDS),
+            self._hedging.answered_since(started),
+        )
+        view = self._choose(work.request, others)
         sends_left = work.sends_left - 1
         left = SendState(work.request.repeatable, sends_left, work.deadline - now)
         tokens = self._hedging.tokens(work.service)
@@ -298,7 +312,7 @@
             reason=getattr(decision, "reason", ""),
             waited=now - started,
             delay=delay,
-            free_targets=len(free),
+            other_targets=len(others),
             sends_left=sends_left,
             left=left.seconds_left,
             tokens=tokens,
@@ -311,6 +325,20 @@
         if self._hedges is not None:
             self._hedges.increment(service=service, outcome=outcome)
 
+    def _choose_unsuspected(
+        self, work: _Forwarding, usable: Sequence[TargetView]
+    ) -> TargetView | None:
+        """Return a target that is not suspected of being silent.
+
+        ``None`` if no target is suspected, or if there is no other one.
+        """
+        if self._hedging is None or not work.hedged:
+            return None
+        slow = self._hedging.slow_targets(SUSPICION_SECONDS)
+        if not slow:
+            return None
+        return self._choose(work.request, unsuspected_targets(usable, slow))
+
     def _choose(
         self, request: ForwardRequest, usable: Sequence[TargetView]
     ) -> TargetView | None:
--- a/src/wigeonfront/forwarding/hedging.py
+++ b/src/wigeonfront/forwarding/hedging.py
@@ -12,11 +12,13 @@
 
 import threading
 from collections import deque
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from wigeonfront.clock import Clock
 from wigeonfront.forwarding.steps import UNRESPONSIVE_SECONDS
 from wigeonfront.targets.circuit import Evidence
+from wigeonfront.targets.views import TargetView
 
 HEDGE_PERCENTILE = 0.95
 """Share of the recent answers that the hedge delay exceeds at least."""
@@ -28,6 +30,10 @@
 MIN_HEDGE_SECONDS = 0.05
 """Minimum hedge delay: pauses of processes and retransmissions take this long."""
 
+OBJECTIVE_SHARE = 0.5
+"""Share of a route's latency objective that is the hedge delay while the service's
+latency is unknown: half is left for the second answer."""
+
 MAX_ANSWERS = 256
 """Recent answers of a service from which the percentile is taken."""
 
@@ -40,12 +46,23 @@
 PERCENTILE_TTL_SECONDS = 0.1
 """Time for which a computed percentile is reused."""
 
+MAX_ANSWER_TIMES = 1_000
+"""Targets whose last answers are remembered."""
+
 BUDGET_SHARE = 0.1
 """Tokens that each first send of a request adds to its service's budget."""
 
 BUDGET_BURST = 10.0
 """Maximum number of tokens in a budget, with which it also begins."""
 
+SUSPICION_SECONDS = 1.0
+"""Time for which a target that lets a request wait for the hedge delay gets no first
+sends, unless it answers: one request a second then finds out whether it has recovered.
+"""
+
+UNPROVEN_SECONDS = 10.0
+"""Time for which such a target gets no second sends, unless it answers."""
+
 SILENCE_TTL_SECONDS = 10.0
 """Time after which an observed silence no longer counts, if no request was sent."""
 
@@ -109,13 +126,15 @@
     return SendAgain() if state.tokens >= 1 else SPENT
 
 
-def hedge_delay(percentile: float | None) -> float | None:
+def hedge_delay(percentile: float | None, objective: float) -> float | None:
     """Return the seconds after which a second send is considered.
 
     Parameters
     ----------
     percentile : float or None
         `HEDGE_PERCENTILE` of the service's latency in seconds; ``None`` if unknown.
+    objective : float
+        Latency objective of the route in seconds; 0 if it has none.
 
     Returns
     -------
@@ -124,12 +143,50 @@
 
     Examples
     --------
-    >>> hedge_delay(0.1), hedge_delay(0.001), hedge_delay(None)
-    (0.15000000000000002, 0.05, None)
+    >>> hedge_delay(0.2, 1.0), hedge_delay(0.001, 1.0), hedge_delay(None, 1.0)
+    (0.30000000000000004, 0.05, 0.5)
     """
-    if percentile is None:
+    if percentile is not None:
+        return max(MIN_HEDGE_SECONDS, HEDGE_FACTOR * percentile)
+    if objective <= 0:
         return None
-    return max(MIN_HEDGE_SECONDS, HEDGE_FACTOR * percentile)
+    return max(MIN_HEDGE_SECONDS, OBJECTIVE_SHARE * objective)
+
+
+def unsuspected_targets(
+    views: Sequence[TargetView], slow: Collection[str]
+) -> list[TargetView]:
+    """Return the available targets that are not suspected of being silent.
+
+    Parameters
+    ----------
+    views : sequence of TargetView
+    slow : collection of str
+        Ids of the suspected targets.
+    """
+    return [view for view in views if view.available and view.target.id not in slow]
+
+
+def second_targets(
+    views: Sequence[TargetView], slow: Collection[str], answered: Collection[str]
+) -> list[TargetView]:
+    """Return the targets among which that of a second send is chosen.
+
+    Several targets may be silent for the same reason. Those that have answered since
+    the first send are therefore preferred, and suspected ones aren't used.
+
+    Parameters
+    ----------
+    views : sequence of TargetView
+        Targets that did not get the request.
+    slow : collection of str
+        Ids of the suspected targets.
+    answered : collection of str
+        Ids of the targets that have answered since the first send.
+    """
+    free = [view for view in views if view.available and view.free_slots > 0]
+    alive = [view for view in free if view.target.id in answered]
+    return alive or unsuspected_targets(free, slow)
 
 
 # --- observations ------------------------------------------------------------
@@ -249,12 +306,24 @@
         self._lock = threading.Lock()
         self._services: dict[str, _ServiceState] = {}
         self._silences: dict[str, Silence] = {}
+        # Monotonic times of the last answer, and of the last wait for the hedge delay
+        # since then, by target.
+        self._answered_at: dict[str, float] = {}
+        self._slow_at: dict[str, float] = {}
 
-    def delay(self, service: str) -> float | None:
-        """Return the hedge delay in seconds; ``None`` for no second send."""
+    def delay(self, service: str, objective: float) -> float | None:
+        """Return the hedge delay in seconds; ``None`` for no second send.
+
+        Parameters
+        ----------
+        service : str
+        objective : float
+            Latency objective of the route in seconds; 0 if it has none.
+        """
         with self._lock:
             latencies = self._service(service).latencies
-            return hedge_delay(latencies.percentile(self._clock.monotonic()))
+            percentile = latencies.percentile(self._clock.monotonic())
+            return hedge_delay(percentile, objective)
 
     def tokens(self, service: str) -> float:
         """Return the number of tokens in the budget of `service`."""
@@ -278,8 +347,42 @@
 
     def record_alive(self, target_id: str) -> None:
         """Record that the target has answered, even with an error or a refusal."""
+        now = self._clock.monotonic()
         with self._lock:
             self._silences.pop(target_id, None)
+            self._slow_at.pop(target_id, None)
+            self._answered_at[target_id] = now
+            if len(self._answered_at) > MAX_ANSWER_TIMES:
+                oldest = min(self._answered_at, key=self._answered_at.__getitem__)
+                del self._answered_at[oldest]
+
+    def record_slow(self, target_id: str) -> None:
+        """Record that a request has waited at the target for the hedge delay."""
+        now = self._clock.monotonic()
+        with self._lock:
+            self._slow_at = {
+                id: at
+                for id, at in self._slow_at.items()
+                if now < at + UNPROVEN_SECONDS
+            }
+            self._slow_at[target_id] = now
+
+    def slow_targets(self, seconds: float) -> set[str]:
+        """Return the ids of the targets that are suspected of being silent.
+
+        Parameters
+        ----------
+        seconds : float
+            For how long a target is suspected if it doesn't answer.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            return {id for id, at in self._slow_at.items() if now < at + seconds}
+
+    def answered_since(self, at: float) -> set[str]:
+        """Return the ids of the targets that have answered since a monotonic time."""
+        with self._lock:
+            return {id for id, then in self._answered_at.items() if then >= at}
 
     def record_latency(self, service: str, seconds: float) -> None:
         """Record that a successful answer of `service` took `seconds`."""
