--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -5,6 +5,9 @@
 unexpected bytes, is closed.
 """
 
+import errno
+import os
+import select
 import socket
 import threading
 from collections import defaultdict, deque
@@ -15,6 +18,8 @@
 from urllib3.exceptions import HTTPError
 
 from wigeonfront.clock import Clock
+from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.http.encoding import parse_address
 from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE
 
@@ -134,7 +139,12 @@
         self.opened = 0
 
     def acquire(
-        self, target_id: str, address: str, max_idle_seconds: float = float("inf")
+        self,
+        target_id: str,
+        address: str,
+        max_idle_seconds: float = float("inf"),
+        handle: CallHandle | None = None,
+        slow: SlowWait | None = None,
     ) -> Connection | NoConnection:
         """Return a pooled connection, or a new one.
 
@@ -142,6 +152,10 @@
         ----------
         max_idle_seconds : float
             Longest time, in seconds, for which a pooled connection may have been idle.
+        handle : CallHandle, optional
+            Ends the wait for a new connection, if `slow` is given too.
+        slow : SlowWait, optional
+            Told if a new connection is awaited for long.
         """
         while (pooled := self._pop_idle(target_id)) is not None:
             age = self._clock.monotonic() - pooled.idle_since
@@ -153,7 +167,7 @@
                     self._in_use.add(pooled)
                 return pooled
             pooled.close()
-        return self._open(target_id, address)
+        return self._open(target_id, address, handle, slow)
 
     def release(self, connection: Connection, keep_alive: str = "") -> None:
         """Return a connection, whose last answer was read to its end, to the pool.
@@ -217,7 +231,13 @@
             idle = self._idle.get(target_id)
             return idle.pop() if idle else None
 
-    def _open(self, target_id: str, address: str) -> Connection | NoConnection:
+    def _open(
+        self,
+        target_id: str,
+        address: str,
+        handle: CallHandle | None,
+        slow: SlowWait | None,
+    ) -> Connection | NoConnection:
         host, port = parse_address(address)
         http_connection = HTTPConnection(
             host,
@@ -226,7 +246,10 @@
             socket_options=_socket_options(),
         )
         try:
-            http_connection.connect()
+            if handle is None or slow is None:
+                http_connection.connect()
+            else:
+                http_connection.sock = self._connect_watched(host, port, handle, slow)
         except (HTTPError, OSError) as error:
             http_connection.close()
             return NoConnection(_is_refusal(error))
@@ -236,6 +259,48 @@
             self._in_use.add(connection)
         return connection
 
+    def _connect_watched(
+        self, host: str, port: int, handle: CallHandle, slow: SlowWait
+    ) -> socket.socket:
+        """Return a connected socket; `handle` can end the wait for it."""
+        family, kind, protocol, _, address = socket.getaddrinfo(
+            host, port, type=socket.SOCK_STREAM
+        )[0]
+        sock = socket.socket(family, kind, protocol)
+        try:
+            for option in _socket_options():
+                sock.setsockopt(*option)
+            sock.setblocking(False)
+            if not handle.attach(sock):
+                raise ConnectionAbortedError("the call was cancelled")
+            error = sock.connect_ex(address)
+            if error == errno.EINPROGRESS:
+                _wait_until_connected(sock, slow, self._clock)
+            elif error:
+                raise OSError(error, os.strerror(error))
+            sock.settimeout(CONNECT_TIMEOUT_SECONDS)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
+
+def _wait_until_connected(sock: socket.socket, slow: SlowWait, clock: Clock) -> None:
+    """Wait until `sock` is connected; raise `OSError` if that fails."""
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    deadline = clock.monotonic() + CONNECT_TIMEOUT_SECONDS
+    while True:
+        now = clock.monotonic()
+        if now >= deadline:
+            raise TimeoutError
+        slow.check(now)
+        if poll.poll(slow.limit(now, deadline - now) * 1000):
+            break
+    error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
 
 def idle_seconds(keep_alive: str) -> float:
     """Return the seconds that a connection may idle, from a ``Keep-Alive`` header.
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -29,6 +29,7 @@
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.open_call import OpenCall, do_nothing
+from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.observability.logs import event
 from wigeonfront.targets.target import Target
 
@@ -78,35 +79,6 @@
         """Return those headers of the answer that are passed on to the caller."""
 
 
-@dataclass(slots=True)
-class SlowWait:
-    """Whom to tell that the head of an answer is awaited for long.
-
-    Attributes
-    ----------
-    at : float
-        Monotonic time, in seconds, from which the wait counts as long.
-    notify : callable
-        Called once, in the thread that waits.
-    notified : bool
-        Whether `notify` was called.
-    """
-
-    at: float
-    notify: Callable[[], None]
-    notified: bool = False
-
-    def check(self, now: float) -> None:
-        """Call `notify` if the wait counts as long and it was not called before."""
-        if not self.notified and now >= self.at:
-            self.notified = True
-            self.notify()
-
-    def limit(self, now: float, remaining: float) -> float:
-        """Return the seconds to wait, `remaining` at most, until the next check."""
-        return remaining if self.notified else min(remaining, self.at - now)
-
-
 @dataclass(frozen=True, slots=True)
 class _Send:
     """A send of one request on one connection.
@@ -245,7 +217,7 @@
             which may no longer work. A request that may be repeated is then sent again
             on a new connection.
         slow : SlowWait, optional
-            Told if the head is awaited for long.
+            Told if the connection or the head is awaited for long.
         """
         if handle is not None and handle.cancelled:
             return CallerGone()
@@ -253,9 +225,11 @@
             math.inf if request.repeatable else MAX_IDLE_UNREPEATABLE_SECONDS
         )
         connection = self._connections.acquire(
-            target.id, target.address, max_idle_seconds
+            target.id, target.address, max_idle_seconds, handle, slow
         )
         if isinstance(connection, NoConnection):
+            if handle is not None and handle.cancelled:
+                return CallerGone()
             return NotExecuted(connection.reason)
         if handle is not None and not handle.attach(connection.sock):
             connection.close()
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -18,7 +18,7 @@
     Superseded,
     TimedOut,
 )
-from wigeonfront.forwarding.exchange import Exchange, SlowWait
+from wigeonfront.forwarding.exchange import Exchange
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.hedging import (
@@ -36,6 +36,7 @@
 from wigeonfront.forwarding.open_call import do_nothing
 from wigeonfront.forwarding.placement import choose_target, usable_targets
 from wigeonfront.forwarding.race import Race, SendPlan, Sent, is_usable
+from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.forwarding.steps import (
     DropRequest,
     Fail,
--- a/src/wigeonfront/forwarding/hedging.py
+++ b/src/wigeonfront/forwarding/hedging.py
@@ -55,14 +55,18 @@
 BUDGET_BURST = 10.0
 """Maximum number of tokens in a budget, with which it also begins."""
 
-SUSPICION_SECONDS = 1.0
+SUSPICION_SECONDS = 0.5
 """Time for which a target that lets a request wait for the hedge delay gets no first
-sends, unless it answers: one request a second then finds out whether it has recovered.
-"""
+sends, unless it answers. One request then probes it, so that a silent target's circuit
+opens about as soon as without hedging."""
 
 UNPROVEN_SECONDS = 10.0
 """Time for which such a target gets no second sends, unless it answers."""
 
+MIN_SILENT_WAITS = 3
+"""Number of waits in a row without an answer from which on they count as a failure: a
+target that answers as usual seldom exceeds the hedge delay even once."""
+
 SILENCE_TTL_SECONDS = 10.0
 """Time after which an observed silence no longer counts, if no request was sent."""
 
@@ -261,30 +265,36 @@
 
 @dataclass(slots=True)
 class Silence:
-    """How long a target has been silent while requests waited for it.
+    """Sends to a target in a row that were cut without an answer.
 
-    Hedged requests leave a silent target long before its silence counts as a failure.
-    Their waits since the target's last answer are therefore added up; waits that
-    overlap count once.
+    A hedged request leaves a silent target long before one wait counts as a failure.
+    Several waits, each of which began after the one before, count as one if they span
+    that time and the target has answered no request meanwhile. In an overload, waits
+    overlap and answers come between them.
 
     Attributes
     ----------
-    seconds : float
-        Seconds of silence since the target's last answer.
-    until : float
-        Monotonic time at which the last wait ended.
+    waits : int
+        Number of waits since the target's last answer that don't overlap.
+    since, until : float
+        Monotonic times at which the first of them started and the last one ended.
     """
 
-    seconds: float = 0.0
+    waits: int = 0
+    since: float = 0.0
     until: float = field(default=float("-inf"))
 
     def add(self, started: float, ended: float) -> Evidence:
         """Add a wait that ended without an answer; return what the silence shows."""
         if started - self.until > SILENCE_TTL_SECONDS:
-            self.seconds = 0.0
-        self.seconds += max(0.0, ended - max(started, self.until))
-        self.until = max(self.until, ended)
-        return "failure" if self.seconds >= UNRESPONSIVE_SECONDS else "none"
+            self.waits = 0
+        if not self.waits:
+            self.since = started
+        if not self.waits or started >= self.until:
+            self.waits += 1
+            self.until = ended
+        silent = self.until - self.since >= UNRESPONSIVE_SECONDS
+        return "failure" if silent and self.waits >= MIN_SILENT_WAITS else "none"
 
 
 @dataclass(slots=True)
@@ -402,7 +412,8 @@
         Returns
         -------
         Evidence
-            ``"failure"`` once the target has been silent for `UNRESPONSIVE_SECONDS`.
+            ``"failure"`` once the target has been silent for `UNRESPONSIVE_SECONDS`
+            over `MIN_SILENT_WAITS` sends.
         """
         now = self._clock.monotonic()
         with self._lock:
--- a/src/wigeonfront/forwarding/race.py
+++ b/src/wigeonfront/forwarding/race.py
@@ -10,8 +10,8 @@
 from dataclasses import dataclass
 
 from wigeonfront.forwarding.attempt import Answered, Broken, CallerGone, Outcome
-from wigeonfront.forwarding.exchange import SlowWait
 from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.forwarding.steps import SERVER_ERROR
 from wigeonfront.observability.logs import event
 from wigeonfront.targets.views import TargetView
