--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -28,6 +28,9 @@
 between failure domains, and short enough to try another target within a caller's
 latency objective."""
 
+CANCEL_CHECK_SECONDS = 0.01
+"""Interval at which the wait for a connection checks whether its call was cancelled."""
+
 PROBE_TIMEOUT_SECONDS = 0.1
 """Longest wait when probing whether a process listens at an address: many round
 trips."""
@@ -275,7 +278,7 @@
                 raise ConnectionAbortedError("the call was cancelled")
             error = sock.connect_ex(address)
             if error == errno.EINPROGRESS:
-                _wait_until_connected(sock, slow, self._clock)
+                _wait_until_connected(sock, handle, slow, self._clock)
             elif error:
                 raise OSError(error, os.strerror(error))
             sock.settimeout(CONNECT_TIMEOUT_SECONDS)
@@ -285,8 +288,14 @@
         return sock
 
 
-def _wait_until_connected(sock: socket.socket, slow: SlowWait, clock: Clock) -> None:
-    """Wait until `sock` is connected; raise `OSError` if that fails."""
+def _wait_until_connected(
+    sock: socket.socket, handle: CallHandle, slow: SlowWait, clock: Clock
+) -> None:
+    """Wait until `sock` is connected; raise `OSError` if that fails.
+
+    Some network stacks don't wake the wait for a connection when its socket is shut
+    down, so a cancelled call is noticed within `CANCEL_CHECK_SECONDS`.
+    """
     poll = select.poll()
     poll.register(sock, select.POLLOUT)
     deadline = clock.monotonic() + CONNECT_TIMEOUT_SECONDS
@@ -294,8 +303,11 @@
         now = clock.monotonic()
         if now >= deadline:
             raise TimeoutError
+        if handle.cancelled:
+            raise ConnectionAbortedError("the call was cancelled")
         slow.check(now)
-        if poll.poll(slow.limit(now, deadline - now) * 1000):
+        seconds = slow.limit(now, deadline - now)
+        if poll.poll(min(seconds, CANCEL_CHECK_SECONDS) * 1000):
             break
     error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -389,10 +389,10 @@
                 )
             if (
                 handle is not None
-                and handle.superseded
+                and handle.cancelled
                 and not isinstance(outcome, Answered | NotExecuted)
             ):
-                outcome = Superseded()
+                outcome = Superseded() if handle.superseded else CallerGone()
         finally:
             seconds = self._clock.monotonic() - started
             answered = isinstance(outcome, Answered)
--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -21,6 +21,7 @@
 from wigeonfront.forwarding.attempt import ForwardRequest
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.guard import NoGuard
+from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.hedging import BUDGET_BURST, HedgingState
 from wigeonfront.forwarding.steps import DropRequest, ReturnAnswer
 from wigeonfront.observability.metrics import Registry
@@ -200,7 +201,12 @@
     assert max(targets[0].ended_at + targets[1].ended_at) - closed_at[0] < 0.4
 
 
-def test_a_target_that_accepts_no_connection_is_left_in_time():
+@pytest.mark.parametrize("shutdown_wakes", [True, False])
+def test_a_target_that_accepts_no_connection_is_left_in_time(
+    shutdown_wakes, monkeypatch
+):
+    if not shutdown_wakes:
+        monkeypatch.setattr(CallHandle, "_shut_down", lambda self: None)
     targets = [FullTarget(), SlowTarget(0.02)]
     hedged = Hedged(targets)
     ended, seconds = hedged.forward()
