--- a/src/wigeonfront/forwarding/__init__.py
+++ b/src/wigeonfront/forwarding/__init__.py
@@ -3,8 +3,10 @@
 `exchange` sends one request to one target and `open_call` reads its answer. `attempt`
 holds the request and the possible outcomes of a send, `placement` chooses the target
 and `steps` decides what follows an outcome. `forwarder` and `streams` combine them for
-plain requests and for streams. `idempotency` records requests that must not run twice.
-All of them work in their callers' threads and start no tasks.
+plain requests and for streams. `hedging` decides when a plain request is sent to a
+second target, `hedging_state` keeps what it is decided by, and `race` makes both sends.
+`idempotency` records requests that must not run twice. All of them work in their
+callers' threads; only a second send takes a thread of its own.
 """
 
 from wigeonfront.forwarding.attempt import (
--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -27,12 +27,12 @@
     UNPROVEN_SECONDS,
     Decision,
     HedgeState,
-    HedgingState,
     KeepWaiting,
     decide,
     second_targets,
     unsuspected_targets,
 )
+from wigeonfront.forwarding.hedging_state import HedgingState
 from wigeonfront.forwarding.open_call import do_nothing
 from wigeonfront.forwarding.placement import choose_target, usable_targets
 from wigeonfront.forwarding.race import Race, SendPlan, Sent, is_usable
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -23,7 +23,7 @@
 from wigeonfront.coordination.relay import RelayServer, RoutedStore
 from wigeonfront.forwarding import Connections, Exchange
 from wigeonfront.forwarding.forwarder import Forwarder
-from wigeonfront.forwarding.hedging import HedgingState
+from wigeonfront.forwarding.hedging_state import HedgingState
 from wigeonfront.forwarding.streams import StreamForwarder
 from wigeonfront.http.raw import RawCall, RawServer, close_all
 from wigeonfront.node.assigning import EntryAssignment
--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -22,7 +22,8 @@
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.guard import NoGuard
 from wigeonfront.forwarding.handle import CallHandle
-from wigeonfront.forwarding.hedging import BUDGET_BURST, HedgingState
+from wigeonfront.forwarding.hedging import BUDGET_BURST
+from wigeonfront.forwarding.hedging_state import HedgingState
 from wigeonfront.forwarding.steps import DropRequest, ReturnAnswer
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.targets.table import TargetTable
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -22,7 +22,6 @@
     SUSPICION_SECONDS,
     UNPROVEN_SECONDS,
     HedgeState,
-    HedgingState,
     RecentLatencies,
     RetryBudget,
     SendAgain,
@@ -32,6 +31,7 @@
     second_targets,
     unsuspected_targets,
 )
+from wigeonfront.forwarding.hedging_state import HedgingState
 from wigeonfront.forwarding.placement import choose_target, usable_targets
 from wigeonfront.forwarding.steps import SendState, health_evidence, max_wait
 from wigeonfront.targets.table import TargetTable
@@ -124,6 +124,46 @@
     assert [silence.add(*wait) for wait in waits][-1] == evidence
 
 
+@pytest.mark.parametrize(
+    ("slow", "answered", "full", "chosen"),
+    [
+        ([], [], [], ["a", "b", "c"]),
+        (["a"], [], [], ["b", "c"]),
+        (["a"], ["c"], [], ["c"]),
+        (["a"], ["c"], ["c"], ["b"]),
+        (["a", "b", "c"], [], [], []),
+        ([], [], ["a", "b", "c"], []),
+    ],
+)
+def test_the_targets_of_a_second_send(slow, answered, full, chosen):
+    table = TargetTable(ManualClock(), random.Random(1))
+    table.set_targets([Target(id, "s", f"h:{id}", "z", 1) for id in "abc"])
+    for id in full:
+        table.record_started(id)
+    views = second_targets(table.views("s"), slow, answered)
+    assert [view.target.id for view in views] == chosen
+
+
+@pytest.mark.parametrize(
+    ("seconds", "answers", "suspected"),
+    [
+        (0.0, False, True),
+        (1.5 * SUSPICION_SECONDS, False, False),
+        (0.0, True, False),
+    ],
+)
+def test_a_slow_target_is_suspected_for_a_while(seconds, answers, suspected):
+    clock = ManualClock()
+    state = HedgingState(clock)
+    state.record_slow("t")
+    clock.advance(seconds)
+    if answers:
+        state.record_alive("t")
+    assert ("t" in state.slow_targets(SUSPICION_SECONDS)) == suspected
+    assert ("t" in state.slow_targets(UNPROVEN_SECONDS)) == (not answers)
+    assert state.answered_since(seconds) == ({"t"} if answers else set())
+
+
 @pytest.mark.parametrize(("answers", "evidence"), [(False, "failure"), (True, "none")])
 def test_an_answer_ends_the_silence_of_its_target(answers, evidence):
     clock = ManualClock()
