--- a/src/wigeonfront/forwarding/hedging.py
+++ b/src/wigeonfront/forwarding/hedging.py
@@ -6,7 +6,7 @@
 answers took. A token bucket per service bounds the additional sends, so that a service
 that is slow because of overload doesn't get more work.
 
-Nothing here waits, sends or reads a clock; `hedging_state` keeps what one process knows.
+Nothing here waits, sends or reads a clock; `hedging_state` keeps what a process knows.
 """
 
 from collections import deque
