forwarding: a part of a cut answer is not returned; connecting ends with the caller, and tries all addresses

An answer without a length ends with its connection, so one that was cut by the other send looked whole.

--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -12,6 +12,7 @@
 import threading
 from collections import defaultdict, deque
 from dataclasses import dataclass
+from typing import Any
 from weakref import WeakSet
 
 from urllib3.connection import HTTPConnection
@@ -266,26 +267,39 @@
         self, host: str, port: int, handle: CallHandle, slow: SlowWait
     ) -> socket.socket:
         """Return a connected socket; `handle` can end the wait for it."""
-        family, kind, protocol, _, address = socket.getaddrinfo(
+        failure = OSError(f"no address of {host}")
+        for family, kind, protocol, _, address in socket.getaddrinfo(
             host, port, type=socket.SOCK_STREAM
-        )[0]
-        sock = socket.socket(family, kind, protocol)
-        try:
-            for option in _socket_options():
-                sock.setsockopt(*option)
-            sock.setblocking(False)
-            if not handle.attach(sock):
-                raise ConnectionAbortedError("the call was cancelled")
-            error = sock.connect_ex(address)
-            if error == errno.EINPROGRESS:
-                _wait_until_connected(sock, handle, slow, self._clock)
-            elif error:
-                raise OSError(error, os.strerror(error))
-            sock.settimeout(CONNECT_TIMEOUT_SECONDS)
-        except OSError:
-            sock.close()
-            raise
-        return sock
+        ):
+            sock = socket.socket(family, kind, protocol)
+            try:
+                self._connect_socket(sock, address, handle, slow)
+                return sock
+            except OSError as error:
+                sock.close()
+                failure = error
+                if handle.cancelled:
+                    break
+        raise failure
+
+    def _connect_socket(
+        self,
+        sock: socket.socket,
+        address: tuple[Any, ...],
+        handle: CallHandle,
+        slow: SlowWait,
+    ) -> None:
+        for option in _socket_options():
+            sock.setsockopt(*option)
+        sock.setblocking(False)
+        if not handle.attach(sock):
+            raise ConnectionAbortedError("the call was cancelled")
+        error = sock.connect_ex(address)
+        if error == errno.EINPROGRESS:
+            _wait_until_connected(sock, handle, slow, self._clock)
+        elif error:
+            raise OSError(error, os.strerror(error))
+        sock.settimeout(CONNECT_TIMEOUT_SECONDS)
 
 
 def _wait_until_connected(
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -181,6 +181,10 @@
         except (HTTPError, OSError, http.client.HTTPException) as error:
             call.close()
             return Broken(f"body:{type(error).__name__}", lost=True)
+        if not call.framed and handle is not None and handle.cancelled:
+            # The body may have ended because the connection was shut down.
+            call.close()
+            return CallerGone()
         headers = self._protocol.response_headers(call.headers)
         call.finish()
         return Answered(call.status, headers, bytes(body), call.framed)
@@ -385,7 +389,11 @@
         poll = select.poll()
         poll.register(sock, select.POLLIN)
         if caller is not None:
-            poll.register(caller, select.POLLIN)
+            try:
+                poll.register(caller, select.POLLIN)
+            except ValueError:
+                # Another send was answered, and the caller's connection is closed.
+                return CallerGone()
         while True:
             now = self._clock.monotonic()
             remaining = deadline - now
--- a/src/wigeonfront/forwarding/race.py
+++ b/src/wigeonfront/forwarding/race.py
@@ -142,6 +142,10 @@
             self._second_ended.set()
         if is_usable(self._second_outcome):
             self._first_handle.supersede()
+        elif isinstance(self._second_outcome, CallerGone):
+            # The first send may still wait for a connection, without watching the
+            # caller.
+            self._first_handle.cancel()
 
 
 def is_usable(outcome: Outcome) -> bool:
--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -7,9 +7,10 @@
 
 import pytest
 
-from rows_fakes import wait_for
+from rows_fakes import free_address, wait_for
 from test_forwarding import (
     EMPTY,
+    HEAD,
     WHOLE,
     make_exchange,
     read_request,
@@ -19,12 +20,13 @@
 from wigeonfront.clock import SystemClock
 from wigeonfront.configuration import Route, RouteKind, ServiceShare
 from wigeonfront.forwarding.attempt import ForwardRequest
-from wigeonfront.forwarding.connections import CONNECT_TIMEOUT_SECONDS
+from wigeonfront.forwarding.connections import CONNECT_TIMEOUT_SECONDS, Connection
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.guard import NoGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.hedging import BUDGET_BURST
 from wigeonfront.forwarding.hedging_state import HedgingState
+from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.forwarding.steps import DropRequest, ReturnAnswer
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.targets.table import TargetTable
@@ -195,6 +197,71 @@
     assert len(hedged.starts.after(0)) == 0
 
 
+class PartTarget:
+    """Sends the first part of an answer that ends with its connection."""
+
+    def __init__(self, seconds):
+        self.seconds, self.requests = seconds, []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        connection, _ = self.listener.accept()
+        self.requests.append(read_request(connection))
+        time.sleep(self.seconds)
+        connection.sendall(HEAD + b"Connection: close\r\n\r\npart of it")
+        connection.recv(1)
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_a_part_of_an_answer_that_was_cut_is_not_returned(first):
+    # The whole answer comes while the other one, which has no length, still arrives.
+    if first:
+        targets = [PartTarget(0.4), SlowTarget(0.4)]
+    else:
+        targets = [SlowTarget(0.8), PartTarget(0.2)]
+    hedged = Hedged(targets)
+    ended, _ = hedged.forward()
+    assert isinstance(ended, ReturnAnswer)
+    assert ended.answer.body == b"body"
+    assert hedged.hedges() == ["won" if first else "lost"]
+
+
+def test_the_first_send_is_not_begun_once_the_caller_left_the_second():
+    targets = [FullTarget(), SlowTarget(9)]
+    hedged = Hedged(targets, objective=SHORT_OBJECTIVE_SECONDS)
+    near, far = socket.socketpair()
+
+    def leave():
+        wait_for(lambda: targets[1].requests)
+        near.close()
+
+    threading.Thread(target=leave).start()
+    ended, seconds = hedged.forward(far)
+    assert isinstance(ended, DropRequest)
+    assert seconds < 0.9 * CONNECT_TIMEOUT_SECONDS
+
+
+def test_a_watched_connection_tries_all_addresses_of_a_host(monkeypatch):
+    listening = SlowTarget(0.02)
+    host, port = "127.0.0.1", int(listening.address.rpartition(":")[2])
+    closed = int(free_address().rpartition(":")[2])
+    found = [
+        (socket.AF_INET, socket.SOCK_STREAM, 6, "", (host, one))
+        for one in (closed, port)
+    ]
+    monkeypatch.setattr(socket, "getaddrinfo", lambda *args, **kwargs: found)
+    connections, _ = make_exchange()
+    slow = SlowWait(time.monotonic() + 9, lambda: None)
+    connection = connections.acquire(
+        "i-1", f"target.example:{port}", handle=CallHandle(), slow=slow
+    )
+    assert isinstance(connection, Connection)
+    assert connection.sock.getpeername() == (host, port)
+    connection.close()
+
+
 def test_both_sends_end_when_the_caller_leaves():
     targets = [SlowTarget(9), SlowTarget(9)]
     hedged = Hedged(targets)
