forwarding: short cut sends, reward calls and suspects don't mislead hedging

- A second send that is cut before its target could answer is no silent wait; it opened the circuits of targets that get second sends only.
- Neither hedges nor the choice among unsuspected targets put a request beside one that has crashed a target.
- The hedge delay is taken from plain requests, not from reward calls.
Each has a test that fails without the change.

--- a/src/wigeonfront/forwarding/forwarder.py
+++ b/src/wigeonfront/forwarding/forwarder.py
@@ -285,7 +285,7 @@
             self._hedging.slow_targets(UNPROVEN_SECONDS),
             self._hedging.answered_since(started),
         )
-        view = self._choose(work.request, others)
+        view = self._choose_exclusively(work.request, others)
         sends_left = work.sends_left - 1
         left = SendState(work.request.repeatable, sends_left, work.deadline - now)
         tokens = self._hedging.tokens(work.service)
@@ -331,24 +331,32 @@
     ) -> TargetView | None:
         """Return a target that is not suspected of being silent.
 
-        ``None`` if no target is suspected, or if there is no other one.
+        ``None`` if no target is suspected, or if there is no other one that no other
+        request may crash.
         """
         if self._hedging is None or not work.hedged:
             return None
         slow = self._hedging.slow_targets(SUSPICION_SECONDS)
         if not slow:
             return None
-        return self._choose(work.request, unsuspected_targets(usable, slow))
+        unsuspected = unsuspected_targets(usable, slow)
+        return self._choose_exclusively(work.request, unsuspected)
 
     def _choose(
         self, request: ForwardRequest, usable: Sequence[TargetView]
     ) -> TargetView | None:
         """Return a target, preferably one that no other request may crash."""
-        avoided = self._guard.targets_to_avoid(request)
-        return choose_target(usable, avoided, self._failure_domain) or choose_target(
+        return self._choose_exclusively(request, usable) or choose_target(
             usable, (), self._failure_domain
         )
 
+    def _choose_exclusively(
+        self, request: ForwardRequest, usable: Sequence[TargetView]
+    ) -> TargetView | None:
+        """Return a target that no other request may crash, if there is one."""
+        avoided = self._guard.targets_to_avoid(request)
+        return choose_target(usable, avoided, self._failure_domain)
+
     def send(
         self,
         request: ForwardRequest,
@@ -398,7 +406,14 @@
             answered = isinstance(outcome, Answered)
             self._table.record_ended(
                 target.id,
-                self._evidence(outcome, view, started, handle),
+                self._evidence(
+                    outcome,
+                    view,
+                    started,
+                    answer_begun=handle is not None and handle.answer_begun,
+                    first=slow is not None,
+                    plain=run_seconds is None,
+                ),
                 seconds if answered else 0.0,
             )
         if isinstance(outcome, NotExecuted):
@@ -429,20 +444,36 @@
         outcome: Outcome,
         view: TargetView,
         started: float,
-        handle: CallHandle | None,
+        *,
+        answer_begun: bool,
+        first: bool,
+        plain: bool,
     ) -> Evidence:
-        """Return what `outcome` says about its target; learn for later hedges."""
-        target = view.target
+        """Return what `outcome` says about its target; learn for later hedges.
+
+        Parameters
+        ----------
+        answer_begun : bool
+            Whether the head of an answer has arrived.
+        first : bool
+            Whether the send is one that may be hedged.
+        plain : bool
+            Whether the request is a plain one.
+        """
         if self._hedging is None:
             return health_evidence(outcome)
-        if isinstance(outcome, Superseded) and handle and not handle.answer_begun:
-            return self._hedging.record_cut(target.id, started)
-        if isinstance(outcome, Answered) or (
+        target = view.target
+        seconds = self._clock.monotonic() - started
+        if isinstance(outcome, Superseded) and not answer_begun:
+            # A second send may have been cut before any target could have answered.
+            if first or self._hedging.is_long_wait(target.service, seconds):
+                return self._hedging.record_cut(target.id, started)
+            return "none"
+        if isinstance(outcome, Answered | Superseded) or (
             isinstance(outcome, NotExecuted) and outcome.status
         ):
             self._hedging.record_alive(target.id)
-        if is_usable(outcome):
-            seconds = self._clock.monotonic() - started
+        if plain and is_usable(outcome):
             self._hedging.record_latency(target.service, seconds)
         return health_evidence(outcome)
 
--- a/src/wigeonfront/forwarding/hedging_state.py
+++ b/src/wigeonfront/forwarding/hedging_state.py
@@ -59,6 +59,11 @@
             percentile = latencies.percentile(self._clock.monotonic())
             return hedge_delay(percentile, objective)
 
+    def is_long_wait(self, service: str, seconds: float) -> bool:
+        """Return whether answers of `service` are known to take less than `seconds`."""
+        delay = self.delay(service, 0.0)
+        return delay is not None and seconds >= delay
+
     def tokens(self, service: str) -> float:
         """Return the number of tokens in the budget of `service`."""
         with self._lock:
--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -19,12 +19,12 @@
 )
 from wigeonfront.clock import SystemClock
 from wigeonfront.configuration import Route, RouteKind, ServiceShare
-from wigeonfront.forwarding.attempt import ForwardRequest
+from wigeonfront.forwarding.attempt import ForwardRequest, Superseded
 from wigeonfront.forwarding.connections import CONNECT_TIMEOUT_SECONDS, Connection
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.guard import NoGuard
 from wigeonfront.forwarding.handle import CallHandle
-from wigeonfront.forwarding.hedging import BUDGET_BURST
+from wigeonfront.forwarding.hedging import BUDGET_BURST, MIN_ANSWERS, MIN_SILENT_WAITS
 from wigeonfront.forwarding.hedging_state import HedgingState
 from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.forwarding.steps import DropRequest, ReturnAnswer
@@ -97,6 +97,13 @@
         return True
 
 
+class Isolating(NoGuard):
+    """Reports that another request may crash the second target."""
+
+    def targets_to_avoid(self, request):
+        return {"i-1"}
+
+
 class Hedged:
     """A forwarder with hedging over targets, in the order in which they are chosen."""
 
@@ -300,6 +307,7 @@
         pytest.param({"kind": RouteKind.NON_IDEMPOTENT}, 504, id="not repeatable"),
         pytest.param({"attempts": 1}, 504, id="one attempt"),
         pytest.param({"guard": Suspicious()}, 200, id="suspect"),
+        pytest.param({"guard": Isolating()}, 200, id="beside a suspect"),
     ],
 )
 def test_requests_that_get_no_second_send_while_the_first_is_awaited(limits, status):
@@ -357,3 +365,41 @@
 
     assert 800 <= deadline_ms(targets[0]) <= 1000
     assert 1500 <= deadline_ms(targets[1]) <= 1700
+
+
+def test_a_slow_target_is_used_if_another_request_may_crash_the_other_one():
+    targets = [SlowTarget(0.02), SlowTarget(0.02)]
+    hedged = Hedged(targets, guard=Isolating())
+    hedged.state.record_slow("i-0")
+    assert status_of(hedged.forward()[0]) == 200
+    assert [len(one.requests) for one in targets] == [1, 0]
+
+
+@pytest.mark.parametrize(("run_seconds", "known"), [(None, True), (1.0, False)])
+def test_answers_to_plain_requests_only_make_the_delay(run_seconds, known):
+    hedged = Hedged([SlowTarget(0.01)])
+    for _ in range(MIN_ANSWERS):
+        (view,) = hedged.table.views("s")
+        hedged.forwarder.send(
+            request(), view, time.monotonic() + 1, run_seconds=run_seconds
+        )
+    assert (hedged.state.delay("s", 0.0) is not None) == known
+
+
+@pytest.mark.parametrize(("first", "available"), [(True, False), (False, True)])
+def test_second_sends_that_are_cut_at_once_say_nothing(first, available):
+    hedged = Hedged([SlowTarget(9), SlowTarget(9)])
+    seen = []
+    for _ in range(MIN_SILENT_WAITS + 2):
+        handle = CallHandle()
+        slow = SlowWait(time.monotonic(), lambda: None) if first else None
+        threading.Timer(0.05, handle.supersede).start()
+        view = hedged.table.views("s")[1]
+        deadline = time.monotonic() + DEADLINE_SECONDS
+        outcome = hedged.forwarder.send(
+            request(), view, deadline, handle=handle, slow=slow
+        )
+        assert isinstance(outcome, Superseded)
+        seen.append(hedged.table.views("s")[1].available)
+        time.sleep(0.25)
+    assert all(seen) == available
