--- a/src/wigeonfront/forwarding/__init__.py
+++ b/src/wigeonfront/forwarding/__init__.py
@@ -4,7 +4,8 @@
 holds the request and the possible outcomes of a send, `placement` chooses the target
 and `steps` decides what follows an outcome. `forwarder` and `streams` combine them for
 plain requests and for streams. `hedging` decides when a plain request is sent to a
-second target, `hedging_state` keeps what it is decided by, and `race` makes both sends.
+second target, `hedging_state` keeps what it is decided by, `hedge_planner` plans the
+send, and `race` makes both sends.
 `idempotency` records requests that must not run twice. All of them work in their
 callers' threads; only a second send takes a thread of its own.
 """
