--- a/src/wigeonfront/forwarding/hedge_planner.py
+++ b/src/wigeonfront/forwarding/hedge_planner.py
@@ -20,6 +20,7 @@
     Decision,
     HedgeState,
     KeepWaiting,
+    SendAgain,
     decide,
     second_targets,
     unsuspected_targets,
@@ -121,20 +122,13 @@
         view = self._choose(work, others)
         sends_left = work.sends_left - 1
         left = SendState(work.request.repeatable, sends_left, work.deadline - now)
-        tokens = self._state.tokens(work.service)
         hedge_state = HedgeState(
             suspect=self._guard.is_suspect(work.request),
             other_available=view is not None,
             may_send=left.repeatable and left.may_send,
-            tokens=tokens,
+            tokens=self._state.tokens(work.service),
         )
-        decision: Decision = decide(hedge_state)
-        if not isinstance(decision, KeepWaiting) and not self._state.take_token(
-            work.service
-        ):
-            decision = SPENT
-        if decision == SPENT:
-            self._count(work, "denied")
+        decision = self._decide(work, hedge_state)
         event(
             logger,
             "hedge",
@@ -149,12 +143,25 @@
             other_targets=len(others),
             sends_left=sends_left,
             left=left.seconds_left,
-            tokens=tokens,
+            tokens=hedge_state.tokens,
         )
         if isinstance(decision, KeepWaiting) or view is None:
             return None
         return SendPlan(view, now + max_wait(left, view.latency))
 
+    def _decide(self, work: RequestWork, hedge_state: HedgeState) -> Decision:
+        """Return the decision about a hedge; take a token if it is to be sent."""
+        decision: Decision = decide(hedge_state)
+        if (
+            isinstance(decision, SendAgain)
+            and self._state is not None
+            and not self._state.take_token(work.service)
+        ):
+            decision = SPENT
+        if decision == SPENT:
+            self._count(work, "denied")
+        return decision
+
     def choose_unsuspected(
         self, work: RequestWork, usable: Sequence[TargetView]
     ) -> TargetView | None:
--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -19,7 +20,7 @@
 )
 from wigeonfront.clock import SystemClock
 from wigeonfront.configuration import Route, RouteKind, ServiceShare
-from wigeonfront.forwarding.attempt import ForwardRequest, Superseded
+from wigeonfront.forwarding.attempt import CallerGone, ForwardRequest, Superseded
 from wigeonfront.forwarding.connections import CONNECT_TIMEOUT_SECONDS, Connection
 from wigeonfront.forwarding.forwarder import Forwarder
 from wigeonfront.forwarding.guard import NoGuard
@@ -321,6 +322,24 @@
     assert hedged.hedges() == []
 
 
+def test_a_target_that_leaves_meanwhile_gets_no_second_send():
+    targets = [SlowTarget(0.5), SlowTarget(0.02)]
+    hedged = Hedged(targets)
+    first, second = (view.target for view in hedged.table.views("s"))
+    leaving = [first, replace(second, draining=True)]
+    threading.Timer(0.1, hedged.table.set_targets, (leaving,)).start()
+    assert status_of(hedged.forward()[0]) == 200
+    assert [len(one.requests) for one in targets] == [1, 0]
+
+
+@pytest.mark.parametrize("attempts", [2, 3])
+def test_no_more_targets_than_attempts_get_the_request(attempts):
+    targets = [SlowTarget(9) for _ in range(attempts + 1)]
+    hedged = Hedged(targets, attempts=attempts)
+    assert status_of(hedged.forward()[0]) == 504
+    assert sum(len(one.requests) for one in targets) == attempts
+
+
 def test_a_spent_budget_leaves_the_retry_after_half_of_the_time():
     targets = [SlowTarget(9), SlowTarget(0.02)]
     hedged = Hedged(targets)
@@ -403,3 +422,13 @@
         seen.append(hedged.table.views("s")[1].available)
         time.sleep(0.25)
     assert all(seen) == available
+
+
+def test_a_second_send_ends_if_the_connection_of_its_caller_is_closed_already():
+    _, exchange = make_exchange()
+    near, far = socket.socketpair()
+    far.close()
+    near.close()
+    waiting = target(SlowTarget(9).address)
+    outcome = exchange.send(request(), waiting, time.monotonic() + 1, far)
+    assert isinstance(outcome, CallerGone)
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -315,9 +315,12 @@
         state.record_alive(id)
         state.record_latency("s", now - started)
         table.record_ended(id, "success", now - started)
-        for loser, began, _ in call.sends:
-            if loser != id:
-                table.record_ended(loser, state.record_cut(loser, began))
+        for number, (loser, began, _) in enumerate(call.sends):
+            if loser == id:
+                continue
+            long = number == 0 or state.is_long_wait("s", now - began)
+            evidence = state.record_cut(loser, began) if long else "none"
+            table.record_ended(loser, evidence)
 
     def give_up(self, send):
         id, started, call = send
