--- a/src/wigeonfront/api/messages.py
+++ b/src/wigeonfront/api/messages.py
@@ -296,6 +296,8 @@
         Runs that other owners of Lots have on the target, as far as known.
     versions : dict of str to int
         Weight version for each model.
+    suspected_by : list of str
+        Names of the entries whose reports make this entry choose the target last.
     """
 
     id: str
@@ -307,6 +309,7 @@
     in_flight: int
     others: int
     versions: dict[str, int]
+    suspected_by: list[str] = []
 
 
 class LotStatus(msgspec.Struct, frozen=True):
--- a/src/wigeonfront/api/operations.py
+++ b/src/wigeonfront/api/operations.py
@@ -327,6 +327,7 @@
                 in_flight=view.in_flight,
                 others=view.others,
                 versions=dict(view.versions),
+                suspected_by=list(view.suspected_by),
             )
             for service in self.services()
             for view in self.table.views(service)
--- a/src/wigeonfront/configuration.py
+++ b/src/wigeonfront/configuration.py
@@ -182,6 +182,15 @@
     limits: CallerLimits = CallerLimits()
     accounts: AccountDirectory | None = field(default=None, repr=False)
 
+    @property
+    def plain_services(self) -> list[str]:
+        """Names of the services without engines."""
+        return [
+            name
+            for name, service in self.services.items()
+            if not service.models and not service.slots
+        ]
+
     def requires_single_version(self, service: str) -> bool:
         """Return whether a route needs each sample of `service` from one version."""
         return any(
--- a/src/wigeonfront/forwarding/placement.py
+++ b/src/wigeonfront/forwarding/placement.py
@@ -33,7 +33,8 @@
     """Return the target that should answer soonest.
 
     A target whose circuit breaker is open is chosen only if no other is left: it may
-    have recovered, and the request could not be served otherwise.
+    have recovered, and the request could not be served otherwise. Before it comes one
+    that only other entries report as failing, as they may be cut off from it.
 
     Parameters
     ----------
@@ -44,8 +45,9 @@
     """
     usable = usable_targets(views, excluded)
     healthy = [view for view in usable if view.available]
+    trusted = [view for view in healthy if not view.suspected]
     return min(
-        healthy or usable,
+        trusted or healthy or usable,
         key=lambda view: expected_wait(view, failure_domain),
         default=None,
     )
@@ -54,7 +56,9 @@
 def expected_wait(view: TargetView, failure_domain: str) -> float:
     """Return the expected seconds until the target answers one more request."""
     latency = view.latency or UNKNOWN_LATENCY_SECONDS
-    queue = max(0, view.in_flight - view.target.slots + 1) / max(1, view.target.slots)
-    busy = view.in_flight / max(1, view.target.slots)
+    in_flight = view.in_flight + view.reported_in_flight
+    queue = max(0, in_flight - view.target.slots + 1) / max(1, view.target.slots)
+    busy = in_flight / max(1, view.target.slots)
     near = view.target.failure_domain == failure_domain
-    return latency * (1 + queue + 0.2 * busy) * (1.0 if near else FAR_FACTOR)
+    distance = 1.0 if near else FAR_FACTOR
+    return latency * (1 + queue + 0.2 * busy) * distance * view.spread
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -23,6 +23,12 @@
 from wigeonfront.coordination.relay import RelayServer, RoutedStore
 from wigeonfront.forwarding import Connections, Exchange
 from wigeonfront.forwarding.forwarder import Forwarder
+from wigeonfront.forwarding.report_exchange import (
+    COUNTER_HELP,
+    COUNTER_NAME,
+    ReportSender,
+    ReportServer,
+)
 from wigeonfront.forwarding.streams import StreamForwarder
 from wigeonfront.http.raw import RawCall, RawServer, close_all
 from wigeonfront.node.assigning import EntryAssignment
@@ -190,6 +196,18 @@
         self._loads = LoadFollower(
             self._table, self._lots.recent_owners, self._runner.has_open_lots
         )
+        self._report_counter = self._metrics.counter(
+            COUNTER_NAME, COUNTER_HELP, ("effect",)
+        )
+        self._reports = ReportSender(
+            self._table,
+            lambda: self._registration.member,
+            self._view.members,
+            clock,
+            self._random,
+            self._report_counter,
+        )
+        self._table.set_finding_listener(self._reports.finding)
         self._gate = self._make_gate()
         self._servers = self._make_servers()
         self._metrics_page = MetricsPage(settings.host, METRICS_PORT, self._metrics)
@@ -320,6 +338,7 @@
             SubmissionServer(self._lots.submit_locally),
             EndServer(self._lots.end_locally),
             LoadServer(self._table),
+            ReportServer(self._table, self._clock, self._report_counter),
             VersionServer(lambda: self._configuration.version),
             {
                 path: answer
@@ -391,6 +410,7 @@
         start("spool", self._runner.spooler.run)
         start("score", self._runner.scoring.run)
         start("loads", self._loads.run)
+        start("reports", self._reports.run)
         start("own", self._lots.takeover_loop)
         start("settle", self._lots.deferred_head_loop)
         start("crashes", self._crash_writer.run)
@@ -439,6 +459,7 @@
         limits = new.limits
         for server in self._caller_servers():
             server.set_limits(limits.idle_seconds, limits.header_bytes)
+        self._table.set_plain_services(new.plain_services)
         self._runner.wake()
         self._fleet.update()
 
@@ -475,6 +496,7 @@
         state = mirror.state()
         self._ledger.update(state.rows, state.revision)
         self._assignment.on_live()
+        self._table.set_entries(len(self._view.members()))
         self._view.restore_registration()
         self._lots.owners_changed()
 
--- a/src/wigeonfront/node/peer_calls.py
+++ b/src/wigeonfront/node/peer_calls.py
@@ -5,6 +5,7 @@
 from wigeonfront.api.operations import VERSION_PATH, VersionServer
 from wigeonfront.coordination.feed import FEED_PATH, FeedServer
 from wigeonfront.coordination.relay import RELAY_PATH, RelayServer
+from wigeonfront.forwarding.report_exchange import REPORTS_PATH, ReportServer
 from wigeonfront.http.raw import RawCall
 from wigeonfront.rollout.engine_loads import LOADS_PATH, LoadServer
 from wigeonfront.rollout.owner_calls import (
@@ -28,6 +29,7 @@
     submissions : SubmissionServer
     ends : EndServer
     loads : LoadServer
+    reports : ReportServer
     version : VersionServer
     more : mapping of str to callable
         Handlers of further calls, by path.
@@ -41,6 +43,7 @@
         submissions: SubmissionServer,
         ends: EndServer,
         loads: LoadServer,
+        reports: ReportServer,
         version: VersionServer,
         more: Mapping[str, Callable[[RawCall], None]],
     ) -> None:
@@ -51,6 +54,7 @@
             SUBMISSION_PATH: submissions.answer,
             END_PATH: ends.answer,
             LOADS_PATH: loads.answer,
+            REPORTS_PATH: reports.answer,
             VERSION_PATH: version.answer,
             **more,
         }
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -6,7 +6,7 @@
 
 import logging
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from zlib import crc32
@@ -19,6 +19,14 @@
     CircuitSettings,
     Evidence,
 )
+from wigeonfront.targets.reports import (
+    NO_REPORTS,
+    Assessment,
+    EntryReports,
+    Reports,
+    TargetReport,
+    limit_suspicions,
+)
 from wigeonfront.targets.target import Target
 from wigeonfront.targets.views import EngineState, OtherOwnersReport, TargetView
 
@@ -117,6 +125,9 @@
         self._states: dict[str, _State] = {}
         self._circuits: dict[str, Circuits] = {}
         self._other_owners = 0
+        self._plain_services: frozenset[str] = frozenset()
+        self._reports = Reports(clock, random)
+        self._on_finding: Callable[[], None] | None = None
 
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Set all known targets; drop the state of targets that are not among them."""
@@ -143,6 +154,60 @@
             ids = [state.target.id for state in states]
             self._circuits_of(service).set_targets(ids)
         self._by_service = by_service
+        self._set_reported_targets()
+
+    def _set_reported_targets(self) -> None:
+        """Keep reports of the plain services that leave a choice of targets."""
+        self._reports.set_targets(
+            state.target.id
+            for service, states in self._by_service.items()
+            if service in self._plain_services and len(states) > 1
+            for state in states
+        )
+
+    def set_plain_services(self, services: Iterable[str]) -> None:
+        """Set the services without engines, of whose targets reports are kept."""
+        with self._lock:
+            self._plain_services = frozenset(services)
+            self._set_reported_targets()
+
+    def set_entries(self, count: int) -> None:
+        """Set the number of live entries, which share trials of suspected targets."""
+        with self._lock:
+            self._reports.set_entries(count)
+
+    def set_finding_listener(self, on_finding: Callable[[], None]) -> None:
+        """Set what is called, without delay, when other entries are to be told."""
+        self._on_finding = on_finding
+
+    def own_reports(self) -> list[TargetReport]:
+        """Return what this process tells other entries about plain targets."""
+        with self._lock:
+            now = self._clock.monotonic()
+            covered = [id for id in self._states if self._reports.covers(id)]
+            return self._reports.own_reports(
+                lambda id: (
+                    self._latency(self._states[id], now),
+                    self._states[id].in_flight,
+                ),
+                covered,
+            )
+
+    def receive_reports(self, message: EntryReports) -> list[str]:
+        """Take the reports of another entry; return their effects.
+
+        Returns
+        -------
+        list of str
+            As for `Reports.receive`; empty if the message was repeated or overtaken.
+        """
+        with self._lock:
+            if message.entry == self._name or self._reports.is_repeated(message):
+                return []
+            return [
+                self._reports.receive(message.entry, report)
+                for report in message.reports
+            ]
 
     def _preference(self, id: str) -> int:
         return crc32(f"{self._name} {id}".encode())
@@ -161,7 +226,26 @@
         with self._lock:
             now = self._clock.monotonic()
             states = self._by_service.get(service, [])[:limit]
-            return [self._view(state, now) for state in states]
+            assessments, suspected = self._assess(states)
+            return [
+                self._view(
+                    state,
+                    now,
+                    assessments.get(state.target.id, NO_REPORTS),
+                    state.target.id in suspected,
+                )
+                for state in states
+            ]
+
+    def _assess(
+        self, states: list[_State]
+    ) -> tuple[dict[str, Assessment], frozenset[str]]:
+        """Return what reports say about targets, and the ids of suspected ones."""
+        ids = [state.target.id for state in states]
+        if not ids or not self._reports.covers(ids[0]):
+            return {}, frozenset()
+        assessments = {id: self._reports.assess(id) for id in ids}
+        return assessments, limit_suspicions(assessments, len(ids))
 
     def all_targets(self) -> list[Target]:
         """Return the targets of all services."""
@@ -207,6 +291,7 @@
                 state.runs_since_report += 1
             if model in state.probed:
                 state.refused_until[model] = self._clock.monotonic() + PROBE_SECONDS
+            self._reports.record_attempt(id)
             change = self._circuits_of(state.target.service).record_attempt(id)
         if first_use:
             event(
@@ -238,7 +323,29 @@
             if latency > 0:
                 self._measure(state, latency)
             change = self._circuits_of(state.target.service).record_result(id, evidence)
+            found = self._record_finding(state, evidence, change, latency > 0)
         self._log(change)
+        if found and self._on_finding is not None:
+            self._on_finding()
+
+    def _record_finding(
+        self,
+        state: _State,
+        evidence: Evidence,
+        change: CircuitChange | None,
+        measured: bool,
+    ) -> bool:
+        """Record the evidence for reports; return whether others are to be told."""
+        id = state.target.id
+        found = False
+        if measured:
+            found = self._reports.record_latency(id, state.latency)
+        if evidence == "success":
+            return self._reports.record_success(id) or found
+        if evidence == "failure":
+            opened = change is not None and change.state == "open"
+            return self._reports.record_failure(id, opened) or found
+        return found
 
     def record_pace(self, id: str, latency: float) -> None:
         """Record the pace of a run in progress as the target's latency in seconds."""
@@ -347,14 +454,22 @@
             )
         return self._circuits[service]
 
-    def _view(self, state: _State, now: float) -> TargetView:
+    def _view(
+        self, state: _State, now: float, reported: Assessment, suspected: bool
+    ) -> TargetView:
         id = state.target.id
         assumed = ASSUMED_OWNERS * state.runs_since_report if self._other_owners else 0
         circuits = self._circuits_of(state.target.service)
+        latency = self._latency(state, now)
+        from_report = reported.latency > 0 and (
+            not latency or reported.pace_changed_at > state.measured_at
+        )
+        trial = suspected and not state.in_flight and self._reports.is_trial_due(id)
+        told = from_report or reported.in_flight > 0
         return TargetView(
             target=state.target,
             in_flight=state.in_flight,
-            latency=self._latency(state, now),
+            latency=reported.latency if from_report else latency,
             available=now >= state.replaced_until and not circuits.is_open(id),
             draining=state.target.draining,
             versions=dict(state.versions),
@@ -365,6 +480,10 @@
                 if now < load.until and state.versions.get(model, 0) < load.version
             ),
             others=state.others + assumed,
+            suspected_by=reported.suspected_by if suspected else (),
+            suspected=suspected and not trial,
+            reported_in_flight=reported.in_flight,
+            spread=self._reports.spread() if told else 1.0,
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -68,6 +68,15 @@
         Models of which the target is about to load other weights.
     others : int
         Runs of other owners of Lots at the target, as far as this process knows.
+    suspected_by : tuple of str
+        Entries whose reports say that the target fails, as far as they count.
+    suspected : bool
+        Whether the target is to be chosen last because of these reports: false for the
+        one request at a time that tries it.
+    reported_in_flight : float
+        Requests of other entries at a plain target, weighted by the age of the reports.
+    spread : float
+        Random factor of at least 1 on the expected wait, where it rests on reports.
     """
 
     target: Target
@@ -79,6 +88,10 @@
     refused_until: Mapping[str, float]
     loading: frozenset[str] = frozenset()
     others: int = 0
+    suspected_by: tuple[str, ...] = ()
+    suspected: bool = False
+    reported_in_flight: float = 0.0
+    spread: float = 1.0
 
     @property
     def free_slots(self) -> int:
