--- a/src/wigeonfront/targets/reports.py
+++ b/src/wigeonfront/targets/reports.py
@@ -11,6 +11,7 @@
 others are to be told. Neither uses the network.
 """
 
+import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -186,7 +187,7 @@
     working += [
         report.observed_at for report in fresh if report.report.finding == "working"
     ]
-    newest_working = max(working, default=-1.0)
+    newest_working = max(working, default=-math.inf)
     suspected_by = sorted(
         report.entry
         for report in fresh
@@ -245,12 +246,12 @@
 @dataclass(slots=True)
 class _Target:
     known: dict[str, KnownReport] = field(default_factory=dict)
-    success_at: float = -1.0
-    working_at: float = -STALE_SECONDS
+    success_at: float = -math.inf
+    working_at: float = -math.inf
     next_trial_at: float = 0.0
     # The finding of this entry that others are told.
     finding: Finding = "load"
-    found_at: float = -STALE_SECONDS
+    found_at: float = -math.inf
     # The latency that others know, and the answers since it was set.
     told_latency: float = 0.0
     results: int = 0
