--- a/src/wigeonfront/targets/reports.py
+++ b/src/wigeonfront/targets/reports.py
@@ -195,7 +195,12 @@
         and report.observed_at > success_at
         and report.since > newest_working
     )
-    timed = [report for report in fresh if report.report.latency > 0]
+    # The latency of a target that fails dates from before it failed.
+    timed = [
+        report
+        for report in fresh
+        if report.report.latency > 0 and report.report.finding != "suspected"
+    ]
     newest = max(timed, key=lambda report: report.observed_at, default=None)
     changed = newest is not None and newest.report.finding == "pace"
     return Assessment(
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -80,6 +80,7 @@
             Assessment(latency=0.1),
         ),
         ([known("a", "pace", 98.0, latency=0.1)], Assessment((), 0.1, 98.0)),
+        ([known("a", "suspected", 98.0, latency=0.1)], Assessment(("a",))),
     ],
 )
 def test_loads_lose_weight_with_age_and_the_newest_latency_counts(reports, expected):
