--- a/src/wigeonfront/forwarding/report_exchange.py
+++ b/src/wigeonfront/forwarding/report_exchange.py
@@ -230,12 +230,14 @@
     def run(self, stop: threading.Event) -> None:
         """Tell other entries of findings (run as a supervised task)."""
         while not stop.is_set():
-            if self._found.wait(ROUND_SECONDS if self._pending else IDLE_POLL_SECONDS):
-                self._found.clear()
-                self.tell_all()
+            if self._pending:
                 stop.wait(ROUND_SECONDS)
-            elif self._pending:
-                self.tell()
+            elif not self._found.wait(IDLE_POLL_SECONDS):
+                continue
+            if self._found.is_set():
+                self._found.clear()
+                self._pending = self._others()
+            self.tell()
 
     def tell(self) -> None:
         """Send one round of messages to entries that are still to be told."""
