--- a/src/wigeonfront/forwarding/placement.py
+++ b/src/wigeonfront/forwarding/placement.py
@@ -56,9 +56,8 @@
 def expected_wait(view: TargetView, failure_domain: str) -> float:
     """Return the expected seconds until the target answers one more request."""
     latency = view.latency or UNKNOWN_LATENCY_SECONDS
-    in_flight = view.in_flight + view.reported_in_flight
-    queue = max(0, in_flight - view.target.slots + 1) / max(1, view.target.slots)
-    busy = in_flight / max(1, view.target.slots)
+    queue = max(0, view.in_flight - view.target.slots + 1) / max(1, view.target.slots)
+    busy = view.in_flight / max(1, view.target.slots)
     near = view.target.failure_domain == failure_domain
     distance = 1.0 if near else FAR_FACTOR
     return latency * (1 + queue + 0.2 * busy) * distance * view.spread
--- a/src/wigeonfront/targets/reports.py
+++ b/src/wigeonfront/targets/reports.py
@@ -45,10 +45,6 @@
 """Largest share of a service's targets that count as suspected. Under overload each
 target times out somewhere; all requests would else go to the few that are left."""
 
-LOAD_SECONDS = 1.0
-"""Age in seconds at which a reported number of requests counts nothing. Until then its
-weight falls linearly: most plain requests are done within that time."""
-
 PACE_FACTOR = 3.0
 """Factor by which a smoothed latency must change to be reported. A single slow answer
 does not change it that much."""
@@ -81,7 +77,8 @@
     latency : float
         Smoothed seconds per answer; 0 if unknown.
     in_flight : int
-        Requests of the reporter at the target.
+        Requests of the reporter at the target, for the log only. They count nothing in
+        the choice of a target: they are over by the time that they are known.
     """
 
     target: str
@@ -145,18 +142,14 @@
     suspected_by : tuple of str
         Names of the entries whose suspicions count, sorted.
     latency : float
-        Newest reported seconds per answer; 0 if unknown.
-    pace_changed_at : float
-        Monotonic time at which that latency was found to have changed by a factor; 0
-        if it was not.
-    in_flight : float
-        Requests of other entries, weighted by the age of the reports.
+        Newest reported seconds per answer; 0 if unknown. It counts only for a target
+        whose latency the receiver has not measured lately: under load a latency is
+        mostly the queue, and entries that take over each other's all turn to the same
+        target.
     """
 
     suspected_by: tuple[str, ...] = ()
     latency: float = 0.0
-    pace_changed_at: float = 0.0
-    in_flight: float = 0.0
 
 
 NO_REPORTS = Assessment()
@@ -202,18 +195,7 @@
         if report.report.latency > 0 and report.report.finding != "suspected"
     ]
     newest = max(timed, key=lambda report: report.observed_at, default=None)
-    changed = newest is not None and newest.report.finding == "pace"
-    return Assessment(
-        tuple(suspected_by),
-        newest.report.latency if newest else 0.0,
-        newest.observed_at if newest and changed else 0.0,
-        sum(_weighted_load(report, now) for report in fresh),
-    )
-
-
-def _weighted_load(known: KnownReport, now: float) -> float:
-    weight = 1 - (now - known.observed_at) / LOAD_SECONDS
-    return known.report.in_flight * max(0.0, min(1.0, weight))
+    return Assessment(tuple(suspected_by), newest.report.latency if newest else 0.0)
 
 
 def limit_suspicions(
@@ -432,13 +414,14 @@
             return False
         if not target.told_latency:
             target.told_latency = latency
-        ratio = latency / target.told_latency
-        if 1 / PACE_FACTOR < ratio < PACE_FACTOR:
+        if 1 / PACE_FACTOR < latency / target.told_latency < PACE_FACTOR:
+            return False
+        # Under load latencies vary all the time, and a newer finding says more.
+        if not self._is_old(target, now):
             return False
         target.told_latency = latency
         target.results = 0
-        if target.finding in ("load", "pace") or self._is_old(target, now):
-            self._set_finding(target, "pace")
+        self._set_finding(target, "pace")
         return True
 
     def _is_old(self, target: _Target, now: float) -> bool:
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -461,11 +461,8 @@
         assumed = ASSUMED_OWNERS * state.runs_since_report if self._other_owners else 0
         circuits = self._circuits_of(state.target.service)
         latency = self._latency(state, now)
-        from_report = reported.latency > 0 and (
-            not latency or reported.pace_changed_at > state.measured_at
-        )
+        from_report = not latency and reported.latency > 0
         trial = suspected and not state.in_flight and self._reports.is_trial_due(id)
-        told = from_report or reported.in_flight > 0
         return TargetView(
             target=state.target,
             in_flight=state.in_flight,
@@ -482,8 +479,7 @@
             others=state.others + assumed,
             suspected_by=reported.suspected_by if suspected else (),
             suspected=suspected and not trial,
-            reported_in_flight=reported.in_flight,
-            spread=self._reports.spread() if told else 1.0,
+            spread=self._reports.spread() if from_report else 1.0,
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -73,10 +73,8 @@
     suspected : bool
         Whether the target is to be chosen last because of these reports: false for the
         one request at a time that tries it.
-    reported_in_flight : float
-        Requests of other entries at a plain target, weighted by the age of the reports.
     spread : float
-        Random factor of at least 1 on the expected wait, where it rests on reports.
+        Random factor of at least 1 on the expected wait, if the latency is reported.
     """
 
     target: Target
@@ -90,7 +88,6 @@
     others: int = 0
     suspected_by: tuple[str, ...] = ()
     suspected: bool = False
-    reported_in_flight: float = 0.0
     spread: float = 1.0
 
     @property
