--- a/tests/test_report_exchange.py
+++ b/tests/test_report_exchange.py
@@ -12,6 +12,7 @@
 from platform_standins.engine import PlainService
 from platform_standins.server import StandInServer
 from rows_fakes import free_address, loopback_host, wait_for
+from wigeonfront.api.operations import STATUS_PATH
 from wigeonfront.clock import ManualClock
 from wigeonfront.coordination.membership import Member
 from wigeonfront.forwarding import report_exchange
@@ -169,7 +170,8 @@
     deployed.plain.run_seconds = 0.06
     try:
         deployment.register(deployed.rows, broken.id, PLAIN, broken.address)
-        first, second = deployed.add_entry("n1"), deployed.add_entry("n2")
+        first = deployed.add_entry("n1")
+        second = deployed.add_entry("n2", api_address=free_address())
         wait_for(lambda: len(first._view.members()) == 2)
         wait_for(lambda: len(second._table.views(PLAIN)) == 2)
 
@@ -182,6 +184,11 @@
         while not suspected_by() and time.monotonic() < end:
             pool.call("POST", "/plain/x", b"x", {"Host": HOST}, timeout=4.0)
         assert suspected_by() == [("n1",)]
+        pool.close()
+        pool = Pool(second._settings.api_address)
+        status = msgspec.json.decode(pool.call("GET", STATUS_PATH, timeout=2.0).body)
+        suspected = [target["suspected_by"] for target in status["targets"]]
+        assert sorted(suspected) == [[], [], [], ["n1"]]
         runs = len(broken.requests)
         pool.close()
         pool = Pool(second._settings.front_address)
