--- a/src/wigeonfront/forwarding/report_exchange.py
+++ b/src/wigeonfront/forwarding/report_exchange.py
@@ -236,8 +236,9 @@
                 continue
             if self._found.is_set():
                 self._found.clear()
-                self._pending = self._others()
-            self.tell()
+                self.tell_all()
+            else:
+                self.tell()
 
     def tell(self) -> None:
         """Send one round of messages to entries that are still to be told."""
