--- a/src/wigeonfront/forwarding/placement.py
+++ b/src/wigeonfront/forwarding/placement.py
@@ -59,5 +59,4 @@
     queue = max(0, view.in_flight - view.target.slots + 1) / max(1, view.target.slots)
     busy = view.in_flight / max(1, view.target.slots)
     near = view.target.failure_domain == failure_domain
-    distance = 1.0 if near else FAR_FACTOR
-    return latency * (1 + queue + 0.2 * busy) * distance * view.spread
+    return latency * (1 + queue + 0.2 * busy) * (1.0 if near else FAR_FACTOR)
--- a/src/wigeonfront/forwarding/report_exchange.py
+++ b/src/wigeonfront/forwarding/report_exchange.py
@@ -33,7 +33,7 @@
 NOT_FOUND = 404
 
 MAX_REPORTS = 64
-"""Reports in one message; those without a finding are left out first."""
+"""Reports in one message; the oldest are left out."""
 
 MAX_BODY_BYTES = 32_768
 """Size in bytes above which a message is not read."""
@@ -71,15 +71,12 @@
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=3_600)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
 
 
 class _ReportModel(msgspec.Struct, frozen=True):
     target: _Text
     finding: Finding
     age: _Seconds
-    latency: _Seconds
-    in_flight: _Count
 
 
 class _MessageModel(msgspec.Struct, frozen=True):
@@ -104,15 +101,13 @@
     """
     model = msgspec.msgpack.decode(body, type=_MessageModel)
     reports = tuple(
-        TargetReport(
-            report.target, report.finding, report.age, report.latency, report.in_flight
-        )
+        TargetReport(report.target, report.finding, report.age)
         for report in model.reports
     )
     for report in reports:
         # The bounds of the model let NaN pass.
-        if not (math.isfinite(report.age) and math.isfinite(report.latency)):
-            raise msgspec.ValidationError("a number is not finite")
+        if not math.isfinite(report.age):
+            raise msgspec.ValidationError("the age is not finite")
     return EntryReports(model.entry, model.incarnation, model.sequence, reports)
 
 
@@ -152,7 +147,7 @@
             self._reports.increment(len(message.reports), effect="repeated")
         for report, effect in zip(message.reports, effects, strict=False):
             self._reports.increment(effect=effect)
-            if report.finding != "load" and self._is_new(message.entry, report, effect):
+            if self._is_new(message.entry, report, effect):
                 event(
                     logger,
                     "target_reported",
@@ -161,8 +156,6 @@
                     target=report.target,
                     finding=report.finding,
                     age=report.age,
-                    latency=report.latency,
-                    in_flight=report.in_flight,
                     effect=effect,
                 )
         call.reply(OK)
@@ -244,8 +237,7 @@
         """Send one round of messages to entries that are still to be told."""
         now = self._clock.monotonic()
         reports = tuple(self._table.own_reports()[:MAX_REPORTS])
-        findings = [report for report in reports if report.finding != "load"]
-        self._pending &= self._others() if findings else set()
+        self._pending &= self._others() if reports else set()
         due = [
             address
             for address in sorted(self._pending)
@@ -256,7 +248,7 @@
         if not chosen:
             return
         reached = sum(self._send(address, reports) for address in chosen)
-        for report in findings:
+        for report in reports:
             event(
                 logger,
                 "target_reported",
@@ -264,8 +256,6 @@
                 target=report.target,
                 finding=report.finding,
                 age=report.age,
-                latency=report.latency,
-                in_flight=report.in_flight,
                 entries=len(chosen),
                 reached=reached,
                 left=len(self._pending),
--- a/src/wigeonfront/targets/reports.py
+++ b/src/wigeonfront/targets/reports.py
@@ -12,16 +12,15 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Literal
 
 from wigeonfront.clock import Clock
 
-Finding = Literal["suspected", "working", "pace", "load"]
-"""What a report says: the target fails; it answers although an entry suspected it; its
-latency has changed by a factor; or nothing but its latency and load."""
+Finding = Literal["suspected", "working"]
+"""What a report says: the target fails, or answers although an entry suspected it."""
 
 STALE_SECONDS = 5.0
 """Age from which a report counts nothing: two of the longest pauses between probes of a
@@ -45,20 +44,6 @@
 """Largest share of a service's targets that count as suspected. Under overload each
 target times out somewhere; all requests would else go to the few that are left."""
 
-PACE_FACTOR = 3.0
-"""Factor by which a smoothed latency must change to be reported. A single slow answer
-does not change it that much."""
-
-PACE_RESULTS = 6
-"""Answers that a smoothed latency must rest on to be compared."""
-
-PACE_GAP_SECONDS = 10.0
-"""Pause without answers after which the comparison of latencies starts anew."""
-
-HERD_SPREAD = 0.3
-"""Largest relative increase, drawn at random, of the expected wait for a target that
-is known from reports, so that entries with the same reports choose differently."""
-
 MAX_REPORTERS = 128
 """Entries whose reports about one target, and whose sequences, are kept."""
 
@@ -74,18 +59,11 @@
     finding : Finding
     age : float
         Seconds since the observation.
-    latency : float
-        Smoothed seconds per answer; 0 if unknown.
-    in_flight : int
-        Requests of the reporter at the target, for the log only. They count nothing in
-        the choice of a target: they are over by the time that they are known.
     """
 
     target: str
     finding: Finding
     age: float = 0.0
-    latency: float = 0.0
-    in_flight: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,15 +119,9 @@
     ----------
     suspected_by : tuple of str
         Names of the entries whose suspicions count, sorted.
-    latency : float
-        Newest reported seconds per answer; 0 if unknown. It counts only for a target
-        whose latency the receiver has not measured lately: under load a latency is
-        mostly the queue, and entries that take over each other's all turn to the same
-        target.
     """
 
     suspected_by: tuple[str, ...] = ()
-    latency: float = 0.0
 
 
 NO_REPORTS = Assessment()
@@ -188,14 +160,7 @@
         and report.observed_at > success_at
         and report.since > newest_working
     )
-    # The latency of a target that fails dates from before it failed.
-    timed = [
-        report
-        for report in fresh
-        if report.report.latency > 0 and report.report.finding != "suspected"
-    ]
-    newest = max(timed, key=lambda report: report.observed_at, default=None)
-    return Assessment(tuple(suspected_by), newest.report.latency if newest else 0.0)
+    return Assessment(tuple(suspected_by))
 
 
 def limit_suspicions(
@@ -237,12 +202,8 @@
     working_at: float = -math.inf
     next_trial_at: float = 0.0
     # The finding of this entry that others are told.
-    finding: Finding = "load"
+    finding: Finding = "working"
     found_at: float = -math.inf
-    # The latency that others know, and the answers since it was set.
-    told_latency: float = 0.0
-    results: int = 0
-    measured_at: float = 0.0
 
 
 class Reports:
@@ -353,10 +314,6 @@
         """Return whether a request may try the suspected target `id` as any other."""
         return self._clock.monotonic() >= self._targets[id].next_trial_at
 
-    def spread(self) -> float:
-        """Return a random factor for the wait expected of a target."""
-        return self._random.uniform(1.0, 1.0 + HERD_SPREAD)
-
     # --- findings of this entry ----------------------------------------------
 
     def record_attempt(self, id: str) -> None:
@@ -394,36 +351,6 @@
         self._set_finding(target, "suspected")
         return True
 
-    def record_latency(self, id: str, latency: float) -> bool:
-        """Record the smoothed latency; return whether others are to be told.
-
-        Parameters
-        ----------
-        latency : float
-            Seconds per answer.
-        """
-        target = self._targets.get(id)
-        if target is None:
-            return False
-        now = self._clock.monotonic()
-        if now >= target.measured_at + PACE_GAP_SECONDS:
-            target.results = 0
-        target.measured_at = now
-        target.results += 1
-        if target.results < PACE_RESULTS:
-            return False
-        if not target.told_latency:
-            target.told_latency = latency
-        if 1 / PACE_FACTOR < latency / target.told_latency < PACE_FACTOR:
-            return False
-        # Under load latencies vary all the time, and a newer finding says more.
-        if not self._is_old(target, now):
-            return False
-        target.told_latency = latency
-        target.results = 0
-        self._set_finding(target, "pace")
-        return True
-
     def _is_old(self, target: _Target, now: float) -> bool:
         return now >= target.found_at + STALE_SECONDS
 
@@ -431,32 +358,12 @@
         target.finding = finding
         target.found_at = self._clock.monotonic()
 
-    def own_reports(
-        self, load: Callable[[str], tuple[float, int]], about: Collection[str]
-    ) -> list[TargetReport]:
-        """Return what this entry tells others about the targets `about`.
-
-        Parameters
-        ----------
-        load : callable
-            Returns the latency in seconds and the requests in flight of a target.
-
-        Returns
-        -------
-        list of TargetReport
-            Reports with a finding come first.
-        """
+    def own_reports(self) -> list[TargetReport]:
+        """Return what this entry tells others: its recent findings, newest first."""
         now = self._clock.monotonic()
-        reports = []
-        for id in about:
-            target = self._targets.get(id)
-            if target is None:
-                continue
-            latency, in_flight = load(id)
-            if target.finding != "load" and not self._is_old(target, now):
-                age = now - target.found_at
-                report = TargetReport(id, target.finding, age, latency, in_flight)
-                reports.append(report)
-            elif latency or in_flight:
-                reports.append(TargetReport(id, "load", 0.0, latency, in_flight))
-        return sorted(reports, key=lambda report: report.finding == "load")
+        reports = [
+            TargetReport(id, target.finding, now - target.found_at)
+            for id, target in self._targets.items()
+            if not self._is_old(target, now)
+        ]
+        return sorted(reports, key=lambda report: report.age)
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -183,15 +183,7 @@
     def own_reports(self) -> list[TargetReport]:
         """Return what this process tells other entries about plain targets."""
         with self._lock:
-            now = self._clock.monotonic()
-            covered = [id for id in self._states if self._reports.covers(id)]
-            return self._reports.own_reports(
-                lambda id: (
-                    self._latency(self._states[id], now),
-                    self._states[id].in_flight,
-                ),
-                covered,
-            )
+            return self._reports.own_reports()
 
     def receive_reports(self, message: EntryReports) -> list[str]:
         """Take the reports of another entry; return their effects.
@@ -323,29 +315,21 @@
             if latency > 0:
                 self._measure(state, latency)
             change = self._circuits_of(state.target.service).record_result(id, evidence)
-            found = self._record_finding(state, evidence, change, latency > 0)
+            found = self._record_finding(id, evidence, change)
         self._log(change)
         if found and self._on_finding is not None:
             self._on_finding()
 
     def _record_finding(
-        self,
-        state: _State,
-        evidence: Evidence,
-        change: CircuitChange | None,
-        measured: bool,
+        self, id: str, evidence: Evidence, change: CircuitChange | None
     ) -> bool:
         """Record the evidence for reports; return whether others are to be told."""
-        id = state.target.id
-        found = False
-        if measured:
-            found = self._reports.record_latency(id, state.latency)
         if evidence == "success":
-            return self._reports.record_success(id) or found
+            return self._reports.record_success(id)
         if evidence == "failure":
             opened = change is not None and change.state == "open"
-            return self._reports.record_failure(id, opened) or found
-        return found
+            return self._reports.record_failure(id, opened)
+        return False
 
     def record_pace(self, id: str, latency: float) -> None:
         """Record the pace of a run in progress as the target's latency in seconds."""
@@ -460,13 +444,11 @@
         id = state.target.id
         assumed = ASSUMED_OWNERS * state.runs_since_report if self._other_owners else 0
         circuits = self._circuits_of(state.target.service)
-        latency = self._latency(state, now)
-        from_report = not latency and reported.latency > 0
         trial = suspected and not state.in_flight and self._reports.is_trial_due(id)
         return TargetView(
             target=state.target,
             in_flight=state.in_flight,
-            latency=reported.latency if from_report else latency,
+            latency=self._latency(state, now),
             available=now >= state.replaced_until and not circuits.is_open(id),
             draining=state.target.draining,
             versions=dict(state.versions),
@@ -479,7 +461,6 @@
             others=state.others + assumed,
             suspected_by=reported.suspected_by if suspected else (),
             suspected=suspected and not trial,
-            spread=self._reports.spread() if from_report else 1.0,
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -73,8 +73,6 @@
     suspected : bool
         Whether the target is to be chosen last because of these reports: false for the
         one request at a time that tries it.
-    spread : float
-        Random factor of at least 1 on the expected wait, if the latency is reported.
     """
 
     target: Target
@@ -88,7 +86,6 @@
     others: int = 0
     suspected_by: tuple[str, ...] = ()
     suspected: bool = False
-    spread: float = 1.0
 
     @property
     def free_slots(self) -> int:
--- a/tests/test_target_report_load.py
+++ b/tests/test_target_report_load.py
@@ -163,6 +163,17 @@
     )
 
 
+@pytest.mark.parametrize("per_second", [REQUESTS_PER_SECOND, 600.0])
+def test_without_failures_nothing_is_sent_and_each_request_goes_as_without_reports(
+    per_second,
+):
+    for with_reports, without in zip(
+        worlds(True, 0, per_second), worlds(False, 0, per_second), strict=True
+    ):
+        assert with_reports.messages == 0
+        assert with_reports.seconds == without.seconds
+
+
 def test_silent_targets_cost_all_entries_together_a_bounded_number_of_requests():
     """Once entries have told each other, only shared trials go to a silent target."""
     known_at = SILENT_FROM + UNRESPONSIVE_SECONDS + DEADLINE_SECONDS
