Target reports: a stale begin of a suspicion, lapsed reports and long requests

A suspicion after a long silence kept the begin of the earlier one, and an own success before it cancelled it. Lapsed reports were weighed at each request until the next message. A long request of its own kept an entry from trying a suspected target.

--- a/src/wigeonfront/targets/reports.py
+++ b/src/wigeonfront/targets/reports.py
@@ -26,6 +26,10 @@
 """Age from which a report counts nothing: two of the longest pauses between probes of a
 circuit breaker, so that a target that still fails is reported again before."""
 
+KEPT_SECONDS = 2 * STALE_SECONDS
+"""Time in seconds for which a report is kept, so that a suspicion that its reporter
+repeats is known to be the same one."""
+
 LAPSE_SHARE = 0.6
 """Least share of `STALE_SECONDS` for which a suspicion counts. Each receiver draws its
 own, so that entries do not all return to a target at the same moment."""
@@ -201,6 +205,8 @@
     success_at: float = -math.inf
     working_at: float = -math.inf
     next_trial_at: float = 0.0
+    # Time from which all reports of others are too old to be kept.
+    known_until: float = -math.inf
     # The finding of this entry that others are told.
     finding: Finding = "working"
     found_at: float = -math.inf
@@ -266,6 +272,7 @@
             return "stale"
         before = self.assess(report.target)
         target.known[entry] = self._known(entry, report, target.known.get(entry), now)
+        target.known_until = now + KEPT_SECONDS
         self._drop_lapsed(target, now)
         after = self.assess(report.target)
         if after.suspected_by and not before.suspected_by:
@@ -293,7 +300,7 @@
         kept = [
             known
             for known in target.known.values()
-            if now < known.observed_at + 2 * STALE_SECONDS
+            if now < known.observed_at + KEPT_SECONDS
         ]
         kept.sort(key=lambda known: known.observed_at)
         target.known = {known.entry: known for known in kept[-MAX_REPORTERS:]}
@@ -303,16 +310,23 @@
         target = self._targets.get(id)
         if target is None or not target.known:
             return NO_REPORTS
-        return assess(
-            target.known.values(),
-            target.success_at,
-            target.working_at,
-            self._clock.monotonic(),
-        )
-
-    def is_trial_due(self, id: str) -> bool:
-        """Return whether a request may try the suspected target `id` as any other."""
-        return self._clock.monotonic() >= self._targets[id].next_trial_at
+        now = self._clock.monotonic()
+        if now >= target.known_until:
+            target.known.clear()
+            return NO_REPORTS
+        return assess(target.known.values(), target.success_at, target.working_at, now)
+
+    def is_trial_due(self, id: str, busy: bool) -> bool:
+        """Return whether a request may try the suspected target `id` as any other.
+
+        Parameters
+        ----------
+        busy : bool
+            Whether a request of this entry is at the target: mostly an earlier trial,
+            but a long one must not keep others from a target that works.
+        """
+        wait = MAX_TRIAL_SECONDS if busy else 0.0
+        return self._clock.monotonic() >= self._targets[id].next_trial_at + wait
 
     # --- findings of this entry ----------------------------------------------
 
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -444,7 +444,8 @@
         id = state.target.id
         assumed = ASSUMED_OWNERS * state.runs_since_report if self._other_owners else 0
         circuits = self._circuits_of(state.target.service)
-        trial = suspected and not state.in_flight and self._reports.is_trial_due(id)
+        busy = state.in_flight > 0
+        trial = suspected and self._reports.is_trial_due(id, busy)
         return TargetView(
             target=state.target,
             in_flight=state.in_flight,
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -71,8 +71,8 @@
     suspected_by : tuple of str
         Entries whose reports say that the target fails, as far as they count.
     suspected : bool
-        Whether the target is to be chosen last because of these reports: false for the
-        one request at a time that tries it.
+        Whether the target is to be chosen last because of these reports: false while
+        a request may try it.
     """
 
     target: Target
--- a/tests/test_target_reports.py
+++ b/tests/test_target_reports.py
@@ -141,6 +141,37 @@
     assert told() == []
 
 
+def test_a_suspicion_after_a_long_silence_of_its_reporter_begins_anew():
+    clock, reports = make_reports()
+    assert reports.receive("a", TargetReport("t", "suspected")) == "suspected"
+    clock.advance(100.0)
+    # "working" cancels only what began before it.
+    reports.record_failure("t", opened=True)
+    reports.record_success("t")
+    clock.advance(1.0)
+    assert reports.receive("a", TargetReport("t", "suspected")) == "suspected"
+
+
+def test_a_long_request_does_not_keep_others_from_a_suspected_target():
+    clock = ManualClock(NOW)
+    table = TargetTable(clock, random.Random(1), "e")
+    table.set_plain_services(["s"])
+    table.set_targets(Target(id, "s", f"h:{id}", "z", 6) for id in "ab")
+    table.record_started("a")
+    tried = 0
+    for number in range(1, 61):
+        suspicion = (TargetReport("a", "suspected"),)
+        table.receive_reports(EntryReports("f", "i", number, suspicion))
+        (view,) = [view for view in table.views("s") if view.target.id == "a"]
+        assert view.suspected_by
+        if not view.suspected:
+            table.record_started("a")
+            tried += 1
+        clock.advance(1.0)
+    longest = MAX_TRIAL_SECONDS * (1 + TRIAL_JITTER)
+    assert 60 / longest - 1 <= tried <= 60 / MAX_TRIAL_SECONDS
+
+
 GOOD = {
     "entry": "a",
     "incarnation": "i",
