--- a/src/wigeonfront/forwarding/placement.py
+++ b/src/wigeonfront/forwarding/placement.py
@@ -33,7 +33,8 @@
     """Return the target that should answer soonest.
 
     A target whose circuit breaker is open is chosen only if no other is left: it may
-    have recovered, and the request could not be served otherwise.
+    have recovered, and the request could not be served otherwise. Before it comes one
+    that only other entries report as failing, as they may be cut off from it.
 
     Parameters
     ----------
@@ -44,8 +45,9 @@
     """
     usable = usable_targets(views, excluded)
     healthy = [view for view in usable if view.available]
+    trusted = [view for view in healthy if not view.suspected]
     return min(
-        healthy or usable,
+        trusted or healthy or usable,
         key=lambda view: expected_wait(view, failure_domain),
         default=None,
     )
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -68,6 +68,11 @@
         Models of which the target is about to load other weights.
     others : int
         Runs of other owners of Lots at the target, as far as this process knows.
+    suspected_by : tuple of str
+        Entries whose reports say that the target fails, as far as they count.
+    suspected : bool
+        Whether the target is to be chosen last because of these reports: false while
+        a request may try it.
     """
 
     target: Target
@@ -79,6 +84,8 @@
     refused_until: Mapping[str, float]
     loading: frozenset[str] = frozenset()
     others: int = 0
+    suspected_by: tuple[str, ...] = ()
+    suspected: bool = False
 
     @property
     def free_slots(self) -> int:
--- a/tests/test_forwarding_steps.py
+++ b/tests/test_forwarding_steps.py
@@ -114,6 +114,8 @@
         ([view("slow", latency=0.3), view("quick", "there")], (), "quick"),
         ([view("a", draining=True), view("b", "there")], (), "b"),
         ([view("a", available=False), view("b", in_flight=20)], (), "b"),
+        ([view("a", suspected=True), view("b", "there", in_flight=20)], (), "b"),
+        ([view("a", available=False), view("b", suspected=True)], (), "b"),
         ([view("a", available=False)], (), "a"),
         ([view("a"), view("b", in_flight=20)], ("a",), "b"),
         ([view("a")], ("a",), None),
