Engine slots are divided between trainers across owners while they are short

Owners report the demands of their Lots with their loads. From them each owner computes weighted max-min fair shares and its quota on each engine.

--- a/src/wigeonfront/api/messages.py
+++ b/src/wigeonfront/api/messages.py
@@ -349,6 +349,33 @@
     last: int = 0
 
 
+class ShareStatus(msgspec.Struct, frozen=True):
+    """A trainer's use of the engine slots of one service.
+
+    Attributes
+    ----------
+    service : str
+    trainer : str
+        Client account, route and model of the trainer's Lots.
+    weight : float
+        Weight of the trainer while slots are short.
+    share : int or None
+        Slots that the trainer may use; null while the slots are not divided.
+    running, waiting : int
+        Samples at engines, and wanted samples that are at none.
+    age : float
+        Seconds since the oldest report about the trainer's Lots.
+    """
+
+    service: str
+    trainer: str
+    weight: float
+    share: int | None
+    running: int
+    waiting: int
+    age: float
+
+
 class StatusReply(msgspec.Struct, frozen=True):
     """What an entry knows about the deployment.
 
@@ -370,6 +397,8 @@
     members : list of MemberStatus
     targets : list of TargetStatus
     lots : list of LotStatus
+    shares : list of ShareStatus
+        Trainers with open work, as far as the entry knows.
     """
 
     name: str
@@ -382,6 +411,7 @@
     members: list[MemberStatus]
     targets: list[TargetStatus]
     lots: list[LotStatus]
+    shares: list[ShareStatus] = []
 
 
 class SuspectStatus(msgspec.Struct, frozen=True):
--- a/src/wigeonfront/api/operations.py
+++ b/src/wigeonfront/api/operations.py
@@ -18,6 +18,7 @@
     InForceReply,
     LotStatus,
     MemberStatus,
+    ShareStatus,
     StatusReply,
     TargetStatus,
     decode_body,
@@ -37,6 +38,7 @@
 )
 from wigeonfront.http.pools import Pools
 from wigeonfront.http.raw import RawCall
+from wigeonfront.rollout.engine_shares import TrainerShare
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.weights.plan import NamedVersion
@@ -270,6 +272,8 @@
         Returns the names of the services.
     table : TargetTable
     lots : Lots
+    engine_shares : callable
+        Returns what is known about each trainer's use of engine slots.
     """
 
     own_member: Callable[[], Member]
@@ -283,6 +287,7 @@
     services: Callable[[], list[str]]
     table: TargetTable
     lots: Lots
+    engine_shares: Callable[[], list[TrainerShare]]
 
     def status(self) -> StatusReply:
         """Return what is known at present."""
@@ -313,6 +318,18 @@
                 LotStatus(id, head.owner, head.state.value, head.total)
                 for id, head in sorted(self.lots.heads().items())
             ],
+            shares=[
+                ShareStatus(
+                    known.service,
+                    known.trainer,
+                    known.weight,
+                    known.share,
+                    known.running,
+                    known.waiting,
+                    round(known.age, 3),
+                )
+                for known in self.engine_shares()
+            ],
         )
 
     def _targets(self) -> list[TargetStatus]:
--- a/src/wigeonfront/capacity/demand.py
+++ b/src/wigeonfront/capacity/demand.py
@@ -8,6 +8,7 @@
 import threading
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from math import inf
 
 from wigeonfront.clock import Clock
 from wigeonfront.rollout.lot import Lot
@@ -63,6 +64,24 @@
     return f"{lot.account} {lot.host}{lot.prefix} {lot.model}"
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedDemand:
+    """A demand with its source.
+
+    Attributes
+    ----------
+    demand : LotDemand
+    owner : str
+        Address of the owner that reported the demand; empty for this process.
+    age : float
+        Seconds since the report arrived.
+    """
+
+    demand: LotDemand
+    owner: str
+    age: float
+
+
 @dataclass(frozen=True, slots=True)
 class _Report:
     demands: tuple[LotDemand, ...]
@@ -83,6 +102,8 @@
         self._own: _Report = _Report((), 0.0)
         # Reports of other owners by their addresses.
         self._reports: dict[str, _Report] = {}
+        # When owners answered that can't report demands.
+        self._silent: dict[str, float] = {}
 
     def set_own(self, demands: Iterable[LotDemand]) -> None:
         """Replace the demands of the Lots that this process owns."""
@@ -106,24 +127,70 @@
         with self._lock:
             now = self._clock.monotonic()
             self._reports[owner] = _Report(tuple(demands), now)
+            self._silent.pop(owner, None)
             self._drop_old(now)
 
+    def set_unreported(self, owner: str) -> None:
+        """Note that another owner answers but can't report demands.
+
+        Parameters
+        ----------
+        owner : str
+            Address of the owner.
+        """
+        with self._lock:
+            self._silent[owner] = self._clock.monotonic()
+
+    @property
+    def complete(self) -> bool:
+        """Whether every owner that answers reports its demands."""
+        with self._lock:
+            now = self._clock.monotonic()
+            return not any(
+                now - at <= REPORT_TTL_SECONDS for at in self._silent.values()
+            )
+
+    def reported_at(self, owner: str) -> float:
+        """Return the monotonic time of an owner's last report; minus infinity if none.
+
+        Parameters
+        ----------
+        owner : str
+            Address of the owner.
+        """
+        with self._lock:
+            report = self._reports.get(owner)
+            return report.received_at if report else -inf
+
     def demands(self, service: str) -> list[LotDemand]:
         """Return all owners' demands on a service, the own ones first.
 
         A Lot that was taken over is listed once, with its present owner's demand.
         """
+        return [found.demand for found in self.reported(service)]
+
+    def services(self) -> list[str]:
+        """Return the services on which a Lot is known to have open work, sorted."""
+        with self._lock:
+            self._drop_old(self._clock.monotonic())
+            reports = [self._own, *self._reports.values()]
+        return sorted({d.service for report in reports for d in report.demands})
+
+    def reported(self, service: str) -> list[ReportedDemand]:
+        """Return the same demands as `demands`, with their sources."""
         with self._lock:
             now = self._clock.monotonic()
             self._drop_old(now)
             newest_first = sorted(
-                self._reports.values(), key=lambda report: -report.received_at
+                self._reports.items(), key=lambda item: -item[1].received_at
             )
-            by_lot: dict[str, LotDemand] = {}
-            for report in (self._own, *newest_first):
+            by_lot: dict[str, ReportedDemand] = {}
+            for owner, report in (("", self._own), *newest_first):
+                age = now - report.received_at
                 for demand in _as_of(report, now):
                     if demand.service == service:
-                        by_lot.setdefault(demand.lot, demand)
+                        found = ReportedDemand(demand, owner, age)
+                        by_lot.setdefault(demand.lot, found)
         return list(by_lot.values())
 
     def _drop_old(self, now: float) -> None:
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -13,6 +13,7 @@
 from wigeonfront.accounts import AdmissionBounds
 from wigeonfront.accounts.gate import AccountGate
 from wigeonfront.api.operations import VersionServer
+from wigeonfront.capacity import DemandBook
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.configuration import Configuration
 from wigeonfront.coordination.assignment import Assignment
@@ -145,6 +146,7 @@
         self._streams = self._make_streams()
         self._repository = LotRepository(self._store, settings.store_value_bytes)
         self._spool = SpoolClient(clock)
+        self._demands = DemandBook(clock)
         self._runner = self._make_runner()
         self._targets = TargetFollower(
             self._table, clock, self._on_targets, self._on_target_replaced
@@ -188,7 +190,11 @@
         )
         self._lots = self._make_lots()
         self._loads = LoadFollower(
-            self._table, self._lots.recent_owners, self._runner.has_open_lots
+            self._table,
+            self._lots.recent_owners,
+            self._runner.has_open_lots,
+            self._demands,
+            clock,
         )
         self._gate = self._make_gate()
         self._servers = self._make_servers()
@@ -255,6 +261,7 @@
             self._clock,
             self._metrics,
             lambda: self._registration.presence,
+            self._demands,
         )
 
     def _make_lots(self) -> Lots:
@@ -319,7 +326,7 @@
             ResultServer(self._lots.read_locally),
             SubmissionServer(self._lots.submit_locally),
             EndServer(self._lots.end_locally),
-            LoadServer(self._table),
+            LoadServer(self._table, self._demands),
             VersionServer(lambda: self._configuration.version),
             {
                 path: answer
@@ -343,6 +350,7 @@
             forwarder=self._forwarder,
             streams=self._streams,
             lots=self._lots,
+            engine_shares=self._runner.engine_shares,
             ledger=self._ledger,
             gate=self._gate,
             clock=self._clock,
--- a/src/wigeonfront/node/interface.py
+++ b/src/wigeonfront/node/interface.py
@@ -26,6 +26,7 @@
 from wigeonfront.platform.catalogue import PlatformCatalogue
 from wigeonfront.platform.lot_calls import PlatformSamples
 from wigeonfront.quarantine import CrashLedger
+from wigeonfront.rollout.engine_shares import TrainerShare
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.targets.table import TargetTable
 
@@ -44,6 +45,8 @@
         Returns whether callers may be sent here.
     drain : callable
         Starts a planned stop.
+    engine_shares : callable
+        Returns what is known about each trainer's use of engine slots.
     """
 
     name: str
@@ -59,6 +62,7 @@
     forwarder: Forwarder
     streams: StreamForwarder
     lots: Lots
+    engine_shares: Callable[[], list[TrainerShare]]
     ledger: CrashLedger
     gate: AccountGate
     clock: Clock
@@ -121,6 +125,7 @@
         services=parts.configuration.services,
         table=parts.table,
         lots=parts.lots,
+        engine_shares=parts.engine_shares,
     )
     return OperatorCalls(deployment, remembered.find, parts.drain)
 
--- a/src/wigeonfront/node/peer_calls.py
+++ b/src/wigeonfront/node/peer_calls.py
@@ -6,7 +6,7 @@
 from wigeonfront.coordination.feed import FEED_PATH, FeedServer
 from wigeonfront.coordination.relay import RELAY_PATH, RelayServer
 from wigeonfront.http.raw import RawCall
-from wigeonfront.rollout.engine_loads import LOADS_PATH, LoadServer
+from wigeonfront.rollout.engine_loads import LOADS_PATH, REPORT_PATH, LoadServer
 from wigeonfront.rollout.owner_calls import (
     END_PATH,
     RESULTS_PATH,
@@ -51,6 +51,7 @@
             SUBMISSION_PATH: submissions.answer,
             END_PATH: ends.answer,
             LOADS_PATH: loads.answer,
+            REPORT_PATH: loads.answer_report,
             VERSION_PATH: version.answer,
             **more,
         }
--- a/src/wigeonfront/observability/metrics.py
+++ b/src/wigeonfront/observability/metrics.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import singledispatch
+from itertools import islice
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -122,6 +123,33 @@
         return {(): self._read()}
 
 
+class GaugeFamily(_Metric):
+    """Values that increase and decrease, read when the metrics are collected.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the current values by the values of the labels. At most `MAX_SERIES`
+        of them are collected.
+    """
+
+    kind = "gauge"
+
+    def __init__(
+        self,
+        name: str,
+        help: str,
+        labels: tuple[str, ...],
+        read: Callable[[], dict[LabelValues, float]],
+    ) -> None:
+        super().__init__(name, help, labels)
+        self._read = read
+
+    def collect(self) -> dict[LabelValues, Reading]:
+        """Return the current values."""
+        return dict(islice(sorted(self._read().items()), MAX_SERIES))
+
+
 class Histogram(_Metric):
     """A distribution of durations in seconds."""
 
@@ -206,6 +234,16 @@
         """Declare a gauge; `read` returns its value."""
         return self._add(Gauge(name, help, read))
 
+    def gauges(
+        self,
+        name: str,
+        help: str,
+        labels: tuple[str, ...],
+        read: Callable[[], dict[LabelValues, float]],
+    ) -> GaugeFamily:
+        """Declare a gauge with labels; `read` returns its values by their labels."""
+        return self._add(GaugeFamily(name, help, labels, read))
+
     def histogram(
         self, name: str, help: str, labels: tuple[str, ...] = ()
     ) -> Histogram:
--- a/src/wigeonfront/rollout/engine_loads.py
+++ b/src/wigeonfront/rollout/engine_loads.py
@@ -12,9 +12,12 @@
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
+from wigeonfront.capacity import DemandBook, LotDemand
+from wigeonfront.clock import Clock
 from wigeonfront.http.client import Answer
 from wigeonfront.http.pools import Pools
 from wigeonfront.http.raw import RawCall
@@ -24,8 +27,22 @@
 
 logger = logging.getLogger(__name__)
 
+Message = TypeVar("Message")
+
 LOADS_PATH = "/engine-loads"
+"""Path at which an owner tells its loads only."""
+
+REPORT_PATH = "/owner-report"
+"""Path at which an owner tells its loads and the demands of its Lots."""
+
 OK = 200
+NOT_FOUND = 404
+
+OLD_BUILD_SECONDS = 30.0
+"""Time for which an owner that does not know `REPORT_PATH` is asked for loads only.
+
+It is short against a roll-out, and long against a round.
+"""
 
 CONNECT_SECONDS = 0.1
 ANSWER_SECONDS = 0.2
@@ -59,22 +76,53 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerReport:
+    """What one owner of Lots tells the others.
+
+    Attributes
+    ----------
+    states : list of EngineState
+        The states of the engines that the owner knows.
+    demands : list of LotDemand
+        The demands of the owner's Lots.
+    """
+
+    states: list[EngineState]
+    demands: list[LotDemand]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadsOnly:
+    """The answer of an owner that can't report demands."""
+
+    states: list[EngineState]
+
+
 class LoadServer:
     """Answers other entries' calls about the loads of engines.
 
     Parameters
     ----------
     table : TargetTable
+    demands : DemandBook
     """
 
-    def __init__(self, table: TargetTable) -> None:
+    def __init__(self, table: TargetTable, demands: DemandBook) -> None:
         self._table = table
+        self._demands = demands
 
     def answer(self, call: RawCall) -> None:
         """Answer one HTTP call with the states of the engines known to this process."""
         call.body(0)
         call.reply(OK, msgspec.msgpack.encode(self._table.engine_states()))
 
+    def answer_report(self, call: RawCall) -> None:
+        """Answer one HTTP call with the `OwnerReport` of this process."""
+        call.body(0)
+        report = OwnerReport(self._table.engine_states(), self._demands.own())
+        call.reply(OK, msgspec.msgpack.encode(report))
+
 
 @dataclass(frozen=True, slots=True)
 class LoadsUnknown:
@@ -94,6 +142,9 @@
         Returns the addresses of other owners, that of the newest Lot's owner first.
     busy : callable
         Returns whether this process runs Lots.
+    demands : DemandBook
+        Receives the demands of the owners' Lots.
+    clock : Clock
     """
 
     def __init__(
@@ -101,8 +152,14 @@
         table: TargetTable,
         owners: Callable[[], list[str]],
         busy: Callable[[], bool],
+        demands: DemandBook,
+        clock: Clock,
     ) -> None:
         self._table = table
+        self._demands = demands
+        self._clock = clock
+        # Until when owners are asked for their loads only.
+        self._loads_only_until: dict[str, float] = {}
         self._owners = owners
         self._busy = busy
         self._pools = Pools(CONNECT_SECONDS)
@@ -125,24 +182,37 @@
     def ask(self, addresses: Iterable[str]) -> None:
         """Ask the owners at `addresses` once, and pass their answers to the table."""
         answers = {address: self._ask(address) for address in addresses}
+        states: list[EngineState] = []
         for address, answer in answers.items():
             self._log(address, answer)
-        known = [answer for answer in answers.values() if isinstance(answer, list)]
-        states = [state for answer in known for state in answer]
+            if isinstance(answer, LoadsUnknown):
+                continue
+            states.extend(answer.states)
+            if isinstance(answer, OwnerReport):
+                self._demands.set_reported(address, answer.demands)
+            else:
+                self._demands.set_unreported(address)
         self._table.set_other_owners(OtherOwnersReport(len(answers), states))
 
-    def _ask(self, address: str) -> list[EngineState] | LoadsUnknown:
-        answer = self._pools.post(address, LOADS_PATH, b"", ANSWER_SECONDS)
-        if not isinstance(answer, Answer):
-            return LoadsUnknown(answer.reason)
-        if answer.status != OK:
-            return LoadsUnknown(f"status {answer.status}")
-        try:
-            return msgspec.msgpack.decode(answer.body, type=list[EngineState])
-        except msgspec.DecodeError as error:
-            return LoadsUnknown(str(error))
-
-    def _log(self, address: str, answer: list[EngineState] | LoadsUnknown) -> None:
+    def _ask(self, address: str) -> OwnerReport | LoadsOnly | LoadsUnknown:
+        now = self._clock.monotonic()
+        if now >= self._loads_only_until.get(address, now):
+            answer = self._post(address, REPORT_PATH)
+            if not isinstance(answer, Answer) or answer.status != NOT_FOUND:
+                return _decoded(answer, OwnerReport)
+            self._loads_only_until[address] = now + OLD_BUILD_SECONDS
+        states = _decoded(self._post(address, LOADS_PATH), list[EngineState])
+        return states if isinstance(states, LoadsUnknown) else LoadsOnly(states)
+
+    def _post(self, address: str, path: str) -> Answer | LoadsUnknown:
+        answer = self._pools.post(address, path, b"", ANSWER_SECONDS)
+        if isinstance(answer, Answer):
+            return answer
+        return LoadsUnknown(answer.reason)
+
+    def _log(
+        self, address: str, answer: OwnerReport | LoadsOnly | LoadsUnknown
+    ) -> None:
         """Log that an owner no longer answers, or answers again."""
         reason = answer.reason if isinstance(answer, LoadsUnknown) else ""
         if reason == self._failures.get(address, ""):
@@ -150,3 +220,17 @@
         self._failures[address] = reason
         name = "loads_unknown" if reason else "loads_known"
         event(logger, name, owner=address, reason=reason)
+
+
+def _decoded(
+    answer: Answer | LoadsUnknown, type: type[Message]
+) -> Message | LoadsUnknown:
+    """Return what an answer holds, or why it is of no use."""
+    if isinstance(answer, LoadsUnknown):
+        return answer
+    if answer.status != OK:
+        return LoadsUnknown(f"status {answer.status}")
+    try:
+        return msgspec.msgpack.decode(answer.body, type=type)
+    except msgspec.DecodeError as error:
+        return LoadsUnknown(str(error))
--- a/src/wigeonfront/rollout/picking.py
+++ b/src/wigeonfront/rollout/picking.py
@@ -3,8 +3,10 @@
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
+from wigeonfront.capacity import trainer_key
 from wigeonfront.clock import Clock
-from wigeonfront.configuration import Configuration
+from wigeonfront.configuration import Configuration, Route
+from wigeonfront.rollout.engine_shares import RunUsage, ShareMonitor
 from wigeonfront.rollout.placement import OverloadMonitor, SamplePlacer
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.run import Run
@@ -27,14 +29,20 @@
     ----------
     placer : SamplePlacer
     overload : OverloadMonitor
+    shares : ShareMonitor
     clock : Clock
     """
 
     def __init__(
-        self, placer: SamplePlacer, overload: OverloadMonitor, clock: Clock
+        self,
+        placer: SamplePlacer,
+        overload: OverloadMonitor,
+        shares: ShareMonitor,
+        clock: Clock,
     ) -> None:
         self._placer = placer
         self._overload = overload
+        self._shares = shares
         self._clock = clock
 
     def picks(
@@ -54,34 +62,51 @@
         configuration : Configuration
         """
         now = self._clock.monotonic()
-        services = _services(lots, configuration)
+        routes = _routes(lots, configuration)
+        services = {id: route.shares[0].service for id, route in routes.items()}
         ranks = self._overload.ranks(lots, services, now)
-        full: set[tuple[str, WeightNeeds]] = set()
+        self._shares.update(lots, routes, self._overload.work.ratio, now)
+        trainers = {lot.lot.id: trainer_key(lot.lot) for lot in lots}
+        usage = RunUsage(runs, trainers)
+        # The trainer is empty where slots are not divided.
+        full: set[tuple[str, str, WeightNeeds]] = set()
         for waiting in waiting_samples(list(lots), now, ranks):
             service = services.get(waiting.progress.lot.id)
-            if service is None or (service, waiting.needs) in full:
+            if service is None:
+                continue
+            trainer = trainers[waiting.progress.lot.id]
+            divided = self._shares.allotment(service, trainer) is not None
+            full_key = service, trainer if divided else "", waiting.needs
+            if full_key in full:
                 continue
+            room = None
+            if divided:
+                room = self._shares.room(service, trainer, usage, now)
+                if room is None:
+                    full.add(full_key)
+                    continue
             group_targets = _group_targets(runs, waiting.state.sample.group)
             shared = waiting.group_key in ranks
-            view = self._placer.place(waiting, service, group_targets, shared)
+            view = self._placer.place(waiting, service, group_targets, shared, room)
             if view is not None:
                 yield Pick(waiting, view)
+                usage.add(service, trainer, view.target.id)
             elif not waiting.needs.text_version:
                 # A sample whose text is bound to a version is decided on its own:
                 # its text may be dropped while those of others are kept.
-                full.add((service, waiting.needs))
+                full.add(full_key)
 
 
-def _services(
+def _routes(
     lots: Collection[LotProgress], configuration: Configuration
-) -> dict[str, str]:
-    """Return the service of each Lot that has a route."""
-    services = {}
+) -> dict[str, Route]:
+    """Return the route of each Lot that has one."""
+    routes = {}
     for progress in lots:
         route = configuration.find_route(progress.lot.host, progress.lot.prefix)
         if route is not None:
-            services[progress.lot.id] = route.shares[0].service
-    return services
+            routes[progress.lot.id] = route
+    return routes
 
 
 def _group_targets(runs: Collection[Run], group: str) -> frozenset[str]:
--- a/src/wigeonfront/rollout/placement.py
+++ b/src/wigeonfront/rollout/placement.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
@@ -9,6 +10,7 @@
 from wigeonfront.rollout.overload import (
     GroupKey,
     GroupRank,
+    RemainingSeconds,
     WorkEstimate,
     available_slots,
     ranks_in_overload,
@@ -18,6 +20,7 @@
 from wigeonfront.rollout.scheduling import (
     TOKEN_SECONDS,
     UNKNOWN_TOKENS,
+    EngineRoom,
     OpenSample,
     choose_engine,
     expected_seconds,
@@ -36,6 +39,22 @@
 """
 
 
+@dataclass(frozen=True, slots=True)
+class EngineSlots:
+    """The slots of a service's engines.
+
+    Attributes
+    ----------
+    registered : mapping of str to int
+        Slots of each registered engine, by its id.
+    usable : int
+        Slots of the engines that take work at present.
+    """
+
+    registered: Mapping[str, int]
+    usable: int
+
+
 class SamplePlacer:
     """Chooses engines for samples.
 
@@ -63,6 +82,7 @@
         service: str,
         group_targets: frozenset[str],
         shared: bool = False,
+        room: EngineRoom | None = None,
     ) -> TargetView | None:
         """Return the engine that a sample should be sent to now, if any.
 
@@ -78,14 +98,16 @@
             Ids of the engines that run samples of the same group.
         shared : bool
             Slots are short, and other owners get their share of them.
+        room : EngineRoom, optional
+            Quotas of the sample's trainer, if the slots are divided.
         """
         # All engines are considered where any of them may have the text's version.
         limit = None if waiting.needs.text_version else MAX_CANDIDATES
         views = self._table.views(service, limit)
-        chosen = self._choose(waiting, views, service, group_targets, shared)
+        chosen = self._choose(waiting, views, service, group_targets, shared, room)
         if chosen is None and len(views) == limit:
             views = self._table.views(service)
-            chosen = self._choose(waiting, views, service, group_targets, shared)
+            chosen = self._choose(waiting, views, service, group_targets, shared, room)
         return chosen
 
     def _choose(
@@ -95,6 +117,7 @@
         service: str,
         group_targets: frozenset[str],
         shared: bool,
+        room: EngineRoom | None,
     ) -> TargetView | None:
         if self._should_drop_text(waiting, views, service):
             event(
@@ -113,6 +136,7 @@
             waiting.state.avoid,
             self._clock.monotonic(),
             shared,
+            room,
         )
 
     def ranks(
@@ -128,14 +152,35 @@
         ratio : float
             Seconds that a run takes for each expected second.
         """
+        seconds = self.remaining_seconds(service, ratio)
+        slots = available_slots(self._table.views(service))
+        return ranks_in_overload(lots, slots, self._clock.monotonic(), seconds)
+
+    def remaining_seconds(self, service: str, ratio: float) -> RemainingSeconds:
+        """Return a function that returns the seconds that a sample still needs.
+
+        Parameters
+        ----------
+        service : str
+        ratio : float
+            Seconds that a run takes for each expected second.
+        """
         event_seconds = self._tokens_for_event(service) * TOKEN_SECONDS
 
         def seconds(state: SampleState) -> float:
             done = state.text.last_id * event_seconds
             return ratio * seconds_left(expected_seconds(state), done)
 
-        slots = available_slots(self._table.views(service))
-        return ranks_in_overload(lots, slots, self._clock.monotonic(), seconds)
+        return seconds
+
+    def engine_slots(self, service: str) -> EngineSlots:
+        """Return the slots of a service's engines."""
+        views = self._table.views(service)
+        usable = [view for view in views if view.available and not view.draining]
+        return EngineSlots(
+            {view.target.id: view.target.slots for view in views},
+            sum(view.target.slots for view in usable),
+        )
 
     def _should_drop_text(
         self, waiting: OpenSample, views: list[TargetView], service: str
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable
 from random import Random
 
+from wigeonfront.capacity import DemandBook
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
 from wigeonfront.coordination.membership import Presence
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.after_run import GiveUp, TextWhole, next_step, outcome_of
+from wigeonfront.rollout.engine_shares import ShareMonitor, TrainerShare
 from wigeonfront.rollout.events import Text
 from wigeonfront.rollout.initial_state import EMPTY_STATE, InitialState, create_progress
 from wigeonfront.rollout.lot import Lot, SampleResult
@@ -90,6 +92,8 @@
     metrics : wigeonfront.observability.metrics.Registry
     presence : callable, optional
         Returns the `Presence` of this process.
+    demands : DemandBook, optional
+        Demands of all owners' Lots.
 
     Attributes
     ----------
@@ -114,6 +118,7 @@
         clock: Clock,
         metrics: Registry,
         presence: Callable[[], Presence] = Presence,
+        demands: DemandBook | None = None,
     ) -> None:
         self._presence = presence
         self._table = table
@@ -121,7 +126,10 @@
         self._configuration = configuration
         self._placer = SamplePlacer(table, configuration, clock)
         self._overload = OverloadMonitor(self._placer)
-        self._picker = Picker(self._placer, self._overload, clock)
+        self._shares = ShareMonitor(
+            demands or DemandBook(clock), self._placer, clock, metrics
+        )
+        self._picker = Picker(self._placer, self._overload, self._shares, clock)
         self._clock = clock
         self._lock = threading.RLock()
         self._work = threading.Condition(self._lock)
@@ -332,6 +340,10 @@
                 if not started:
                     self._work.wait(self._pause())
 
+    def engine_shares(self) -> list[TrainerShare]:
+        """Return what is known about each trainer's use of engine slots."""
+        return self._shares.status()
+
     def wake(self) -> None:
         """Check at once whether more samples can be sent."""
         with self._lock:
--- a/src/wigeonfront/rollout/scheduling.py
+++ b/src/wigeonfront/rollout/scheduling.py
@@ -160,6 +160,26 @@
         return version is None or version >= self.min_version
 
 
+@dataclass(frozen=True, slots=True)
+class EngineRoom:
+    """What a trainer's samples may use of the engines while slots are divided.
+
+    Attributes
+    ----------
+    quotas : mapping of str to int
+        Runs of the trainer that each engine takes, by the engine's id.
+    runs : mapping of str to int
+        Runs of the trainer in progress, by the engine's id.
+    starved : bool
+        The trainer has waited so long for a first slot that it no longer waits for
+        the runs of other owners to end.
+    """
+
+    quotas: Mapping[str, int]
+    runs: Mapping[str, int]
+    starved: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class OpenSample:
     """A sample without a result, with the progress of its Lot."""
@@ -268,6 +288,7 @@
     avoid: str,
     now: float,
     shared: bool = False,
+    room: EngineRoom | None = None,
 ) -> TargetView | None:
     """Return the engine that should run a sample fastest, or ``None`` if all are full.
 
@@ -284,11 +305,16 @@
         Monotonic time.
     shared : bool
         Slots are short, and other owners get their share of them.
+    room : EngineRoom, optional
+        Quotas of the sample's trainer, in place of `shared`.
     """
     usable = usable_engines(views, needs, now)
     healthy = [view for view in usable if view.target.id != avoid] or usable
-    room = has_shared_room if shared else has_room
-    with_room = [view for view in healthy if room(view)]
+    if room is not None:
+        with_room = engines_in_quota(healthy, room)
+    else:
+        own_room = has_shared_room if shared else has_room
+        with_room = [view for view in healthy if own_room(view)]
     known = [view.latency for view in healthy if view.latency > 0]
     fastest = min(known, default=0.0)
     fast = [
@@ -384,6 +410,29 @@
     return view.load < view.target.slots or view.in_flight < own_share
 
 
+def engines_in_quota(views: Sequence[TargetView], room: EngineRoom) -> list[TargetView]:
+    """Return the engines with room for one more sample while slots are divided.
+
+    Within its quota a trainer needs only the reports of other owners, which are above
+    their quotas until runs end. A slot beyond the quota is used if no engine has room
+    within it and the slot is free even if other owners send as many runs as this one.
+
+    Parameters
+    ----------
+    views : sequence of TargetView
+    room : EngineRoom
+    """
+    if room.starved:
+        return [view for view in views if has_room(view)]
+    in_quota = [
+        view
+        for view in views
+        if room.runs.get(view.target.id, 0) < room.quotas.get(view.target.id, 0)
+        and view.in_flight + view.reported < view.target.slots
+    ]
+    return in_quota or [view for view in views if view.load < view.target.slots]
+
+
 def batch_due(progress: LotProgress, now: float) -> bool:
     """Return whether the Lot's results should be written now.
 
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -365,6 +365,7 @@
                 if now < load.until and state.versions.get(model, 0) < load.version
             ),
             others=state.others + assumed,
+            reported=state.others,
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -68,6 +68,9 @@
         Models of which the target is about to load other weights.
     others : int
         Runs of other owners of Lots at the target, as far as this process knows.
+        Runs are included that they are assumed to have sent since their reports.
+    reported : int
+        Runs of other owners of Lots at the target by their last reports.
     """
 
     target: Target
@@ -79,6 +82,7 @@
     refused_until: Mapping[str, float]
     loading: frozenset[str] = frozenset()
     others: int = 0
+    reported: int = 0
 
     @property
     def free_slots(self) -> int:
--- a/tests/test_engine_loads.py
+++ b/tests/test_engine_loads.py
@@ -6,8 +6,15 @@
 
 from platform_standins.server import StandInServer
 from rows_fakes import free_address
+from wigeonfront.capacity import DemandBook, LotDemand
 from wigeonfront.clock import ManualClock
-from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
+from wigeonfront.rollout.engine_loads import (
+    LOADS_PATH,
+    OLD_BUILD_SECONDS,
+    REPORT_PATH,
+    LoadFollower,
+    LoadServer,
+)
 from wigeonfront.rollout.scheduling import WeightNeeds, choose_engine
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
@@ -28,12 +35,25 @@
             for id in ENGINES
         )
         self.address = free_address()
-        self.server = StandInServer(self.address, LoadServer(self.table).answer, 4)
+        self.demands = DemandBook(clock)
+        server = LoadServer(self.table, self.demands)
+        self.paths = {LOADS_PATH: server.answer, REPORT_PATH: server.answer_report}
+        self.asked = []
+        self.server = StandInServer(self.address, self.answer, 4)
         self.server.start()
         self.sent = dict.fromkeys(ENGINES, 0)
 
     def follow(self, address):
-        self.follower = LoadFollower(self.table, lambda: [address], lambda: True)
+        self.follower = LoadFollower(
+            self.table, lambda: [address], lambda: True, self.demands, self.clock
+        )
+
+    def answer(self, call):
+        self.asked.append(call.path)
+        if call.path in self.paths:
+            self.paths[call.path](call)
+        else:
+            call.reply(404)
 
     def ask(self):
         self.follower.ask(self.follower._owners())
@@ -99,3 +119,41 @@
     owners[1].ask()
     owners[1].send(12)
     assert owners[1].sent == {"a": 0, "b": 0, "c": 6, "d": 6}
+
+
+DEMAND = LotDemand("l", "t", "s", MODEL, 2.0, 7.0, 12.0, 1, 3, 4.0)
+
+
+def test_an_owner_reports_demands_with_its_loads(owners):
+    owners[1].demands.set_own([DEMAND])
+    owners[1].table.record_started("a", MODEL)
+    owners[0].ask()
+    assert owners[0].demands.demands("s") == [DEMAND]
+    assert owners[0].table.views("s")[0].reported == 1
+    assert owners[1].asked == [REPORT_PATH]
+
+
+def test_an_older_build_is_asked_for_loads_only_for_a_while(owners):
+    """Shares are not decided while an owner's demand can't be known."""
+    del owners[1].paths[REPORT_PATH]
+    owners[1].table.record_started("a", MODEL)
+    owners[0].ask()
+    owners[0].ask()
+    assert owners[1].asked == [REPORT_PATH, LOADS_PATH, LOADS_PATH]
+    assert owners[0].table.views("s")[0].reported == 1
+    assert not owners[0].demands.complete
+    owners[0].clock.advance(OLD_BUILD_SECONDS)
+    assert owners[0].demands.complete
+    owners[0].ask()
+    assert owners[1].asked[-2:] == [REPORT_PATH, LOADS_PATH]
+
+
+@pytest.mark.parametrize("body", [b"", b"\xc1", b"\x80", b"\x81\xa6states\x90"])
+def test_an_unreadable_report_is_dropped_and_logged(owners, body, caplog):
+    caplog.set_level("INFO")
+    owners[1].demands.set_own([DEMAND])
+    owners[0].ask()
+    owners[1].paths[REPORT_PATH] = lambda call: call.reply(200, body)
+    owners[0].ask()
+    assert owners[0].demands.demands("s") == [DEMAND]
+    assert "event=loads_unknown" in caplog.text
