--- a/src/wigeonfront/capacity/recent.py
+++ b/src/wigeonfront/capacity/recent.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wigeonfront.capacity.demand import ReportedDemand
 from wigeonfront.capacity.shares import Claim, trainer_claims
@@ -65,7 +65,7 @@
             known = self._seen.get(claim.key)
             # A Lot wants most when it starts.
             if known and known.lots & lots and known.claim.wanted > claim.wanted:
-                claim = Claim(claim.key, claim.weight, known.claim.wanted)
+                claim = replace(known.claim, weight=claim.weight)
             self._seen[claim.key] = _Seen(claim, lots, of_trainer[0].owner, now)
         self._seen = {
             trainer: seen
--- a/src/wigeonfront/capacity/shares.py
+++ b/src/wigeonfront/capacity/shares.py
@@ -7,18 +7,29 @@
 
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from zlib import crc32
 
 from wigeonfront.capacity.demand import LotDemand
 
+HEADROOM = 1.5
+"""Multiple of the slots that a Lot needs to be in time by the estimates of its samples.
+
+The estimates are rough, and the last samples of a Lot can't fill its slots.
+"""
+
+MIN_SECONDS_LEFT = 0.5
+"""Minimum of the time that a Lot is assumed to have left."""
+
 LEVEL_STEPS = 60
 """Halvings in the search for the fill level; they exhaust the precision of a float."""
 
-PHASE_STEP = (math.sqrt(5) - 1) / 2
-"""Golden ratio, whose multiples modulo 1 are spread evenly over the unit interval.
+PHASE_UNITS = 2**32
+PHASE_STEP = int(PHASE_UNITS * (math.sqrt(5) - 1) / 2)
+"""Golden ratio in units of `PHASE_UNITS`.
 
-Rounding thus favours each trainer on about as many engines as it puts it last.
+Its multiples modulo 1 are spread evenly over the unit interval, so that rounding
+favours each trainer on about as many engines as it puts it at a disadvantage.
 """
 
 
@@ -34,11 +45,14 @@
         Weight of the claimant; above 0.
     wanted : int
         Slots that the claimant could use now.
+    needed : int
+        Slots with which the claimant's Lots are in time; at most `wanted`.
     """
 
     key: str
     weight: float
     wanted: int
+    needed: int = 0
 
 
 LotKey = tuple[str, str]
@@ -60,11 +74,45 @@
         if not wanted:
             continue
         known = claims.get(demand.trainer, Claim(demand.trainer, demand.weight, 0))
-        weight = max(known.weight, demand.weight)
-        claims[demand.trainer] = Claim(demand.trainer, weight, known.wanted + wanted)
+        claims[demand.trainer] = Claim(
+            demand.trainer,
+            max(known.weight, demand.weight),
+            known.wanted + wanted,
+            known.needed + min(wanted, _needed_slots(demand)),
+        )
     return [claims[key] for key in sorted(claims)]
 
 
+def _needed_slots(demand: LotDemand) -> int:
+    left = max(demand.due_in, MIN_SECONDS_LEFT)
+    return max(1, math.ceil(HEADROOM * demand.seconds / left))
+
+
+def trainer_shares(claims: Collection[Claim], slots: int) -> dict[str, int]:
+    """Return each trainer's share of the slots by its key.
+
+    What trainers need in order to be in time is divided first. A trainer with small
+    Lots thus takes no more from the others than it needs. What is left is divided by
+    what the trainers can use besides.
+
+    Parameters
+    ----------
+    claims : collection of Claim
+    slots : int
+    """
+    shares = fair_shares(
+        [replace(claim, wanted=claim.needed) for claim in claims], slots
+    )
+    more = [
+        replace(claim, wanted=claim.wanted - shares.get(claim.key, 0))
+        for claim in claims
+    ]
+    left = fair_shares(more, slots - sum(shares.values()))
+    return {
+        claim.key: shares.get(claim.key, 0) + left.get(claim.key, 0) for claim in claims
+    }
+
+
 def slots_short(claims: Collection[Claim], slots: int) -> bool:
     """Return whether several trainers together want more slots than there are."""
     return len(claims) > 1 and sum(claim.wanted for claim in claims) > slots
@@ -184,10 +232,20 @@
     order = sorted(engines, key=lambda id: (crc32(id.encode()), id))
     quotas = {}
     for rank, id in enumerate(order):
-        phase = rank * PHASE_STEP % 1
-        points = engines[id] / total
+        slots, phase = engines[id], rank * PHASE_STEP % PHASE_UNITS
         quotas[id] = sum(
-            math.ceil(high * points - phase) - math.ceil(low * points - phase)
+            _points_below(high, slots, total, phase)
+            - _points_below(low, slots, total, phase)
             for low, high in bounds
         )
     return quotas
+
+
+def _points_below(bound: int, slots: int, total: int, phase: int) -> int:
+    """Return how many of an engine's slots lie below a bound on a line of shares.
+
+    The slots are spread evenly over the line, which is `total` long. Integers make the
+    result the same for all owners.
+    """
+    units = total * PHASE_UNITS
+    return -((phase * total - bound * slots * PHASE_UNITS) // units)
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -195,6 +195,7 @@
             self._runner.has_open_lots,
             self._demands,
             clock,
+            settings.peer_address,
         )
         self._gate = self._make_gate()
         self._servers = self._make_servers()
--- a/src/wigeonfront/rollout/engine_loads.py
+++ b/src/wigeonfront/rollout/engine_loads.py
@@ -37,6 +37,7 @@
 
 OK = 200
 NOT_FOUND = 404
+MAX_QUESTION_BYTES = 1_000_000
 
 OLD_BUILD_SECONDS = 30.0
 """Time for which an owner that does not know `REPORT_PATH` is asked for loads only.
@@ -92,6 +93,22 @@
     demands: list[LotDemand]
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerQuestion:
+    """What an owner of Lots tells an owner that it asks for its report.
+
+    Attributes
+    ----------
+    owner : str
+        Address of the owner that asks.
+    demands : list of LotDemand
+        The demands of its Lots.
+    """
+
+    owner: str
+    demands: list[LotDemand]
+
+
 @dataclass(frozen=True, slots=True)
 class LoadsOnly:
     """The answer of an owner that can't report demands."""
@@ -118,8 +135,17 @@
         call.reply(OK, msgspec.msgpack.encode(self._table.engine_states()))
 
     def answer_report(self, call: RawCall) -> None:
-        """Answer one HTTP call with the `OwnerReport` of this process."""
-        call.body(0)
+        """Answer one HTTP call with the `OwnerReport` of this process.
+
+        An `OwnerQuestion` that can't be decoded is dropped with a log line.
+        """
+        body = call.body(MAX_QUESTION_BYTES)
+        try:
+            asked = msgspec.msgpack.decode(body, type=OwnerQuestion)
+        except msgspec.DecodeError as error:
+            event(logger, "question_dropped", reason=str(error))
+        else:
+            self._demands.set_reported(asked.owner, asked.demands)
         report = OwnerReport(self._table.engine_states(), self._demands.own())
         call.reply(OK, msgspec.msgpack.encode(report))
 
@@ -145,6 +171,8 @@
     demands : DemandBook
         Receives the demands of the owners' Lots.
     clock : Clock
+    own_address : str
+        Address of this process's server for peers.
     """
 
     def __init__(
@@ -154,7 +182,9 @@
         busy: Callable[[], bool],
         demands: DemandBook,
         clock: Clock,
+        own_address: str,
     ) -> None:
+        self._own_address = own_address
         self._table = table
         self._demands = demands
         self._clock = clock
@@ -197,15 +227,17 @@
     def _ask(self, address: str) -> OwnerReport | LoadsOnly | LoadsUnknown:
         now = self._clock.monotonic()
         if now >= self._loads_only_until.get(address, now):
-            answer = self._post(address, REPORT_PATH)
+            question = OwnerQuestion(self._own_address, self._demands.own())
+            body = msgspec.msgpack.encode(question)
+            answer = self._post(address, REPORT_PATH, body)
             if not isinstance(answer, Answer) or answer.status != NOT_FOUND:
                 return _decoded(answer, OwnerReport)
             self._loads_only_until[address] = now + OLD_BUILD_SECONDS
-        states = _decoded(self._post(address, LOADS_PATH), list[EngineState])
+        states = _decoded(self._post(address, LOADS_PATH, b""), list[EngineState])
         return states if isinstance(states, LoadsUnknown) else LoadsOnly(states)
 
-    def _post(self, address: str, path: str) -> Answer | LoadsUnknown:
-        answer = self._pools.post(address, path, b"", ANSWER_SECONDS)
+    def _post(self, address: str, path: str, body: bytes) -> Answer | LoadsUnknown:
+        answer = self._pools.post(address, path, body, ANSWER_SECONDS)
         if isinstance(answer, Answer):
             return answer
         return LoadsUnknown(answer.reason)
--- a/src/wigeonfront/rollout/engine_shares.py
+++ b/src/wigeonfront/rollout/engine_shares.py
@@ -13,10 +13,10 @@
 from wigeonfront.capacity.recent import RecentTrainers
 from wigeonfront.capacity.shares import (
     engine_quotas,
-    fair_shares,
     lot_shares,
     slots_short,
     trainer_claims,
+    trainer_shares,
 )
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Route
@@ -227,6 +227,9 @@
             seconds = self._placer.remaining_seconds(route.shares[0].service, ratio)
             demands.append(lot_demand(progress, route, now, seconds))
         self._book.set_own(demands)
+        for service in self._book.services():
+            recent = self._recent.setdefault(service, RecentTrainers())
+            recent.note(self._book.reported(service), now)
         services = {demand.service for demand in demands}
         found = {service: self._divide(service, now) for service in sorted(services)}
         self._shares = {
@@ -295,17 +298,15 @@
         }
 
     def _divide(self, service: str, now: float) -> ServiceShares | None:
-        reported = self._book.reported(service)
-        demands = [known.demand for known in reported]
+        demands = self._book.demands(service)
         claims = trainer_claims(demands)
-        recent = self._recent.setdefault(service, RecentTrainers())
-        recent.note(reported, now)
         present = {claim.key for claim in claims}
+        recent = self._recent[service]
         claims += recent.assumed(present, self._book.reported_at, now)
         engines = self._placer.engine_slots(service)
         if not self._book.complete or not slots_short(claims, engines.usable):
             return None
-        trainers = fair_shares(claims, engines.usable)
+        trainers = trainer_shares(claims, engines.usable)
         by_lot = lot_shares(demands, trainers)
         own: dict[str, set[tuple[str, str]]] = {}
         for demand in self._book.own():
--- a/src/wigeonfront/rollout/scheduling.py
+++ b/src/wigeonfront/rollout/scheduling.py
@@ -430,7 +430,13 @@
         if room.runs.get(view.target.id, 0) < room.quotas.get(view.target.id, 0)
         and view.in_flight + view.reported < view.target.slots
     ]
-    return in_quota or [view for view in views if view.load < view.target.slots]
+    if in_quota:
+        return in_quota
+    return [
+        view
+        for view in views
+        if max(view.load, view.in_flight + view.reported) < view.target.slots
+    ]
 
 
 def batch_due(progress: LotProgress, now: float) -> bool:
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -81,8 +81,9 @@
     measured_at: float = 0.0
     # Whether the latency is the pace of runs: the seconds per event of a stream.
     latency_is_pace: bool = False
-    # Runs that other owners reported, and runs of this process since that report.
+    # Runs in the last two reports of other owners, and runs of this process since.
     others: int = 0
+    others_before: int = 0
     runs_since_report: int = 0
     replaced_until: float = 0.0
     # Whether a request of this process went to the target.
@@ -279,7 +280,7 @@
             now = self._clock.monotonic()
             self._other_owners = others.owners
             for state in self._states.values():
-                state.others = 0
+                state.others_before, state.others = state.others, 0
                 state.runs_since_report = 0
             for reported in others.states:
                 state = self._states.get(reported.target)
@@ -365,7 +366,7 @@
                 if now < load.until and state.versions.get(model, 0) < load.version
             ),
             others=state.others + assumed,
-            reported=state.others,
+            reported=max(state.others, state.others_before),
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -70,7 +70,8 @@
         Runs of other owners of Lots at the target, as far as this process knows.
         Runs are included that they are assumed to have sent since their reports.
     reported : int
-        Runs of other owners of Lots at the target by their last reports.
+        Runs of other owners of Lots at the target: the most in their last two reports.
+        A slot that they use again at once thus counts as taken.
     """
 
     target: Target
