--- a/src/wigeonfront/rollout/scheduling.py
+++ b/src/wigeonfront/rollout/scheduling.py
@@ -435,7 +435,7 @@
     return [
         view
         for view in views
-        if max(view.load, view.in_flight + view.reported) < view.target.slots
+        if max(view.load, view.in_flight + view.reported_lately) < view.target.slots
     ]
 
 
--- a/src/wigeonfront/targets/table.py
+++ b/src/wigeonfront/targets/table.py
@@ -366,7 +366,8 @@
                 if now < load.until and state.versions.get(model, 0) < load.version
             ),
             others=state.others + assumed,
-            reported=max(state.others, state.others_before),
+            reported=state.others,
+            reported_lately=max(state.others, state.others_before),
         )
 
     def _log(self, change: CircuitChange | None) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -70,8 +70,10 @@
         Runs of other owners of Lots at the target, as far as this process knows.
         Runs are included that they are assumed to have sent since their reports.
     reported : int
-        Runs of other owners of Lots at the target: the most in their last two reports.
-        A slot that they use again at once thus counts as taken.
+        Runs of other owners of Lots at the target by their last reports.
+    reported_lately : int
+        The most in the last two reports, so that a slot which another owner uses
+        again at once counts as taken.
     """
 
     target: Target
@@ -84,6 +86,7 @@
     loading: frozenset[str] = frozenset()
     others: int = 0
     reported: int = 0
+    reported_lately: int = 0
 
     @property
     def free_slots(self) -> int:
