--- a/src/wigeonfront/rollout/placement.py
+++ b/src/wigeonfront/rollout/placement.py
@@ -200,7 +200,13 @@
         waited = self._clock.monotonic() - state.waiting_since
         return waited >= tokens * TOKEN_SECONDS
 
-    def should_move(self, running: OpenSample, view: TargetView, pace: float) -> bool:
+    def should_move(
+        self,
+        running: OpenSample,
+        view: TargetView,
+        pace: float,
+        room: EngineRoom | None = None,
+    ) -> bool:
         """Return whether a running sample should be continued on another engine.
 
         Parameters
@@ -211,6 +217,8 @@
             The engine that runs it.
         pace : float
             Seconds per event over the run's last events.
+        room : EngineRoom, optional
+            Quotas of the sample's trainer, if the slots are divided.
         """
         state = running.state
         events = max(1, state.text.last_id)
@@ -230,7 +238,9 @@
             if other.target.id != view.target.id
             and state.sample.model not in other.loading
         ]
-        return should_move(others, pace, left, pace / tokens_for_event, state.moves)
+        return should_move(
+            others, pace, left, pace / tokens_for_event, state.moves, room
+        )
 
     def _tokens_for_event(self, service: str) -> float:
         configuration = self._configuration()
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -11,14 +11,14 @@
 from collections.abc import Callable
 from random import Random
 
-from wigeonfront.capacity import DemandBook
+from wigeonfront.capacity import DemandBook, trainer_key
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
 from wigeonfront.coordination.membership import Presence
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.after_run import GiveUp, TextWhole, next_step, outcome_of
-from wigeonfront.rollout.engine_shares import ShareMonitor, TrainerShare
+from wigeonfront.rollout.engine_shares import RunUsage, ShareMonitor, TrainerShare
 from wigeonfront.rollout.events import Text
 from wigeonfront.rollout.initial_state import EMPTY_STATE, InitialState, create_progress
 from wigeonfront.rollout.lot import Lot, SampleResult
@@ -43,6 +43,7 @@
 from wigeonfront.rollout.sample_run import RunHandle, SampleRunner
 from wigeonfront.rollout.scheduling import (
     SNAPSHOT_EVENTS,
+    EngineRoom,
     OpenSample,
     expected_seconds,
     first_event_wait,
@@ -430,12 +431,26 @@
             return
         self._table.record_pace(run.target_id, pace)
         running = OpenSample(run.progress, run.state)
-        if run.handle.moved or not self._placer.should_move(running, run.view, pace):
+        if run.handle.moved or not self._placer.should_move(
+            running, run.view, pace, self._room(run)
+        ):
             return
         run.state.moves += 1
         self._log.moved(run, pace)
         run.handle.move()
 
+    def _room(self, run: Run) -> EngineRoom | None:
+        """Return the engines' room for a run's trainer if the slots are divided."""
+        service = run.view.target.service
+        trainer = trainer_key(run.progress.lot)
+        allotment = self._shares.allotment(service, trainer)
+        if allotment is None:
+            return None
+        with self._lock:
+            trainers = {id: trainer_key(owned.lot) for id, owned in self._lots.items()}
+            usage = RunUsage(self._runs.values(), trainers)
+        return EngineRoom(allotment.quotas, usage.of(service, trainer))
+
     def _ended(
         self, run: Run, outcome: RunOutcome, seconds: float, events: int
     ) -> None:
--- a/src/wigeonfront/rollout/scheduling.py
+++ b/src/wigeonfront/rollout/scheduling.py
@@ -338,6 +338,7 @@
     tokens_left: float,
     token_seconds: float,
     moves: int,
+    room: EngineRoom | None = None,
 ) -> bool:
     """Return whether a run should be continued on another engine.
 
@@ -353,6 +354,9 @@
         Seconds per token at that pace.
     moves : int
         How often the sample was moved already.
+    room : EngineRoom, optional
+        Quotas of the sample's trainer. Only slots within them count as free, as the
+        sample would wait for others.
     """
     seconds_left = tokens_left * token_seconds
     known = [view for view in others if view.latency > 0]
@@ -361,7 +365,11 @@
     typical = median(view.latency for view in known)
     if pace > MOVE_FACTOR * typical:
         return True
-    free = [view for view in known if view.load < view.target.slots]
+    free = [
+        view
+        for view in known
+        if view.load < view.target.slots and (room is None or _in_quota(view, room))
+    ]
     quickest = min((event_seconds(view, typical) for view in free), default=pace)
     saved = seconds_left * (1 - quickest / pace)
     return pace >= QUICKER_FACTOR * quickest and saved >= MIN_GAIN_SECONDS
@@ -424,12 +432,7 @@
     """
     if room.starved:
         return [view for view in views if has_room(view)]
-    in_quota = [
-        view
-        for view in views
-        if room.runs.get(view.target.id, 0) < room.quotas.get(view.target.id, 0)
-        and view.in_flight + view.reported < view.target.slots
-    ]
+    in_quota = [view for view in views if _in_quota(view, room)]
     if in_quota:
         return in_quota
     return [
@@ -439,6 +442,12 @@
     ]
 
 
+def _in_quota(view: TargetView, room: EngineRoom) -> bool:
+    id = view.target.id
+    below_quota = room.runs.get(id, 0) < room.quotas.get(id, 0)
+    return below_quota and view.in_flight + view.reported < view.target.slots
+
+
 def batch_due(progress: LotProgress, now: float) -> bool:
     """Return whether the Lot's results should be written now.
 
--- a/tests/test_engine_shares.py
+++ b/tests/test_engine_shares.py
@@ -472,6 +472,55 @@
     assert len(second.runs) == 1
 
 
+def two_owners_divided():
+    """Return a site of two owners that have heard of each other's Lots."""
+    site = Site({"a": 2.0, "b": 1.0}, {f"e{n}": 8 for n in range(6)})
+    for owner in site.owners:
+        site.start(owner)
+        owner.send()
+    site.exchange()
+    site.clock.advance(0.2)
+    for owner in site.owners:
+        owner.send()
+    return site
+
+
+def test_slots_are_not_divided_while_an_owner_of_an_older_build_answers():
+    site = two_owners_divided()
+    first = site.owners[0]
+    assert first.share == 32
+    first.book.set_unreported("c:1")
+    site.clock.advance(0.2)
+    first.send()
+    assert first.share is None
+
+
+def test_operators_see_shares_and_ages_of_reports():
+    site = two_owners_divided()
+    site.clock.advance(0.3)
+    own, other = site.owners[0].shares.status()
+    assert (own.trainer, own.weight, own.share, own.age) == (
+        f" a/ {MODEL}",
+        2.0,
+        32,
+        pytest.approx(0.3),
+    )
+    assert (other.share, other.running, other.age) == (16, 48, pytest.approx(0.5))
+
+
+def test_changes_of_shares_are_logged_rarely(caplog):
+    site = two_owners_divided()
+    first, second = site.owners
+    caplog.clear()
+    for turn in range(100):
+        second.book.set_own([demand(f" b/ {MODEL}", "x", 0, 90 * (turn % 2))])
+        first.hear([second])
+        site.clock.advance(0.2)
+        first.send()
+    lines = [line for line in caplog.messages if "event=engine_shares" in line]
+    assert 2 <= len(lines) <= 20 / 5 + 1
+
+
 class Exchange(RuleBasedStateMachine):
     """Reports are late, lost and doubled, and owners are gone halfway.
 
@@ -575,7 +624,9 @@
         if not hasattr(self, "site"):
             return
         for owner in self.live:
-            assert len(owner.runs) <= self.site.slots
+            on_engine = Counter(run.target_id for run in owner.runs.values())
+            for id, count in on_engine.items():
+                assert count <= self.site.engines[id]
 
 
 TestExchange = Exchange.TestCase
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -8,11 +8,13 @@
     FIRST_EVENT_SECONDS,
     MAX_FIRST_EVENT_SECONDS,
     TEXT_SECONDS,
+    EngineRoom,
     OpenSample,
     WeightNeeds,
     batch_due,
     choose_engine,
     engine_priority,
+    engines_in_quota,
     first_event_wait,
     has_room,
     has_shared_room,
@@ -174,6 +176,35 @@
     assert should_move(others, pace, tokens, pace / 50, moves) is moved
 
 
+@pytest.mark.parametrize(
+    ("quota", "runs", "moved"), [(2, 1, True), (2, 2, False), (0, 0, False)]
+)
+def test_a_run_is_moved_to_slots_of_its_trainer_only(quota, runs, moved):
+    others = [engine("b", latency=0.05)]
+    room = EngineRoom({"b": quota}, {"b": runs})
+    assert should_move(others, 0.08, 3000, 0.08 / 50, 0)
+    assert should_move(others, 0.08, 3000, 0.08 / 50, 0, room) is moved
+
+
+@pytest.mark.parametrize(
+    ("quota", "runs", "others", "starved", "found"),
+    [
+        (1, 0, 0, False, ["a"]),
+        (1, 1, 0, False, ["a", "b"]),
+        (0, 0, 6, False, ["b"]),
+        (1, 0, 6, False, ["b"]),
+        (1, 0, 6, True, ["a", "b"]),
+    ],
+)
+def test_engines_within_the_quota_go_first(quota, runs, others, starved, found):
+    views = [
+        engine("a", reported=others, reported_lately=others),
+        engine("b"),
+    ]
+    room = EngineRoom({"a": quota}, {"a": runs}, starved)
+    assert [chosen.target.id for chosen in engines_in_quota(views, room)] == found
+
+
 @pytest.mark.parametrize(
     ("tokens", "priority"), [(0, 5), (499, 5), (500, 4), (1000, 3), (2000, 2)]
 )
