--- a/src/wigeonfront/capacity/__init__.py
+++ b/src/wigeonfront/capacity/__init__.py
@@ -1,7 +1,9 @@
 """Decisions about engine capacity that several entries and trainers share.
 
 Each owner of Lots tells the other owners what its Lots still demand of the engines
-(`demand`). From this picture all owners decide alike, without a coordinator.
+(`demand`). From this picture all owners decide alike, without a coordinator: `shares`
+divides the slots of engines while they are short. `recent` stands in for reports that
+have not arrived yet.
 """
 
 from wigeonfront.capacity.demand import DemandBook, LotDemand, trainer_key
