--- a/src/wigeonfront/rollout/__init__.py
+++ b/src/wigeonfront/rollout/__init__.py
@@ -4,8 +4,8 @@
 `owner_calls` read the Lots of other processes, and `ownership` and `takeover` decide
 which entry owns a Lot. `runner` runs all Lots that the process owns: `progress` is the
 state of one of them, `scheduling`, `overload`, `placement` and `picking` decide which
-sample runs next and where, `lot_demand` and `engine_shares` how many slots a trainer may
-use, `sample_run` runs one sample, `after_run` decides what follows the run, and
+sample runs next and where, `lot_demand` and `engine_shares` how many slots a trainer
+may use, `sample_run` runs one sample, `after_run` decides what follows the run, and
 `scoring` gets the score of the text.
 
 While the store is unavailable, `acceptance` and `submissions` accept Lots on disks, and
