--- a/src/wigeonfront/node/peer_calls.py
+++ b/src/wigeonfront/node/peer_calls.py
@@ -7,7 +7,7 @@
 from wigeonfront.coordination.relay import RELAY_PATH, RelayServer
 from wigeonfront.forwarding.report_exchange import REPORTS_PATH, ReportServer
 from wigeonfront.http.raw import RawCall
-from wigeonfront.rollout.engine_loads import LOADS_PATH, LoadServer
+from wigeonfront.rollout.engine_loads import LOADS_PATH, REPORT_PATH, LoadServer
 from wigeonfront.rollout.owner_calls import (
     END_PATH,
     RESULTS_PATH,
@@ -55,6 +55,7 @@
             END_PATH: ends.answer,
             LOADS_PATH: loads.answer,
             REPORTS_PATH: reports.answer,
+            REPORT_PATH: loads.answer_report,
             VERSION_PATH: version.answer,
             **more,
         }
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable
 from random import Random
 
+from wigeonfront.capacity import DemandBook, trainer_key
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
 from wigeonfront.coordination.membership import Presence
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.after_run import GiveUp, TextWhole, next_step, outcome_of
+from wigeonfront.rollout.engine_shares import RunUsage, ShareMonitor, TrainerShare
 from wigeonfront.rollout.events import Text
 from wigeonfront.rollout.initial_state import EMPTY_STATE, InitialState, create_progress
 from wigeonfront.rollout.lot import Lot, SampleResult
@@ -41,6 +43,7 @@
 from wigeonfront.rollout.sample_run import RunHandle, SampleRunner
 from wigeonfront.rollout.scheduling import (
     SNAPSHOT_EVENTS,
+    EngineRoom,
     OpenSample,
     expected_seconds,
     first_event_wait,
@@ -90,6 +93,8 @@
     metrics : wigeonfront.observability.metrics.Registry
     presence : callable, optional
         Returns the `Presence` of this process.
+    demands : DemandBook, optional
+        Demands of all owners' Lots.
 
     Attributes
     ----------
@@ -114,6 +119,7 @@
         clock: Clock,
         metrics: Registry,
         presence: Callable[[], Presence] = Presence,
+        demands: DemandBook | None = None,
     ) -> None:
         self._presence = presence
         self._table = table
@@ -121,7 +127,10 @@
         self._configuration = configuration
         self._placer = SamplePlacer(table, configuration, clock)
         self._overload = OverloadMonitor(self._placer)
-        self._picker = Picker(self._placer, self._overload, clock)
+        self._shares = ShareMonitor(
+            demands or DemandBook(clock), self._placer, clock, metrics
+        )
+        self._picker = Picker(self._placer, self._overload, self._shares, clock)
         self._clock = clock
         self._lock = threading.RLock()
         self._work = threading.Condition(self._lock)
@@ -332,6 +341,10 @@
                 if not started:
                     self._work.wait(self._pause())
 
+    def engine_shares(self) -> list[TrainerShare]:
+        """Return what is known about each trainer's use of engine slots."""
+        return self._shares.status()
+
     def wake(self) -> None:
         """Check at once whether more samples can be sent."""
         with self._lock:
@@ -418,12 +431,26 @@
             return
         self._table.record_pace(run.target_id, pace)
         running = OpenSample(run.progress, run.state)
-        if run.handle.moved or not self._placer.should_move(running, run.view, pace):
+        if run.handle.moved or not self._placer.should_move(
+            running, run.view, pace, self._room(run)
+        ):
             return
         run.state.moves += 1
         self._log.moved(run, pace)
         run.handle.move()
 
+    def _room(self, run: Run) -> EngineRoom | None:
+        """Return the engines' room for a run's trainer if the slots are divided."""
+        service = run.view.target.service
+        trainer = trainer_key(run.progress.lot)
+        allotment = self._shares.allotment(service, trainer)
+        if allotment is None:
+            return None
+        with self._lock:
+            trainers = {id: trainer_key(owned.lot) for id, owned in self._lots.items()}
+            usage = RunUsage(self._runs.values(), trainers)
+        return EngineRoom(allotment.quotas, usage.of(service, trainer))
+
     def _ended(
         self, run: Run, outcome: RunOutcome, seconds: float, events: int
     ) -> None:
--- a/src/wigeonfront/targets/views.py
+++ b/src/wigeonfront/targets/views.py
@@ -68,11 +68,17 @@
         Models of which the target is about to load other weights.
     others : int
         Runs of other owners of Lots at the target, as far as this process knows.
+        Runs are included that they are assumed to have sent since their reports.
     suspected_by : tuple of str
         Entries whose reports say that the target fails, as far as they count.
     suspected : bool
         Whether the target is to be chosen last because of these reports: false while
         a request may try it.
+    reported : int
+        Runs of other owners of Lots at the target by their last reports.
+    reported_lately : int
+        The most in the last two reports, so that a slot which another owner uses
+        again at once counts as taken.
     """
 
     target: Target
@@ -86,6 +92,8 @@
     others: int = 0
     suspected_by: tuple[str, ...] = ()
     suspected: bool = False
+    reported: int = 0
+    reported_lately: int = 0
 
     @property
     def free_slots(self) -> int:
