Admission of Lots: refuse at once what the engines can't serve in time, with turns

On by the entry setting lot_admission. The preferred owner decides from the demand of all owners; a lost answer of a preferred owner is a 504, no longer a 503.

--- a/src/wigeonfront/api/lots.py
+++ b/src/wigeonfront/api/lots.py
@@ -34,8 +34,6 @@
 PAGE_BYTES = 900_000
 """Longest text of a page of results; only its first result may exceed it alone."""
 
-RETRY_SECONDS = 0.3
-
 ACCEPTED = 202
 SEPARATOR = "!"
 """Separates the parts of an id. Each part is percent-encoded, ``!`` included, so
@@ -98,9 +96,9 @@
         if outcome == answers.Accepted(already_kept=True) and self._lots.ended(id):
             raise ApiError(410, "already_delivered")
         if isinstance(outcome, answers.LotRefused):
-            raise ApiError(503, "not_run", outcome.reason, RETRY_SECONDS)
+            raise ApiError(503, "not_run", outcome.reason, outcome.retry_after)
         if isinstance(outcome, answers.LotUncertain):
-            raise ApiError(504, "unknown", outcome.reason, RETRY_SECONDS)
+            raise ApiError(504, "unknown", outcome.reason, answers.RETRY_SECONDS)
         call.reply_json(ACCEPTED, LotAccepted(body.lot, len(lot.samples)))
 
     def read(self, call: RawCall, configuration: Configuration) -> None:
@@ -245,4 +243,6 @@
 def _lot_error(outcome: object) -> ApiError:
     if isinstance(outcome, answers.LotUnknown):
         return ApiError(404, "no_such_lot")
-    return ApiError(503, "unavailable", getattr(outcome, "reason", ""), RETRY_SECONDS)
+    return ApiError(
+        503, "unavailable", getattr(outcome, "reason", ""), answers.RETRY_SECONDS
+    )
--- a/src/wigeonfront/api/messages.py
+++ b/src/wigeonfront/api/messages.py
@@ -349,6 +349,37 @@
     last: int = 0
 
 
+class RefusedLotStatus(msgspec.Struct, frozen=True):
+    """A Lot that an entry has refused, as the engines could not serve it in time.
+
+    Attributes
+    ----------
+    lot : str
+        Id of the Lot.
+    trainer : str
+        Account, route and model of its trainer.
+    service : str
+    reason : str
+    at : float
+        Unix time in seconds.
+    retry_after : float
+        Seconds after which the trainer was told to return.
+    needed : float
+        Seconds of engine slots until the Lot's first group would be whole.
+    available : float
+        Seconds of engine slots that its trainer would get while the Lot is of use.
+    """
+
+    lot: str
+    trainer: str
+    service: str
+    reason: str
+    at: float
+    retry_after: float
+    needed: float
+    available: float
+
+
 class StatusReply(msgspec.Struct, frozen=True):
     """What an entry knows about the deployment.
 
@@ -370,6 +401,8 @@
     members : list of MemberStatus
     targets : list of TargetStatus
     lots : list of LotStatus
+    refused_lots : list of RefusedLotStatus
+        The Lots that this entry has refused lately for want of engines, newest first.
     """
 
     name: str
@@ -382,6 +415,7 @@
     members: list[MemberStatus]
     targets: list[TargetStatus]
     lots: list[LotStatus]
+    refused_lots: list[RefusedLotStatus] = []
 
 
 class SuspectStatus(msgspec.Struct, frozen=True):
--- a/src/wigeonfront/api/operations.py
+++ b/src/wigeonfront/api/operations.py
@@ -18,6 +18,7 @@
     InForceReply,
     LotStatus,
     MemberStatus,
+    RefusedLotStatus,
     StatusReply,
     TargetStatus,
     decode_body,
@@ -313,6 +314,19 @@
                 LotStatus(id, head.owner, head.state.value, head.total)
                 for id, head in sorted(self.lots.heads().items())
             ],
+            refused_lots=[
+                RefusedLotStatus(
+                    refused.lot,
+                    refused.trainer,
+                    refused.service,
+                    refused.reason,
+                    refused.at,
+                    refused.retry_after,
+                    refused.needed,
+                    refused.available,
+                )
+                for refused in self.lots.refused_lots()
+            ],
         )
 
     def _targets(self) -> list[TargetStatus]:
--- a/src/wigeonfront/capacity/demand.py
+++ b/src/wigeonfront/capacity/demand.py
@@ -44,6 +44,9 @@
         Samples without a run that belong to groups the trainer still waits for.
     seconds : float
         Seconds of engine slots that the groups still take for which the trainer waits.
+    refused_for : float or None
+        Seconds since the Lot was first refused, if it waits for its turn to be accepted
+        and so has no runs; ``None`` for an accepted Lot.
     """
 
     lot: str
@@ -56,6 +59,7 @@
     running: int
     waiting: int
     seconds: float
+    refused_for: float | None = None
 
 
 def trainer_key(lot: Lot) -> str:
@@ -81,6 +85,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._own: _Report = _Report((), 0.0)
+        # Lots that this process is accepting or has refused.
+        self._undecided: _Report = _Report((), 0.0)
         # Reports of other owners by their addresses.
         self._reports: dict[str, _Report] = {}
 
@@ -89,10 +95,27 @@
         with self._lock:
             self._own = _Report(tuple(demands), self._clock.monotonic())
 
+    def owned_lots(self) -> set[str]:
+        """Return the ids of the Lots that this process owns."""
+        with self._lock:
+            return {demand.lot for demand in self._own.demands}
+
+    def set_undecided(self, demands: Iterable[LotDemand]) -> None:
+        """Replace the demands of the Lots that this process is accepting or refused."""
+        with self._lock:
+            self._undecided = _Report(tuple(demands), self._clock.monotonic())
+
     def own(self) -> list[LotDemand]:
-        """Return the demands of the Lots that this process owns."""
+        """Return the demands that this process reports to other owners.
+
+        These are the Lots that it owns, and those that it is accepting or has refused.
+        """
         with self._lock:
-            return _as_of(self._own, self._clock.monotonic())
+            now = self._clock.monotonic()
+            owned = _as_of(self._own, now)
+            known = {demand.lot for demand in owned}
+            undecided = _as_of(self._undecided, now)
+            return owned + [found for found in undecided if found.lot not in known]
 
     def set_reported(self, owner: str, demands: Iterable[LotDemand]) -> None:
         """Replace what another owner has reported.
@@ -112,7 +135,20 @@
         """Return all owners' demands on a service, the own ones first.
 
         A Lot that was taken over is listed once, with its present owner's demand.
+        Refused Lots are left out.
         """
+        return self._listed(service, refused=False)
+
+    def refused(self, service: str) -> list[LotDemand]:
+        """Return the demands of the refused Lots of a service that may return.
+
+        A Lot that another owner has accepted since is left out.
+        """
+        accepted = {demand.lot for demand in self.demands(service)}
+        refused = self._listed(service, refused=True)
+        return [demand for demand in refused if demand.lot not in accepted]
+
+    def _listed(self, service: str, refused: bool) -> list[LotDemand]:
         with self._lock:
             now = self._clock.monotonic()
             self._drop_old(now)
@@ -120,9 +156,10 @@
                 self._reports.values(), key=lambda report: -report.received_at
             )
             by_lot: dict[str, LotDemand] = {}
-            for report in (self._own, *newest_first):
+            for report in (self._own, self._undecided, *newest_first):
                 for demand in _as_of(report, now):
-                    if demand.service == service:
+                    is_refused = demand.refused_for is not None
+                    if demand.service == service and is_refused is refused:
                         by_lot.setdefault(demand.lot, demand)
         return list(by_lot.values())
 
@@ -139,7 +176,12 @@
     age = now - report.received_at
     return [
         replace(
-            demand, due_in=demand.due_in - age, gives_up_in=demand.gives_up_in - age
+            demand,
+            due_in=demand.due_in - age,
+            gives_up_in=demand.gives_up_in - age,
+            refused_for=(
+                None if demand.refused_for is None else demand.refused_for + age
+            ),
         )
         for demand in report.demands
     ]
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -13,6 +13,7 @@
 from wigeonfront.accounts import AdmissionBounds
 from wigeonfront.accounts.gate import AccountGate
 from wigeonfront.api.operations import VersionServer
+from wigeonfront.capacity import DemandBook
 from wigeonfront.clock import Clock, SystemClock
 from wigeonfront.configuration import Configuration
 from wigeonfront.coordination.assignment import Assignment
@@ -44,6 +45,7 @@
 from wigeonfront.platform.target_calls import PlatformTargets
 from wigeonfront.quarantine import CrashGuard, CrashLedger, CrashWriter
 from wigeonfront.rollout.engine_loads import LoadFollower, LoadServer
+from wigeonfront.rollout.lot_admission import LotAdmission
 from wigeonfront.rollout.lots import Lots
 from wigeonfront.rollout.owner_calls import EndServer, ResultServer, SubmissionServer
 from wigeonfront.rollout.pending import PendingLots
@@ -186,6 +188,8 @@
             clock,
             self._metrics,
         )
+        self._demand = DemandBook(clock)
+        self._admission = self._make_admission() if settings.lot_admission else None
         self._lots = self._make_lots()
         self._loads = LoadFollower(
             self._table, self._lots.recent_owners, self._runner.has_open_lots
@@ -275,6 +279,18 @@
             PendingLots(self._spool, self._view.disk_registrations, self._clock),
             lambda: self._loads.lot_started(),
             self._clock,
+            self._admission,
+        )
+
+    def _make_admission(self) -> LotAdmission:
+        return LotAdmission(
+            self._demand,
+            self._table,
+            self._runner.work,
+            lambda: self._configuration.current,
+            lambda: self._view.targets.ready and not self._view.targets.failing,
+            self._clock,
+            self._metrics,
         )
 
     def _make_gate(self) -> AccountGate:
@@ -393,6 +409,8 @@
         start("loads", self._loads.run)
         start("own", self._lots.takeover_loop)
         start("settle", self._lots.deferred_head_loop)
+        if self._admission is not None:
+            start("admission", self._admission.run)
         start("crashes", self._crash_writer.run)
         self._assignment.start(self._supervisor)
         for duty in self._duties:
--- a/src/wigeonfront/node/loading.py
+++ b/src/wigeonfront/node/loading.py
@@ -37,6 +37,7 @@
     "duty_address": "duty_address",
     "duties": "duties",
     "tolerated_losses": "tolerated_losses",
+    "lot_admission": "lot_admission",
     "data_folder": "data_folder",
     "log_level": "log_level",
 }
--- a/src/wigeonfront/node/settings.py
+++ b/src/wigeonfront/node/settings.py
@@ -83,6 +83,8 @@
         Duties that the entries carry out.
     tolerated_losses : int
         Number of disks that may be lost at the same time.
+    lot_admission : bool
+        Whether an entry refuses Lots that the engines can't serve in time.
     memory_bytes : int
         Memory in bytes above which the process is killed.
     cores : float
@@ -108,6 +110,7 @@
     duty_address: str = ""
     duties: frozenset[Duty] = frozenset()
     tolerated_losses: int = 1
+    lot_admission: bool = False
     memory_bytes: int = 128 * 1024 * 1024
     cores: float = 1.0
     log_level: str = "info"
--- a/src/wigeonfront/platform/lot_front.py
+++ b/src/wigeonfront/platform/lot_front.py
@@ -19,6 +19,7 @@
 from wigeonfront.platform import headers as names
 from wigeonfront.platform.lot_calls import BadLot, decode_lot, encode_page
 from wigeonfront.rollout.lot_answers import (
+    RETRY_SECONDS,
     Accepted,
     LotPage,
     LotRefused,
@@ -32,7 +33,6 @@
 logger = logging.getLogger(__name__)
 
 MAX_WAIT_SECONDS = 1.0
-RETRY_SECONDS = "0.3"
 
 LOT_PATH = "/lots/"
 SAMPLE_PATH = "/items/"
@@ -188,7 +188,7 @@
 
 @_answer.register
 def _(outcome: LotRefused, call: RawCall, accepted: int = 202) -> None:
-    call.reply(503, headers=(("Retry-After", RETRY_SECONDS),))
+    call.reply(503, headers=(("Retry-After", f"{outcome.retry_after:.3g}"),))
 
 
 @_answer.register
@@ -204,4 +204,4 @@
 
 @_answer.register
 def _(outcome: LotUnavailable, call: RawCall, accepted: int = 202) -> None:
-    call.reply(503, headers=(("Retry-After", RETRY_SECONDS),))
+    call.reply(503, headers=(("Retry-After", f"{RETRY_SECONDS:g}"),))
--- a/src/wigeonfront/rollout/lot_answers.py
+++ b/src/wigeonfront/rollout/lot_answers.py
@@ -4,6 +4,9 @@
 
 from wigeonfront.rollout.lot import SampleResult
 
+RETRY_SECONDS = 0.3
+"""Time after which a call is repeated that could not be answered for the moment."""
+
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
@@ -20,9 +23,21 @@
 
 @dataclass(frozen=True, slots=True)
 class LotRefused:
-    """The Lot was not stored, and none of its samples will run."""
+    """The Lot was not stored, and none of its samples will run.
+
+    Attributes
+    ----------
+    reason : str
+    retry_after : float
+        Seconds after which the trainer may submit the Lot again.
+    for_capacity : bool
+        Whether the engines can't serve the Lot at present. Another entry would refuse
+        it as well.
+    """
 
     reason: str
+    retry_after: float = RETRY_SECONDS
+    for_capacity: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from wigeonfront.capacity.admission import DoesNotFit
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.coordination.mirror import Mirror
@@ -14,6 +15,7 @@
 from wigeonfront.rollout.initial_state import InitialState
 from wigeonfront.rollout.known_lots import KnownLot, KnownLots
 from wigeonfront.rollout.lot import Lot
+from wigeonfront.rollout.lot_admission import LotAdmission, RefusedLot
 from wigeonfront.rollout.lot_answers import (
     Accepted,
     LotPage,
@@ -23,9 +25,11 @@
     LotUnknown,
 )
 from wigeonfront.rollout.owner_calls import (
+    NotTaken,
     OwnedResults,
     OwnerClient,
     ResultsInDoubt,
+    Submitted,
 )
 from wigeonfront.rollout.ownership import NO_OWNER, preferred_owner
 from wigeonfront.rollout.pending import PendingLots
@@ -77,6 +81,8 @@
     on_start : callable
         Called before a Lot's first samples are sent.
     clock : Clock
+    admission : LotAdmission, optional
+        Refuses Lots that the engines can't serve. Without it all Lots are accepted.
     """
 
     def __init__(
@@ -92,7 +98,9 @@
         pending: PendingLots,
         on_start: Callable[[], None],
         clock: Clock,
+        admission: LotAdmission | None = None,
     ) -> None:
+        self._admission = admission
         self._on_start = on_start
         self._owners = OwnerClient(clock)
         self._repository = repository
@@ -133,7 +141,7 @@
     # --- calls ---------------------------------------------------------------
 
     def submit(self, lot: Lot) -> Accepted | LotRefused | LotUncertain:
-        """Accept a Lot, to be run by its preferred owner.
+        """Accept a Lot, to be run by its preferred owner, or refuse it.
 
         A repeated submission of the same Lot is accepted again.
         """
@@ -141,29 +149,71 @@
             return Accepted()
         own_member = self._own_member
         owner = preferred_owner(lot, self._members(), own_member.failure_domain)
-        if owner is not None and owner.name != own_member.name:
-            address = owner.address
-            if not self._owners.avoids(address) and self._owners.submit(address, lot):
-                known = KnownLot(len(lot.samples), [], lot, owner=address)
-                self._known.add(lot.id, known)
-                return Accepted()
-        return self._accept(lot)
-
-    def submit_locally(self, lot: Lot) -> bool:
-        """Accept a Lot that another entry has received, to run it in this process.
+        if owner is None or owner.name == own_member.name:
+            return self._admit(lot)
+        if self._owners.avoids(owner.address):
+            return self._admit(lot)
+        outcome = self._owners.submit(owner.address, lot)
+        if isinstance(outcome, Accepted):
+            known = KnownLot(len(lot.samples), [], lot, owner=owner.address)
+            self._known.add(lot.id, known)
+            return outcome
+        if isinstance(outcome, LotRefused) and not self._may_be_kept(lot.id):
+            event(
+                logger,
+                "owner_refused",
+                lot=lot.id,
+                owner=owner.address,
+                reason=outcome.reason,
+                retry_after=outcome.retry_after,
+            )
+            return outcome
+        if isinstance(outcome, NotTaken):
+            return self._admit(lot)
+        accepted = self._admit(lot, refusable=False)
+        if isinstance(outcome, LotUncertain) and isinstance(accepted, LotRefused):
+            # The preferred owner may have stored the Lot.
+            return LotUncertain(outcome.reason)
+        return accepted
 
-        Returns
-        -------
-        bool
-            Whether the Lot is accepted.
-        """
+    def submit_locally(self, lot: Lot) -> Submitted:
+        """Accept a Lot that another entry has received, to run it in this process."""
         if self._takeover.leaving:
-            return False
+            return NotTaken("leaving")
         if self._runner.owned(lot.id):
-            return True
+            return Accepted()
         # The clock of the VM that received the Lot may differ from this VM's clock.
-        outcome = self._accept(replace(lot, submitted_at=self._clock.time()))
-        return outcome == Accepted()
+        return self._admit(replace(lot, submitted_at=self._clock.time()))
+
+    def _admit(
+        self, lot: Lot, refusable: bool = True
+    ) -> Accepted | LotRefused | LotUncertain:
+        """Accept a Lot if the engines can serve it, or if it is not `refusable`."""
+        if self._admission is None:
+            return self._accept(lot)
+        waited = self._admission.refused_for(lot)
+        decision = self._admission.admit(
+            lot, lambda: refusable and self._surely_unknown(lot.id)
+        )
+        if isinstance(decision, DoesNotFit):
+            return LotRefused(decision.reason, decision.retry_after, for_capacity=True)
+        # The Lot is due as counted from its first submission.
+        outcome = self._accept(replace(lot, submitted_at=lot.submitted_at - waited))
+        self._admission.settled(
+            lot.id,
+            kept=isinstance(outcome, Accepted),
+            in_doubt=isinstance(outcome, LotUncertain),
+        )
+        return outcome
+
+    def _surely_unknown(self, lot_id: str) -> bool:
+        """Return whether no earlier submission of a Lot was accepted anywhere."""
+        if self.knows(lot_id):
+            return False
+        return isinstance(self._known.head(lot_id), LotUnknown)
+
+    def _may_be_kept(self, lot_id: str) -> bool:
+        return self._admission is not None and self._admission.may_be_kept(lot_id)
 
     def _accept(self, lot: Lot) -> Accepted | LotRefused | LotUncertain:
         """Store a Lot and begin to run it."""
@@ -194,6 +244,10 @@
             return LotUncertain(outcome.reason)
         return LotRefused(outcome.reason)
 
+    def refused_lots(self) -> list[RefusedLot]:
+        """Return the Lots that this entry has refused lately, the newest first."""
+        return [] if self._admission is None else self._admission.refused_lots()
+
     def read(
         self, lot_id: str, after: int, wait: float
     ) -> LotPage | LotUnknown | LotUnavailable:
--- a/src/wigeonfront/rollout/overload.py
+++ b/src/wigeonfront/rollout/overload.py
@@ -69,6 +69,12 @@
 
     def __init__(self) -> None:
         self._ratio = 1.0
+        self._runs = 0
+
+    @property
+    def known(self) -> bool:
+        """Whether enough runs were recorded for the ratio to be a measurement."""
+        return self._runs * RATIO_WEIGHT >= 1
 
     @property
     def ratio(self) -> float:
@@ -84,6 +90,7 @@
             Expected and actual duration of the run in seconds.
         """
         if expected > 0:
+            self._runs += 1
             self._ratio += RATIO_WEIGHT * (seconds / expected - self._ratio)
 
 
--- a/src/wigeonfront/rollout/owner_calls.py
+++ b/src/wigeonfront/rollout/owner_calls.py
@@ -7,15 +7,17 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import singledispatch
 
 import msgspec
 
 from wigeonfront.clock import Clock
-from wigeonfront.http.client import Answer
+from wigeonfront.http.client import Answer, NotSent
 from wigeonfront.http.pools import Pools
 from wigeonfront.http.raw import RawCall
 from wigeonfront.observability.logs import event
 from wigeonfront.rollout.lot import Lot, SampleResult
+from wigeonfront.rollout.lot_answers import Accepted, LotRefused, LotUncertain
 from wigeonfront.rollout.progress import count_fitting
 
 logger = logging.getLogger(__name__)
@@ -129,9 +131,35 @@
 
 
 class SubmissionAnswer(msgspec.Struct, frozen=True):
-    """Whether the called entry has accepted the Lot; if not, another one may do so."""
+    """Whether the called entry has accepted the Lot; if not, another one may do so.
+
+    Attributes
+    ----------
+    kept : bool
+    in_doubt : bool
+        Whether the Lot may be stored although it is not accepted.
+    refused_for : str
+        Reason for which the engines can't serve the Lot, so that no other entry should
+        accept it either; empty if that is not why it is not kept.
+    retry_after : float
+        Seconds after which the trainer may submit a refused Lot again.
+    """
 
     kept: bool
+    in_doubt: bool = False
+    refused_for: str = ""
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NotTaken:
+    """The called entry has certainly not stored the Lot, and another one may."""
+
+    reason: str
+
+
+Submitted = Accepted | LotRefused | LotUncertain | NotTaken
+"""Outcome of a submission to another entry; `LotRefused` only for capacity."""
 
 
 class SubmissionServer:
@@ -140,10 +168,10 @@
     Parameters
     ----------
     submit : callable
-        Accepts a Lot and owns it; returns whether the Lot is accepted.
+        Accepts a Lot and owns it.
     """
 
-    def __init__(self, submit: Callable[[Lot], bool]) -> None:
+    def __init__(self, submit: Callable[[Lot], Submitted]) -> None:
         self._submit = submit
 
     def answer(self, call: RawCall) -> None:
@@ -154,8 +182,56 @@
             event(logger, "bad_submission", reason=str(error)[:200])
             call.reply(400)
             return
-        kept = self._submit(lot)
-        call.reply(OK, msgspec.msgpack.encode(SubmissionAnswer(kept)))
+        outcome = encode_submitted(self._submit(lot))
+        call.reply(OK, msgspec.msgpack.encode(outcome))
+
+
+@singledispatch
+def encode_submitted(outcome: Submitted) -> SubmissionAnswer:
+    """Return the answer that tells another entry an outcome."""
+    raise TypeError(f"not an outcome of a submission: {outcome!r}")
+
+
+@encode_submitted.register
+def _(outcome: Accepted) -> SubmissionAnswer:
+    # A Lot that the store had already may run elsewhere, or have ended.
+    return SubmissionAnswer(kept=not outcome.already_kept)
+
+
+@encode_submitted.register
+def _(outcome: LotUncertain) -> SubmissionAnswer:
+    return SubmissionAnswer(kept=False, in_doubt=True)
+
+
+@encode_submitted.register
+def _(outcome: NotTaken) -> SubmissionAnswer:
+    return SubmissionAnswer(kept=False)
+
+
+@encode_submitted.register
+def _(outcome: LotRefused) -> SubmissionAnswer:
+    if not outcome.for_capacity:
+        return SubmissionAnswer(kept=False)
+    return SubmissionAnswer(
+        kept=False, refused_for=outcome.reason, retry_after=outcome.retry_after
+    )
+
+
+def decode_submitted(answer: Answer) -> Submitted:
+    """Return the outcome that another entry, perhaps of an older build, has told."""
+    if answer.status != OK:
+        return NotTaken(f"status {answer.status}")
+    try:
+        told = msgspec.msgpack.decode(answer.body, type=SubmissionAnswer)
+    except msgspec.DecodeError as error:
+        return LotUncertain(f"bad answer: {error}")
+    if told.kept:
+        return Accepted()
+    if told.in_doubt:
+        return LotUncertain("in doubt at its owner")
+    if told.refused_for:
+        return LotRefused(told.refused_for, told.retry_after, for_capacity=True)
+    return NotTaken("not kept")
 
 
 class EndServer:
@@ -198,29 +274,31 @@
         """Return whether an entry has recently not accepted a Lot when asked."""
         return self._clock.monotonic() < self._avoided.get(address, 0.0)
 
-    def submit(self, address: str, lot: Lot) -> bool:
+    def submit(self, address: str, lot: Lot) -> Submitted:
         """Ask another entry to accept a Lot and to own it.
 
-        Returns
-        -------
-        bool
-            ``False`` if the entry has not accepted the Lot, or if this is unknown. The
-            caller then accepts the Lot itself, which changes nothing if the store has
-            the Lot already.
+        If that entry neither accepts nor refuses the Lot, the caller accepts the Lot
+        itself, which changes nothing if the store has the Lot already.
         """
         body = msgspec.msgpack.encode(lot)
         answer = self._pools.post(address, SUBMISSION_PATH, body, SUBMISSION_SECONDS)
-        reason = ""
-        if not isinstance(answer, Answer):
-            reason = answer.reason
-        elif answer.status != OK:
-            reason = f"status {answer.status}"
-        elif not _is_kept(answer):
-            reason = "not kept"
-        if reason:
+        outcome: Submitted
+        if isinstance(answer, Answer):
+            outcome = decode_submitted(answer)
+        elif isinstance(answer, NotSent):
+            outcome = NotTaken(answer.reason)
+        else:
+            outcome = LotUncertain(answer.reason)
+        if isinstance(outcome, NotTaken | LotUncertain):
             self._avoided[address] = self._clock.monotonic() + AVOID_SECONDS
-            event(logger, "owner_declined", lot=lot.id, owner=address, reason=reason)
-        return not reason
+            event(
+                logger,
+                "owner_declined",
+                lot=lot.id,
+                owner=address,
+                reason=outcome.reason,
+            )
+        return outcome
 
     def end(self, address: str, lot_id: str) -> bool:
         """Ask the owner to end a Lot; return whether the store has its end."""
@@ -243,10 +321,3 @@
         except msgspec.DecodeError as error:
             event(logger, "bad_owner_answer", owner=address, reason=str(error))
             return None
-
-
-def _is_kept(answer: Answer) -> bool:
-    try:
-        return msgspec.msgpack.decode(answer.body, type=SubmissionAnswer).kept
-    except msgspec.DecodeError:
-        return False
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -20,6 +20,7 @@
 from wigeonfront.rollout.events import Text
 from wigeonfront.rollout.initial_state import EMPTY_STATE, InitialState, create_progress
 from wigeonfront.rollout.lot import Lot, SampleResult
+from wigeonfront.rollout.overload import WorkEstimate
 from wigeonfront.rollout.owner_calls import OwnedResults, ResultsInDoubt
 from wigeonfront.rollout.picking import Picker
 from wigeonfront.rollout.placement import OverloadMonitor, SamplePlacer
@@ -162,6 +163,11 @@
             "samples_running", "Runs in progress.", lambda: float(len(self._runs))
         )
 
+    @property
+    def work(self) -> WorkEstimate:
+        """Ratio of the time that runs take to the expected time."""
+        return self._overload.work
+
     # --- Start and end of Lots -----------------------------------------------
 
     def adopt(
--- a/src/wigeonfront/settings.py
+++ b/src/wigeonfront/settings.py
@@ -224,6 +224,12 @@
     tolerated_losses: int | None = _optional_integer(
         0, 10, "disks whose loss at the same time is tolerated"
     )
+    lot_admission: bool | None = _setting(
+        parse_switch,
+        "yes or no",
+        "refuse Lots at once that the engines can't serve in time; default no",
+        None,
+    )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
