--- a/src/wigeonfront/capacity/admission.py
+++ b/src/wigeonfront/capacity/admission.py
@@ -16,7 +16,7 @@
 from wigeonfront.capacity.demand import LotDemand
 
 ESTIMATE_ERROR = 1.5
-"""Factor by which the expected work of a group may be too high.
+"""Factor by which expected work may be too high. Only what is surely needed counts.
 
 The estimates of single samples scatter by half; a group has several samples.
 """
@@ -97,7 +97,7 @@
     Attributes
     ----------
     needed : float
-        Work until the first group is whole, that of the trainer's earlier Lots
+        Least work until the first group is whole, that of the trainer's earlier Lots
         included.
     available : float
         The trainer's share of the slots while the Lot is of use.
@@ -172,12 +172,12 @@
         group for group in claim.groups if group.longest <= ESTIMATE_ERROR * useful_for
     ]
     shortest = min(group.seconds for group in in_time or claim.groups)
-    fit = Fit(earlier + shortest, available)
+    fit = Fit(earlier + shortest / ESTIMATE_ERROR, available)
     if not in_time:
         return DoesNotFit("no group can end in time", MIN_RETRY_SECONDS, fit)
-    if fit.needed <= ESTIMATE_ERROR * available:
+    if fit.needed <= available:
         return Fits("fits", fit)
-    excess = fit.needed / ESTIMATE_ERROR - available
+    excess = fit.needed - available
     quickest = min(group.longest for group in in_time)
     return DoesNotFit(
         "engines are taken",
@@ -250,7 +250,7 @@
     weights: dict[str, float] = {}
     for demand in demands:
         if demand.trainer != claim.trainer:
-            work = _work_within(demand, seconds)
+            work = _work_within(demand, slots, seconds)
             wanted[demand.trainer] = wanted.get(demand.trainer, 0.0) + work
             weights[demand.trainer] = demand.weight
     rivals = [(weights[trainer], work) for trainer, work in wanted.items()]
@@ -269,11 +269,12 @@
     for demand in sorted(earlier, key=lambda demand: demand.gives_up_in):
         until = max(0.0, min(demand.gives_up_in, useful_for))
         most = max(work, _share(claim, slots, demands, until))
-        work = min(work + _work_within(demand, useful_for), most)
+        work = min(work + _work_within(demand, slots, useful_for), most)
     return work
 
 
-def _work_within(demand: LotDemand, seconds: float) -> float:
-    """Return the slot seconds that a Lot can take in the next `seconds`."""
+def _work_within(demand: LotDemand, slots: float, seconds: float) -> float:
+    """Return the slot seconds that a Lot surely takes in the next `seconds`."""
     until = max(0.0, min(demand.gives_up_in, seconds))
-    return min(demand.seconds, until * (demand.running + demand.waiting))
+    samples = demand.running + demand.waiting
+    return min(demand.seconds / ESTIMATE_ERROR, until * min(samples, slots))
