--- a/src/wigeonfront/capacity/admission.py
+++ b/src/wigeonfront/capacity/admission.py
@@ -15,10 +15,10 @@
 
 from wigeonfront.capacity.demand import LotDemand
 
-ESTIMATE_ERROR = 1.5
+ESTIMATE_ERROR = 1.25
 """Factor by which expected work may be too high. Only what is surely needed counts.
 
-The estimates of single samples scatter by half; a group has several samples.
+The estimates of single samples scatter by half, those of groups of four by a quarter.
 """
 
 MIN_RETRY_SECONDS = 0.3
@@ -151,8 +151,8 @@
     claim : Claim
     capacity : Capacity
     demands : sequence of LotDemand
-        Demands of the accepted Lots of the service, and of the refused Lots whose turn
-        comes before that of this Lot.
+        Demands of the accepted Lots of the service, and of the refused Lots that go
+        before this one; see `with_turns`.
     """
     useful_for = claim.useful_for
     if useful_for is None:
@@ -186,6 +186,32 @@
     )
 
 
+def with_turns(
+    places: Iterable[LotDemand], capacity: Capacity, demands: Sequence[LotDemand]
+) -> list[LotDemand]:
+    """Return the demands of accepted Lots and of the refused ones that go first.
+
+    A refused Lot that would still be refused now holds nothing back, as it would leave
+    slots unused.
+
+    Parameters
+    ----------
+    places : iterable of LotDemand
+        Refused Lots, each with the work of a single group, in the order of their turns.
+    capacity : Capacity
+    demands : sequence of LotDemand
+        Demands of the accepted Lots.
+    """
+    counted = list(demands)
+    for place in places:
+        longest = place.seconds / max(1, place.waiting)
+        group = GroupWork(place.seconds, longest)
+        claim = Claim(place.trainer, place.weight, place.gives_up_in, (group,))
+        if isinstance(decide(claim, capacity, counted), Fits):
+            counted.append(place)
+    return counted
+
+
 def _decide_without_engines(useful_for: float, capacity: Capacity) -> Fits | DoesNotFit:
     """Decide on a Lot of a service without a usable engine.
 
--- a/src/wigeonfront/capacity/demand.py
+++ b/src/wigeonfront/capacity/demand.py
@@ -41,9 +41,11 @@
     running : int
         Samples that are at engines.
     waiting : int
-        Samples without a run that belong to groups the trainer still waits for.
+        Samples without a run that belong to groups the trainer still waits for; for a
+        refused Lot, those of its shortest group.
     seconds : float
-        Seconds of engine slots that the groups still take for which the trainer waits.
+        Seconds of engine slots that the groups still take for which the trainer waits;
+        for a refused Lot, those of its shortest group.
     refused_for : float or None
         Seconds since the Lot was first refused, if it waits for its turn to be accepted
         and so has no runs; ``None`` for an accepted Lot.
--- a/src/wigeonfront/rollout/lot_admission.py
+++ b/src/wigeonfront/rollout/lot_admission.py
@@ -9,6 +9,7 @@
 """
 
 import logging
+import math
 import threading
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -22,6 +23,7 @@
     Fits,
     GroupWork,
     decide,
+    with_turns,
 )
 from wigeonfront.capacity.demand import (
     REPORT_TTL_SECONDS,
@@ -310,11 +312,14 @@
         if not self._work.known:
             return Fits("pace of runs unknown")
         waited = self.refused_for(lot)
-        ahead = [
-            found
-            for found in self._book.refused(service.name)
-            if found.lot != lot.id and (found.refused_for or 0.0) > waited
-        ]
+        places = sorted(
+            (
+                found
+                for found in self._book.refused(service.name)
+                if found.lot != lot.id and (found.refused_for or 0.0) > waited
+            ),
+            key=lambda found: -(found.refused_for or 0.0),
+        )
         useful = useful_seconds(lot)
         claim = Claim(
             trainer_key(lot),
@@ -322,7 +327,8 @@
             useful - waited if useful else None,
             self._groups(lot),
         )
-        return decide(claim, self._capacity(service.name, now), [*demands, *ahead])
+        capacity = self._capacity(service.name, now)
+        return decide(claim, capacity, with_turns(places, capacity, demands))
 
     def _capacity(self, service: str, now: float) -> Capacity:
         watch = self._slots.get(service)
@@ -361,13 +367,18 @@
         """Keep the place of a refused Lot until it is due back."""
         now = self._clock.monotonic()
         age = self.refused_for(lot)
-        demand = self._make_demand(lot, route, service, age)
+        demand = self._make_demand(lot, route, service, age, wanted=1)
         until = now + outcome.retry_after + PLACE_GRACE_SECONDS
         self._places[lot.id] = _Entry(demand, now, until, now - age)
         self._report(now)
 
     def _make_demand(
-        self, lot: Lot, route: Route, service: Service, age: float
+        self,
+        lot: Lot,
+        route: Route,
+        service: Service,
+        age: float,
+        wanted: int | None = None,
     ) -> LotDemand:
         """Return what a Lot demands that has no runs yet.
 
@@ -378,9 +389,11 @@
         service : Service
         age : float
             Seconds since the Lot was first submitted.
+        wanted : int, optional
+            Number of groups that count; by default those that the trainer waits for.
         """
         groups = sorted(group.seconds for group in self._groups(lot))
-        wanted = min(lot.target_groups or len(groups), len(groups))
+        wanted = min(wanted or lot.target_groups or len(groups), len(groups))
         share = wanted / len(groups) if groups else 0.0
         return LotDemand(
             lot=lot.id,
@@ -391,7 +404,7 @@
             due_in=lot.due_seconds - age,
             gives_up_in=useful_seconds(lot) - age,
             running=0,
-            waiting=round(share * len(lot.samples)),
+            waiting=math.ceil(share * len(lot.samples)),
             seconds=sum(groups[:wanted]),
         )
 
