--- a/tests/test_lot_admission_machine.py
+++ b/tests/test_lot_admission_machine.py
@@ -28,7 +28,7 @@
 
 NAMES = ("n1", "n2", "n3")
 TRAINERS = "abcd"
-SLOTS = 4
+SLOTS = 2
 MAX_TRANSFER_SECONDS = 1.0
 """Longest time for which a report is on its way."""
 
