--- a/tests/test_lot_admission.py
+++ b/tests/test_lot_admission.py
@@ -4,14 +4,22 @@
 import pytest
 
 from admission_fakes import SERVICE, Entry, demand_of, make_lot
-from wigeonfront.capacity.admission import PLACE_GRACE_SECONDS
+from deployed import Deployment
+from platform_standins.ports import free_port
+from test_api import LOT as LOT_OF_V1
+from test_api import Api
+from test_entry_node import submit
+from test_settings import ENTRY
+from wigeonfront.capacity.admission import PLACE_GRACE_SECONDS, DoesNotFit, Fit
 from wigeonfront.clock import ManualClock
 from wigeonfront.coordination.membership import Member
 from wigeonfront.http.client import Answer
+from wigeonfront.node.loading import node_settings
+from wigeonfront.rollout import lot_admission
 from wigeonfront.rollout.head import Head
 from wigeonfront.rollout.lot_admission import DOUBT_SECONDS
 from wigeonfront.rollout.lot_answers import Accepted, LotRefused, LotUncertain
-from wigeonfront.rollout.overload import WorkEstimate
+from wigeonfront.rollout.overload import RATIO_WEIGHT, WorkEstimate
 from wigeonfront.rollout.owner_calls import (
     NotTaken,
     SubmissionAnswer,
@@ -20,6 +28,7 @@
 )
 from wigeonfront.rollout.ownership import preferred_owner
 from wigeonfront.rollout.repository import LotRepository
+from wigeonfront.settings import EntrySettings, Rejected, load
 
 LOT = make_lot("lot")
 
@@ -331,3 +340,52 @@
     assert "lot" not in {found.lot for found in entry.book.demands(SERVICE)}
     (reported,) = [found for found in entry.book.own() if found.lot == "lot"]
     assert reported.refused_for == pytest.approx(1.0)
+
+
+# --- at the border -----------------------------------------------------------
+
+
+def test_trainers_and_operators_see_a_refusal(monkeypatch):
+    deployed = Deployment()
+    address = f"127.0.0.1:{free_port('127.0.0.1')}"
+    try:
+        made = deployed.add_entry("n1", lot_admission=True, api_address=address)
+        api = Api(made)
+        for _ in range(round(1 / RATIO_WEIGHT)):
+            made._runner.work.note(1.0, 1.0)
+        refusal = DoesNotFit("engines are taken", 2.5, Fit(9.0, 4.0))
+        monkeypatch.setattr(lot_admission, "decide", lambda *_: refusal)
+        answer = submit(made, "l1")
+        assert (answer.status, answer.retry_after) == (503, 2.5)
+        assert sum(len(engine.run_counts) for engine in deployed.engines) == 0
+        status = api.call("GET", "/v1/status")[1]
+        (refused,) = status["refused_lots"]
+        assert (refused["lot"], refused["reason"]) == ("l1", "engines are taken")
+        events = api.call("GET", "/v1/explain/l1")[1]["events"]
+        assert "lot_refused" in {found["event"] for found in events}
+        answer = api.call("POST", "/v1/lots", LOT_OF_V1)
+        assert (answer[0], answer[1]["error"]) == (503, "not_run")
+        assert answer[1]["retry_after"] == 2.5
+        monkeypatch.undo()
+        assert submit(made, "l1").status == 202
+    finally:
+        deployed.close()
+
+
+@pytest.mark.parametrize(
+    ("flags", "environ", "expected"),
+    [
+        ({}, {}, False),
+        ({"lot_admission": "yes"}, {}, True),
+        ({}, {"WIGEONFRONT_LOT_ADMISSION": "yes"}, True),
+        ({"lot_admission": "no"}, {"WIGEONFRONT_LOT_ADMISSION": "yes"}, False),
+    ],
+)
+def test_admission_is_a_setting_of_entries(flags, environ, expected):
+    given = load(EntrySettings, ENTRY | flags, environ)
+    assert node_settings(given, None).lot_admission is expected
+
+
+def test_a_bad_value_of_the_setting_is_refused():
+    given = load(EntrySettings, ENTRY | {"lot_admission": "perhaps"}, {})
+    assert isinstance(given, Rejected)
