--- a/src/wigeonfront/capacity/admission.py
+++ b/src/wigeonfront/capacity/admission.py
@@ -118,10 +118,13 @@
     ----------
     reason : str
     fit : Fit
+    known : bool
+        Whether an earlier submission of the Lot was accepted, or may have been.
     """
 
     reason: str
     fit: Fit = NO_FIT
+    known: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/rollout/lot_admission.py
+++ b/src/wigeonfront/rollout/lot_admission.py
@@ -91,7 +91,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Entry:
+class _Held:
     """A Lot that is being accepted, or was refused.
 
     Attributes
@@ -100,9 +100,9 @@
     since : float
         Monotonic time from which the demand's times are counted.
     until : float
-        Monotonic time from which the entry no longer counts.
+        Monotonic time from which the Lot no longer counts here.
     first_at : float
-        Monotonic time of the Lot's first submission that this entry knows of.
+        Monotonic time of the first submission that this process knows of.
     attempts : int
         Acceptances in progress. A repeated submission may arrive during the first one.
     stored : bool
@@ -153,8 +153,8 @@
         self._lock = threading.RLock()
         self._slots: dict[str, SlotWatch] = {}
         self._drain: dict[str, DrainRate] = {}
-        self._accepting: dict[str, _Entry] = {}
-        self._places: dict[str, _Entry] = {}
+        self._accepting: dict[str, _Held] = {}
+        self._places: dict[str, _Held] = {}
         self._shown: deque[RefusedLot] = deque(maxlen=MAX_SHOWN_REFUSALS)
         self._outcomes = metrics.counter(
             "lot_admissions_total",
@@ -191,13 +191,13 @@
         """Tell the book which Lots are being accepted or were refused."""
         owned = self._book.owned_lots()
         self._accepting = {
-            id: entry
-            for id, entry in _current(self._accepting, now).items()
-            if id not in owned or entry.attempts
+            id: held
+            for id, held in _current(self._accepting, now).items()
+            if id not in owned or held.attempts
         }
         self._places = _current(self._places, now)
         self._book.set_undecided(
-            [_demand(entry, now) for entry in self._accepting.values()]
+            [_demand(held, now) for held in self._accepting.values()]
             + [
                 replace(_demand(place, now), refused_for=now - place.first_at)
                 for place in self._places.values()
@@ -252,19 +252,19 @@
             Whether this is unknown. The Lot is not refused for `DOUBT_SECONDS`.
         """
         with self._lock:
-            entry = self._accepting.get(lot_id)
-            if entry is None:
+            held = self._accepting.get(lot_id)
+            if held is None:
                 return
             now = self._clock.monotonic()
-            attempts = max(0, entry.attempts - 1)
-            until = entry.until if attempts or entry.stored else now
+            attempts = max(0, held.attempts - 1)
+            until = held.until if attempts or held.stored else now
             if kept or in_doubt:
                 seconds = DOUBT_SECONDS if in_doubt else REPORT_TTL_SECONDS
                 until = max(until, now + seconds)
             self._accepting[lot_id] = replace(
-                entry,
+                held,
                 attempts=attempts,
-                stored=entry.stored or kept or in_doubt,
+                stored=held.stored or kept or in_doubt,
                 until=until,
             )
             self._report(now)
@@ -272,15 +272,15 @@
     def may_be_kept(self, lot_id: str) -> bool:
         """Return whether this process is accepting a Lot or may have stored it."""
         with self._lock:
-            entry = self._accepting.get(lot_id)
-            return entry is not None and entry.until > self._clock.monotonic()
+            held = self._accepting.get(lot_id)
+            return held is not None and held.until > self._clock.monotonic()
 
     def refused_for(self, lot: Lot) -> float:
         """Return the seconds since a Lot was first refused; 0 if it was not."""
         now = self._clock.monotonic()
         with self._lock:
-            entry = self._places.get(lot.id) or self._accepting.get(lot.id)
-        own = now - entry.first_at if entry is not None else 0.0
+            held = self._places.get(lot.id) or self._accepting.get(lot.id)
+        own = now - held.first_at if held is not None else 0.0
         _, service = self._find_service(lot)
         reported = self._book.refused(service.name) if service is not None else []
         ages = [found.refused_for or 0.0 for found in reported if found.lot == lot.id]
@@ -305,10 +305,10 @@
     def _decide(self, lot: Lot, route: Route, service: Service) -> Fits | DoesNotFit:
         now = self._clock.monotonic()
         if self.may_be_kept(lot.id):
-            return Fits("being accepted")
+            return Fits("being accepted", known=True)
         demands = self._book.demands(service.name)
         if any(demand.lot == lot.id for demand in demands):
-            return Fits("accepted elsewhere")
+            return Fits("accepted elsewhere", known=True)
         if not self._work.known:
             return Fits("pace of runs unknown")
         waited = self.refused_for(lot)
@@ -351,14 +351,12 @@
         now = self._clock.monotonic()
         age = self.refused_for(lot)
         self._places.pop(lot.id, None)
-        entry = self._accepting.get(lot.id) or _Entry(
+        held = self._accepting.get(lot.id) or _Held(
             self._make_demand(lot, route, service, age), now, now, now - age
         )
         # `settled` shortens the time.
-        until = max(entry.until, now + ACCEPT_SECONDS)
-        self._accepting[lot.id] = replace(
-            entry, until=until, attempts=entry.attempts + 1
-        )
+        until = max(held.until, now + ACCEPT_SECONDS)
+        self._accepting[lot.id] = replace(held, until=until, attempts=held.attempts + 1)
         self._report(now)
 
     def _keep_place(
@@ -369,7 +367,7 @@
         age = self.refused_for(lot)
         demand = self._make_demand(lot, route, service, age, wanted=1)
         until = now + outcome.retry_after + PLACE_GRACE_SECONDS
-        self._places[lot.id] = _Entry(demand, now, until, now - age)
+        self._places[lot.id] = _Held(demand, now, until, now - age)
         self._report(now)
 
     def _make_demand(
@@ -459,14 +457,14 @@
     return min(late, lot.give_up_seconds) if lot.give_up_seconds > 0 else late
 
 
-def _current(entries: dict[str, _Entry], now: float) -> dict[str, _Entry]:
-    return {id: entry for id, entry in entries.items() if entry.until > now}
+def _current(lots: dict[str, _Held], now: float) -> dict[str, _Held]:
+    return {id: held for id, held in lots.items() if held.until > now}
 
 
-def _demand(entry: _Entry, now: float) -> LotDemand:
-    """Return the demand of an entry with its times counted from `now`."""
-    age = now - entry.since
-    demand = entry.demand
+def _demand(held: _Held, now: float) -> LotDemand:
+    """Return a Lot's demand with its times counted from `now`."""
+    age = now - held.since
+    demand = held.demand
     return replace(
         demand, due_in=demand.due_in - age, gives_up_in=demand.gives_up_in - age
     )
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -170,11 +170,8 @@
             return outcome
         if isinstance(outcome, NotTaken):
             return self._admit(lot)
-        accepted = self._admit(lot, refusable=False)
-        if isinstance(outcome, LotUncertain) and isinstance(accepted, LotRefused):
-            # The preferred owner may have stored the Lot.
-            return LotUncertain(outcome.reason)
-        return accepted
+        # The preferred owner, or this process before, may have stored the Lot.
+        return self._admit(lot, outcome.reason)
 
     def submit_locally(self, lot: Lot) -> Submitted:
         """Accept a Lot that another entry has received, to run it in this process."""
@@ -185,20 +182,29 @@
         # The clock of the VM that received the Lot may differ from this VM's clock.
         return self._admit(replace(lot, submitted_at=self._clock.time()))
 
-    def _admit(
-        self, lot: Lot, refusable: bool = True
-    ) -> Accepted | LotRefused | LotUncertain:
-        """Accept a Lot if the engines can serve it, or if it is not `refusable`."""
+    def _admit(self, lot: Lot, doubt: str = "") -> Accepted | LotRefused | LotUncertain:
+        """Accept a Lot if the engines can serve it.
+
+        Parameters
+        ----------
+        lot : Lot
+        doubt : str
+            Why the Lot may be accepted already, so that it must not be refused; empty
+            if that is not known.
+        """
         if self._admission is None:
-            return self._accept(lot)
+            return _unless_in_doubt(self._accept(lot), doubt)
         waited = self._admission.refused_for(lot)
         decision = self._admission.admit(
-            lot, lambda: refusable and self._surely_unknown(lot.id)
+            lot, lambda: not doubt and self._surely_unknown(lot.id)
         )
         if isinstance(decision, DoesNotFit):
             return LotRefused(decision.reason, decision.retry_after, for_capacity=True)
+        if decision.known:
+            doubt = doubt or decision.reason
         # The Lot is due as counted from its first submission.
-        outcome = self._accept(replace(lot, submitted_at=lot.submitted_at - waited))
+        lot = replace(lot, submitted_at=lot.submitted_at - waited)
+        outcome = _unless_in_doubt(self._accept(lot), doubt)
         self._admission.settled(
             lot.id,
             kept=isinstance(outcome, Accepted),
@@ -514,3 +520,12 @@
     def _load(self, lot_id: str) -> Lot | LotUnknown | LotUnavailable:
         progress = self._runner.owned(lot_id)
         return progress.lot if progress is not None else self._known.load(lot_id)
+
+
+def _unless_in_doubt(
+    outcome: Accepted | LotRefused | LotUncertain, doubt: str
+) -> Accepted | LotRefused | LotUncertain:
+    """Return an outcome that refuses no Lot that may be accepted already."""
+    if doubt and isinstance(outcome, LotRefused):
+        return LotUncertain(doubt)
+    return outcome
--- a/tests/test_lot_admission.py
+++ b/tests/test_lot_admission.py
@@ -158,6 +158,9 @@
     entry.rows.faults.lose_writes = 0
     if applied:
         store_it(entry)
+    entry.rows.faults.down = True
+    assert isinstance(entry.lots.submit(lot), LotUncertain)
+    entry.rows.faults.down = False
     entry.clock.advance(DOUBT_SECONDS / 2)
     entry.admission.observe()
     assert entry.lots.submit(lot) == Accepted(already_kept=applied)
--- a/tests/test_lot_admission_machine.py
+++ b/tests/test_lot_admission_machine.py
@@ -90,14 +90,15 @@
             self.refused_only.discard(lot.id)
         elif lot.id not in self.accepted and lot.id not in self.doubts:
             self.refused_only.add(lot.id)
-        if isinstance(outcome, LotRefused) and outcome.for_capacity:
-            self._check_refusal(lot, name, now)
+        if isinstance(outcome, LotRefused):
+            doubted_by, doubted_at = self.doubts.get(lot.id, ("", 0.0))
+            assert doubted_by != name or now - doubted_at >= DOUBT_SECONDS
+            if outcome.for_capacity:
+                self._check_refusal(lot, now)
 
-    def _check_refusal(self, lot, name, now):
+    def _check_refusal(self, lot, now):
         assert lot.id not in self.accepted
         assert not self._stored(lot)
-        doubted_by, doubted_at = self.doubts.get(lot.id, ("", 0.0))
-        assert doubted_by != name or now - doubted_at >= DOUBT_SECONDS
         # It does not fit if all other Lots of late are accepted, and none has begun.
         recent = useful_seconds(lot) + DOUBT_SECONDS
         others = [
@@ -156,6 +157,10 @@
     def start_entry(self, name):
         if name not in self.entries:
             self._start(name)
+            # A new process knows of no doubt; it asks the store.
+            self.doubts |= {
+                lot: ("", at) for lot, (by, at) in self.doubts.items() if by == name
+            }
 
     @invariant()
     def a_refused_lot_does_not_run(self):
