--- a/src/wigeonfront/capacity/__init__.py
+++ b/src/wigeonfront/capacity/__init__.py
@@ -2,6 +2,8 @@
 
 Each owner of Lots tells the other owners what its Lots still demand of the engines
 (`demand`). From this picture all owners decide alike, without a coordinator.
+`admission` decides which new Lots are accepted, and `observation` measures what the
+engines can do.
 """
 
 from wigeonfront.capacity.demand import DemandBook, LotDemand, trainer_key
--- a/src/wigeonfront/capacity/demand.py
+++ b/src/wigeonfront/capacity/demand.py
@@ -150,6 +150,14 @@
         refused = self._listed(service, refused=True)
         return [demand for demand in refused if demand.lot not in accepted]
 
+    def oldest_report(self) -> float:
+        """Return the age of the oldest report that counts, in seconds; 0 for none."""
+        with self._lock:
+            now = self._clock.monotonic()
+            self._drop_old(now)
+            ages = [now - report.received_at for report in self._reports.values()]
+        return max(ages, default=0.0)
+
     def _listed(self, service: str, refused: bool) -> list[LotDemand]:
         with self._lock:
             now = self._clock.monotonic()
--- a/src/wigeonfront/rollout/lot_admission.py
+++ b/src/wigeonfront/rollout/lot_admission.py
@@ -443,6 +443,7 @@
             drain_rate=capacity.drain_rate,
             demand=_total(demands),
             lots=len(demands),
+            oldest_report=self._book.oldest_report(),
             ratio=self._work.ratio,
             waited=self.refused_for(lot),
         )
--- a/tests/test_capacity_demand.py
+++ b/tests/test_capacity_demand.py
@@ -12,8 +12,20 @@
         return self.now
 
 
-def demand(lot, service="engines", due_in=7.0, waiting=3):
-    return LotDemand(lot, "trainer", service, "m", 1.0, due_in, 12.0, 1, waiting, 4.0)
+def demand(lot, service="engines", due_in=7.0, waiting=3, refused_for=None):
+    return LotDemand(
+        lot,
+        "trainer",
+        service,
+        "m",
+        1.0,
+        due_in,
+        12.0,
+        1,
+        waiting,
+        4.0,
+        refused_for,
+    )
 
 
 @pytest.mark.parametrize(
@@ -49,3 +61,33 @@
     clock.now += 1.5
     assert book.demands("engines")[0].due_in == pytest.approx(5.5)
     assert book.demands("other") == []
+
+
+@pytest.mark.parametrize(
+    ("owned", "reported", "accepted", "refused"),
+    [
+        ([], [], ["accepting"], ["refused"]),
+        # Reported by its owner, and refused by another one before.
+        (["accepting"], [], ["accepting"], ["refused"]),
+        ([], [demand("refused")], ["accepting", "refused"], []),
+        (
+            [],
+            [demand("other", refused_for=3.0)],
+            ["accepting"],
+            ["refused", "other"],
+        ),
+    ],
+)
+def test_refused_lots_are_no_demand(owned, reported, accepted, refused):
+    clock = Clock()
+    book = DemandBook(clock)
+    book.set_undecided([demand("accepting"), demand("refused", refused_for=1.0)])
+    book.set_own(map(demand, owned))
+    book.set_reported("10.0.0.2:1", reported)
+    clock.now += 0.5
+    assert [found.lot for found in book.demands("engines")] == accepted
+    assert [found.lot for found in book.refused("engines")] == refused
+    assert sorted(found.lot for found in book.own()) == ["accepting", "refused"]
+    assert book.oldest_report() == pytest.approx(0.5)
+    for found in book.refused("engines"):
+        assert found.refused_for == {"refused": 1.5, "other": 3.5}[found.lot]
