--- a/src/wigeonfront/api/operations.py
+++ b/src/wigeonfront/api/operations.py
@@ -18,6 +18,7 @@
     InForceReply,
     LotStatus,
     MemberStatus,
+    RefusedLotStatus,
     ShareStatus,
     StatusReply,
     TargetStatus,
@@ -330,6 +331,19 @@
                 )
                 for known in self.engine_shares()
             ],
+            refused_lots=[
+                RefusedLotStatus(
+                    refused.lot,
+                    refused.trainer,
+                    refused.service,
+                    refused.reason,
+                    refused.at,
+                    refused.retry_after,
+                    refused.needed,
+                    refused.available,
+                )
+                for refused in self.lots.refused_lots()
+            ],
         )
 
     def _targets(self) -> list[TargetStatus]:
--- a/src/wigeonfront/rollout/engine_shares.py
+++ b/src/wigeonfront/rollout/engine_shares.py
@@ -326,6 +326,8 @@
     def _own_totals(self, field: str) -> dict[tuple[str, ...], float]:
         totals: Counter[tuple[str, ...]] = Counter()
         for demand in self._book.own():
+            if demand.refused_for is not None:
+                continue
             totals[(demand.service,)] += getattr(demand, field)
         return {key: float(total) for key, total in totals.items()}
 
