rollout: what a trainer waits for is known: groups that an earlier Lot left incomplete

Cause: a group that was left incomplete comes again in a later Lot, and its trainer then waits for it whatever other groups are whole. Owners took any whole groups for wanted ones, so that these, the longest, were ranked last. Change: an owner remembers the samples of incomplete groups of stopped Lots; such groups are required, and the wanted ones are these and the shortest others. While slots are divided between trainers, only samples of waited groups are sent; while slots are short, all others go last.

--- a/src/wigeonfront/rollout/engine_shares.py
+++ b/src/wigeonfront/rollout/engine_shares.py
@@ -22,7 +22,7 @@
 from wigeonfront.configuration import Route
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
-from wigeonfront.rollout.lot_demand import lot_demand
+from wigeonfront.rollout.lot_demand import lot_demand, waited_groups
 from wigeonfront.rollout.placement import SamplePlacer
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.run import Run
@@ -164,6 +164,8 @@
         self._checked_at = -1e9
         self._lots: frozenset[str] = frozenset()
         self._recent: dict[str, RecentTrainers] = {}
+        # Groups that the trainer of each owned Lot waits for.
+        self._waited: Mapping[str, frozenset[str]] = {}
         # Replaced as a whole, so that other threads may read it.
         self._shares: Mapping[str, ServiceShares] = {}
         self._logged: dict[str, tuple[float, int]] = {}
@@ -222,10 +224,13 @@
         self._checked_at = now
         self._lots = ids
         demands = []
+        waited: dict[str, frozenset[str]] = {}
         for progress in active:
             route = routes[progress.lot.id]
             seconds = self._placer.remaining_seconds(route.shares[0].service, ratio)
             demands.append(lot_demand(progress, route, now, seconds))
+            waited[progress.lot.id] = frozenset(waited_groups(progress, seconds))
+        self._waited = waited
         self._book.set_own(demands)
         for service in self._book.services():
             recent = self._recent.setdefault(service, RecentTrainers())
@@ -243,6 +248,10 @@
         shares = self._shares.get(service)
         return shares.allotments.get(trainer) if shares else None
 
+    def waits_for(self, lot_id: str, group: str) -> bool:
+        """Return whether the trainer of an owned Lot waits for a group."""
+        return group in self._waited.get(lot_id, ())
+
     def room(
         self, service: str, trainer: str, usage: RunUsage, now: float
     ) -> EngineRoom | None:
--- a/src/wigeonfront/rollout/overload.py
+++ b/src/wigeonfront/rollout/overload.py
@@ -9,7 +9,7 @@
 holds decisions and data only.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from wigeonfront.rollout.lot import Sample
@@ -47,14 +47,17 @@
 
     Attributes
     ----------
+    unwaited : bool
+        The trainer does not wait for the group.
     late : bool
-        The group can't, or need not, be whole in time.
+        The group can't be whole in time.
     begun : int
         0 if one of the group's samples runs or has generated text, else 1.
     seconds : float
         Seconds that the group's samples need together.
     """
 
+    unwaited: bool = False
     late: bool = False
     begun: int = 0
     seconds: float = 0.0
@@ -157,21 +160,31 @@
     if _fits(lots, work, slots, now):
         return {}
     planned = _planned_groups(lots, work, slots, now)
-    if len(planned) >= MIN_PLANNED_SHARE * sum(map(_missing_groups, lots)):
+    waited = {
+        (progress.lot.id, group)
+        for progress in lots
+        for group in _waited(progress, work[progress.lot.id])
+    }
+    if len(planned) >= MIN_PLANNED_SHARE * len(waited):
         return {
-            (progress.lot.id, group): _planned_rank(
-                group_work, (progress.lot.id, group) in planned
-            )
-            for progress in lots
-            for group, group_work in work[progress.lot.id].items()
+            key: _planned_rank(found, key in planned, key in waited)
+            for key, found in _by_key(work)
         }
+    due_at = {progress.lot.id: progress.due_at for progress in lots}
     return {
-        (progress.lot.id, group): _rank(progress, group_work, now)
-        for progress in lots
-        for group, group_work in work[progress.lot.id].items()
+        key: _rank(found, key in waited, due_at[key[0]], now)
+        for key, found in _by_key(work)
     }
 
 
+def _by_key(
+    work: Mapping[str, Mapping[str, _GroupWork]],
+) -> Iterator[tuple[GroupKey, _GroupWork]]:
+    for lot_id, groups in work.items():
+        for group, found in groups.items():
+            yield (lot_id, group), found
+
+
 def _work_by_group(
     progress: LotProgress, seconds: RemainingSeconds
 ) -> dict[str, _GroupWork]:
@@ -196,12 +209,12 @@
 ) -> bool:
     """Return whether the groups that each Lot still wants can be whole when it is due.
 
-    Of each Lot the groups that need the least time count.
+    Of each Lot the groups count that its trainer waits for.
     """
     needed = 0.0
     for progress in sorted(lots, key=lambda lot: lot.due_at):
-        shortest = sorted(group.seconds for group in work[progress.lot.id].values())
-        needed += sum(shortest[: _missing_groups(progress)])
+        groups = work[progress.lot.id]
+        needed += sum(groups[name].seconds for name in _waited(progress, groups))
         if needed > slots * _time_left(progress, now):
             return False
     return True
@@ -222,26 +235,28 @@
     needed = 0.0
     for progress in sorted(lots, key=lambda lot: lot.due_at):
         room = USABLE_SHARE * slots * _time_left(progress, now)
-        groups = sorted(
-            work[progress.lot.id].items(),
-            key=lambda item: (not item[1].begun, item[1].seconds),
-        )
-        for name, group in groups[: _missing_groups(progress)]:
-            if needed + group.seconds <= room:
-                needed += group.seconds
+        groups = work[progress.lot.id]
+        for name in sorted(
+            _waited(progress, groups),
+            key=lambda name: (not groups[name].begun, groups[name].seconds),
+        ):
+            if needed + groups[name].seconds <= room:
+                needed += groups[name].seconds
                 planned.add((progress.lot.id, name))
     return planned
 
 
-def _missing_groups(progress: LotProgress) -> int:
-    return max(0, progress.wanted_groups - progress.whole_groups)
+def _waited(progress: LotProgress, groups: Mapping[str, _GroupWork]) -> list[str]:
+    return progress.waited_groups(
+        {name: group.seconds for name, group in groups.items()}
+    )
 
 
-def _planned_rank(found: _GroupWork, planned: bool) -> GroupRank:
+def _planned_rank(found: _GroupWork, planned: bool, waited: bool) -> GroupRank:
     """Return the rank of a group; all planned groups have the same one."""
     if planned:
         return GroupRank()
-    return GroupRank(True, 0 if found.begun else 1, found.seconds)
+    return GroupRank(not waited, True, 0 if found.begun else 1, found.seconds)
 
 
 def _time_left(progress: LotProgress, now: float) -> float:
@@ -252,6 +267,6 @@
     return max(0.0, left + (LATE_FACTOR - 1) * progress.lot.due_seconds)
 
 
-def _rank(progress: LotProgress, found: _GroupWork, now: float) -> GroupRank:
-    late = now + found.longest > progress.due_at
-    return GroupRank(late, 0 if found.begun else 1, found.seconds)
+def _rank(found: _GroupWork, waited: bool, due_at: float, now: float) -> GroupRank:
+    late = now + found.longest > due_at
+    return GroupRank(not waited, late, 0 if found.begun else 1, found.seconds)
--- a/src/wigeonfront/rollout/picking.py
+++ b/src/wigeonfront/rollout/picking.py
@@ -81,6 +81,8 @@
                 continue
             room = None
             if divided:
+                if not self._shares.waits_for(*waiting.group_key):
+                    continue
                 room = self._shares.room(service, trainer, usage, now)
                 if room is None:
                     full.add(full_key)
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -242,6 +242,9 @@
     possibly_shown : int
         Position up to which results may have been shown, by this process or by an
         earlier owner.
+    required_groups : frozenset of str
+        Names of the groups that the trainer waits for in any case, because they were
+        left incomplete in an earlier Lot.
     presence_revision : int
         The `since_revision` that the owner's `Presence` had when it became the owner.
     """
@@ -261,6 +264,7 @@
         self.spooled_at = 0.0
         self.possibly_shown = 0
         self.presence_revision = 0
+        self.required_groups: frozenset[str] = frozenset()
         self.due_at = times.likely + lot.due_seconds
         self.gives_up_at = times.latest + lot.give_up_seconds
         self.lot = lot
@@ -338,6 +342,26 @@
         """Number of groups that the trainer waits for."""
         return min(self.lot.target_groups or len(self._groups), len(self._groups))
 
+    def waited_groups(self, seconds: Mapping[str, float]) -> list[str]:
+        """Return the incomplete groups that the trainer waits for.
+
+        These are the required groups, and of the others those that need the least time.
+
+        Parameters
+        ----------
+        seconds : mapping of str to float
+            Seconds that each incomplete group still needs, by its name.
+        """
+        required = self.required_groups
+        whole = sum(
+            group.whole for name, group in self._groups.items() if name not in required
+        )
+        missing = max(0, self.wanted_groups - len(required) - whole)
+        others = sorted(
+            (name for name in seconds if name not in required), key=seconds.get
+        )
+        return [*(name for name in seconds if name in required), *others[:missing]]
+
     def missing_in_group(self, sample: Sample) -> int:
         """Return how many samples of the given sample's group have no result."""
         group = self._groups[sample.group or sample.id]
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -27,7 +27,7 @@
 from wigeonfront.rollout.picking import Picker
 from wigeonfront.rollout.placement import OverloadMonitor, SamplePlacer
 from wigeonfront.rollout.progress import LotProgress, SampleState
-from wigeonfront.rollout.recent_texts import RecentTexts
+from wigeonfront.rollout.recent_texts import IncompleteSamples, RecentTexts
 from wigeonfront.rollout.repository import LotRepository
 from wigeonfront.rollout.result_writer import ResultWriter
 from wigeonfront.rollout.reward_call import RewardCaller
@@ -142,6 +142,7 @@
         # Revision of the head row under which this process last ran each Lot.
         self._run_revisions: dict[str, int] = {}
         self._recent = RecentTexts()
+        self._incomplete = IncompleteSamples()
         self._log = RunLog(metrics)
         self.result_writer = ResultWriter(
             repository,
@@ -203,6 +204,7 @@
                 lot, head_revision, left, self._recent, now, self._clock.time()
             )
             progress.presence_revision = self._presence().since_revision
+            progress.required_groups = self._incomplete.groups_left(lot)
             self._lots[lot.id] = progress
             self._run_revisions[lot.id] = head_revision
             whole = [state for state in progress.open.values() if state.text.whole]
@@ -276,6 +278,7 @@
             if progress is None:
                 return None
             progress.ended = True
+            self._incomplete.note(progress)
             runs = [run for run in self._runs.values() if run.progress is progress]
             for id, state in progress.open.items():
                 if state.text.last_id:
