capacity: a report with a weight of 0 or less is dropped, as one that can't be read

A demand with the weight 0 of another entry would have ended the division of slots with a ZeroDivisionError.

--- a/src/wigeonfront/capacity/demand.py
+++ b/src/wigeonfront/capacity/demand.py
@@ -9,6 +9,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from math import inf
+from typing import Annotated
+
+import msgspec
 
 from wigeonfront.clock import Clock
 from wigeonfront.rollout.lot import Lot
@@ -56,7 +59,7 @@
     trainer: str
     service: str
     model: str
-    weight: float
+    weight: Annotated[float, msgspec.Meta(gt=0)]
     due_in: float
     gives_up_in: float
     running: int
--- a/tests/test_engine_loads.py
+++ b/tests/test_engine_loads.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from platform_standins.server import StandInServer
@@ -143,10 +144,25 @@
     assert owners[1].demands.demands("s") == [DEMAND, own]
 
 
-def test_a_question_that_cannot_be_read_is_dropped_and_answered(owners, caplog):
+@pytest.mark.parametrize(
+    "question",
+    [
+        b"\xc1",
+        *(
+            msgspec.msgpack.encode(
+                {"owner": "h:1", "demands": [replace(DEMAND, weight=weight)]}
+            )
+            for weight in (0.0, -1.0)
+        ),
+    ],
+)
+def test_a_question_that_cannot_be_read_is_dropped_and_answered(
+    owners, question, caplog
+):
     caplog.set_level("INFO")
-    answer = Pools(1.0).post(owners[1].address, REPORT_PATH, b"\xc1", 1.0)
+    answer = Pools(1.0).post(owners[1].address, REPORT_PATH, question, 1.0)
     assert answer.status == 200
+    assert owners[1].demands.demands("s") == []
     assert "event=question_dropped" in caplog.text
 
 
