Shares: no Lot is held back by a wrong reckoning, no slot is kept for what can't run

Found by review, read in the code. A Lot whose wanted groups seemed whole sent nothing more while slots were divided, though its trainer may wait for groups that an owner can't know as required: all groups run once it isn't ended for 1.5 s. Samples that no engine can run, as their weights are being loaded, kept a share that nobody used. A trainer with the share 0 never reached its run after 2 s without any. Required groups were forgotten when a Lot came back to its owner, and kept after they were whole. Runs were scanned at each measured pace. Each but the last has a test that failed before; counts of a report below 0 are dropped with it.

--- a/src/wigeonfront/capacity/demand.py
+++ b/src/wigeonfront/capacity/demand.py
@@ -62,9 +62,9 @@
     weight: Annotated[float, msgspec.Meta(gt=0)]
     due_in: float
     gives_up_in: float
-    running: int
-    waiting: int
-    seconds: float
+    running: Annotated[int, msgspec.Meta(ge=0)]
+    waiting: Annotated[int, msgspec.Meta(ge=0)]
+    seconds: Annotated[float, msgspec.Meta(ge=0)]
     refused_for: float | None = None
 
 
--- a/src/wigeonfront/rollout/engine_shares.py
+++ b/src/wigeonfront/rollout/engine_shares.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from wigeonfront.capacity import DemandBook, LotDemand
@@ -22,11 +22,12 @@
 from wigeonfront.configuration import Route
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
-from wigeonfront.rollout.lot_demand import lot_demand, waited_groups
+from wigeonfront.rollout.lot_demand import lot_demand, open_groups, waited_groups
+from wigeonfront.rollout.overload import RemainingSeconds
 from wigeonfront.rollout.placement import SamplePlacer
-from wigeonfront.rollout.progress import LotProgress
+from wigeonfront.rollout.progress import LotProgress, SampleState
 from wigeonfront.rollout.run import Run
-from wigeonfront.rollout.scheduling import EngineRoom
+from wigeonfront.rollout.scheduling import EngineRoom, OpenSample, WeightNeeds
 
 logger = logging.getLogger(__name__)
 
@@ -39,6 +40,9 @@
 Another owner that does not learn of the trainer would else keep all slots.
 """
 
+END_SECONDS = 1.5
+"""Time in which a trainer reads the last group that it waits for, and ends its Lot."""
+
 LOG_SECONDS = 5.0
 """Minimum time between two log lines about changed shares of one service."""
 
@@ -164,6 +168,8 @@
         self._checked_at = -1e9
         self._lots: frozenset[str] = frozenset()
         self._recent: dict[str, RecentTrainers] = {}
+        # Since when each owned Lot has had nothing that its trainer waits for.
+        self._served_since: dict[str, float] = {}
         # Groups that the trainer of each owned Lot waits for.
         self._waited: Mapping[str, frozenset[str]] = {}
         # Replaced as a whole, so that other threads may read it.
@@ -228,9 +234,14 @@
         for progress in active:
             route = routes[progress.lot.id]
             seconds = self._placer.remaining_seconds(route.shares[0].service, ratio)
-            demands.append(lot_demand(progress, route, now, seconds))
-            waited[progress.lot.id] = frozenset(waited_groups(progress, seconds))
+            groups = self._waited_groups(progress, seconds, now)
+            waited[progress.lot.id] = frozenset(groups)
+            startable = self._startable(route.shares[0].service, now)
+            demands.append(lot_demand(progress, groups, route, now, seconds, startable))
         self._waited = waited
+        self._served_since = {
+            id: since for id, since in self._served_since.items() if id in ids
+        }
         self._book.set_own(demands)
         for service in self._book.services():
             recent = self._recent.setdefault(service, RecentTrainers())
@@ -243,6 +254,35 @@
         self._note_idle(demands, now)
         self._log(now)
 
+    def _waited_groups(
+        self, progress: LotProgress, seconds: RemainingSeconds, now: float
+    ) -> dict[str, list[SampleState]]:
+        """Return the groups that a trainer waits for; all if it does not end its Lot.
+
+        Required groups are unknown after a Lot has come from another owner. A trainer
+        that still reads a Lot whose wanted groups seem whole may wait for others.
+        """
+        groups = waited_groups(progress, seconds)
+        if any(groups.values()):
+            self._served_since.pop(progress.lot.id, None)
+            return groups
+        since = self._served_since.setdefault(progress.lot.id, now)
+        if now - since < END_SECONDS:
+            return groups
+        return open_groups(progress)
+
+    def _startable(self, service: str, now: float) -> Callable[[OpenSample], bool]:
+        """Return a function that tells whether an engine could run a sample now."""
+        known: dict[WeightNeeds, bool] = {}
+
+        def startable(sample: OpenSample) -> bool:
+            needs = sample.needs
+            if needs not in known:
+                known[needs] = self._placer.has_engine(service, needs, now)
+            return known[needs] and sample.state.not_before <= now
+
+        return startable
+
     def allotment(self, service: str, trainer: str) -> Allotment | None:
         """Return what a trainer may use; ``None`` while slots are not divided."""
         shares = self._shares.get(service)
@@ -269,10 +309,10 @@
         allotment = self._shares[service].allotments[trainer]
         runs = usage.of(service, trainer)
         total = sum(runs.values())
-        if total >= allotment.share:
-            return None
         idle_since = self._idle_since.get((service, trainer), now)
         starved = not total and now - idle_since >= MAX_WAIT_SECONDS
+        if total >= allotment.share and not starved:
+            return None
         return EngineRoom(allotment.quotas, runs, starved)
 
     def status(self) -> list[TrainerShare]:
--- a/src/wigeonfront/rollout/overload.py
+++ b/src/wigeonfront/rollout/overload.py
@@ -192,7 +192,8 @@
     for state in progress.open.values():
         group = state.sample.group or state.sample.id
         known = by_group.get(group, _GroupWork(0.0, 0.0, False))
-        need = seconds(state)
+        # A sample whose text is whole waits for its score, which takes no slot.
+        need = 0.0 if state.text.whole else seconds(state)
         by_group[group] = _GroupWork(
             known.seconds + need,
             max(known.longest, need),
--- a/src/wigeonfront/rollout/placement.py
+++ b/src/wigeonfront/rollout/placement.py
@@ -22,6 +22,7 @@
     UNKNOWN_TOKENS,
     EngineRoom,
     OpenSample,
+    WeightNeeds,
     choose_engine,
     expected_seconds,
     should_move,
@@ -173,6 +174,10 @@
 
         return seconds
 
+    def has_engine(self, service: str, needs: WeightNeeds, now: float) -> bool:
+        """Return whether an engine of a service takes samples with given needs."""
+        return bool(usable_engines(self._table.views(service), needs, now))
+
     def engine_slots(self, service: str) -> EngineSlots:
         """Return the slots of a service's engines."""
         views = self._table.views(service)
--- a/src/wigeonfront/rollout/recent_texts.py
+++ b/src/wigeonfront/rollout/recent_texts.py
@@ -25,12 +25,19 @@
         self._lots: OrderedDict[tuple[str, str], str] = OrderedDict()
 
     def note(self, progress: LotProgress) -> None:
-        """Note the samples of a stopped Lot's incomplete groups."""
+        """Note the samples of a stopped Lot's incomplete groups.
+
+        Required groups stay required if the Lot comes back to this process. Groups that
+        have become whole are forgotten.
+        """
         lot = progress.lot
         for sample in lot.samples:
-            if not progress.groups[sample.group or sample.id].whole:
-                self._lots[lot.account, sample.id] = lot.id
-                self._lots.move_to_end((lot.account, sample.id))
+            key, group = (lot.account, sample.id), sample.group or sample.id
+            if progress.groups[group].whole:
+                self._lots.pop(key, None)
+            elif group not in progress.required_groups:
+                self._lots[key] = lot.id
+                self._lots.move_to_end(key)
         while len(self._lots) > MAX_INCOMPLETE_SAMPLES:
             self._lots.popitem(last=False)
 
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -440,9 +440,10 @@
             return
         self._table.record_pace(run.target_id, pace)
         running = OpenSample(run.progress, run.state)
-        if run.handle.moved or not self._placer.should_move(
-            running, run.view, pace, self._room(run)
-        ):
+        if run.handle.moved or not self._placer.should_move(running, run.view, pace):
+            return
+        room = self._room(run)
+        if room and not self._placer.should_move(running, run.view, pace, room):
             return
         run.state.moves += 1
         self._log.moved(run, pace)
--- a/tests/test_engine_shares.py
+++ b/tests/test_engine_shares.py
@@ -32,9 +32,13 @@
 from wigeonfront.clock import ManualClock
 from wigeonfront.configuration import Configuration, Route, RouteKind, ServiceShare
 from wigeonfront.observability.metrics import Registry
-from wigeonfront.rollout.engine_shares import MAX_WAIT_SECONDS, ShareMonitor
+from wigeonfront.rollout.engine_shares import (
+    END_SECONDS,
+    MAX_WAIT_SECONDS,
+    ShareMonitor,
+)
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
-from wigeonfront.rollout.lot_demand import lot_demand
+from wigeonfront.rollout.lot_demand import lot_demand, waited_groups
 from wigeonfront.rollout.picking import Picker
 from wigeonfront.rollout.placement import OverloadMonitor, SamplePlacer
 from wigeonfront.rollout.progress import LotProgress, SubmissionTimes
@@ -177,11 +181,16 @@
     for id in ("a-1-0", "a-1-1"):
         progress.finish(SampleResult(id, completed=True))
     progress.open["a-1-2"].running = True
-    found = lot_demand(progress, make_route("a", 3.0), 1.0, lambda state: 2.0)
+    waited = waited_groups(progress, two_seconds)
+    found = lot_demand(progress, waited, make_route("a", 3.0), 1.0, two_seconds)
     assert (found.running, found.waiting, found.weight) == (1, 1, 3.0)
     assert (found.seconds, found.due_in, found.gives_up_in) == (4.0, 7.0, 12.0)
 
 
+def two_seconds(state):
+    return 2.0
+
+
 def make_route(trainer, weight):
     shares = (ServiceShare(SERVICE, 1.0),)
     return Route(
@@ -492,6 +501,69 @@
     return site
 
 
+def test_a_lot_that_its_trainer_does_not_end_gets_its_other_groups_run():
+    """The trainer may wait for groups that this owner does not know as required."""
+    site = Site({"a": 1.0, "b": 1.0, "c": 1.0}, {"e0": 8, "e1": 8})
+    first, *others = site.owners
+    progress = site.start(first, groups=3, size=2, wanted=2)
+    for sample in progress.lot.samples[:4]:
+        progress.finish(SampleResult(sample.id, completed=True))
+    for owner in others:
+        site.start(owner)
+        for run in owner.send():
+            owner.end(run, completed=False)
+    site.exchange()
+    assert first.send() == []
+    site.clock.advance(END_SECONDS)
+    site.exchange()
+    assert first.send()
+
+
+def test_no_slots_are_kept_for_samples_that_no_engine_can_run():
+    site = Site({"a": 1.0, "b": 1.0}, {"e0": 8, "e1": 8})
+    first, second = site.owners
+    for owner in site.owners:
+        site.start(owner)
+        owner.send()
+    site.exchange()
+    site.clock.advance(0.5)
+    for run in list(first.runs.values()):
+        first.end(run, completed=False)
+    for id in site.engines:
+        first.table.record_refused(id, MODEL)
+    assert first.send() == []
+    site.exchange()
+    second.send()
+    assert second.share is None or second.share == 16
+
+
+def test_a_trainer_without_a_share_gets_a_run_in_time():
+    site = Site({"a": 1.0, "b": 1.0, "c": 1.0}, {"e0": 2})
+    for owner in site.owners:
+        site.start(owner)
+        owner.shares.update(
+            owner.lots.values(), routes_of(owner), 1.0, site.clock.monotonic()
+        )
+    for _ in range(5):
+        site.exchange()
+        for owner in site.owners:
+            owner.shares.update(
+                owner.lots.values(), routes_of(owner), 1.0, site.clock.monotonic()
+            )
+        site.clock.advance(0.5)
+    site.exchange()
+    last = min(site.owners, key=lambda owner: owner.share)
+    assert last.share == 0
+    picks = last.picker.picks(
+        last.lots.values(), last.runs.values(), last.configuration
+    )
+    assert next(picks, None) is not None
+
+
+def routes_of(owner):
+    return dict.fromkeys(owner.lots, owner.configuration.routes[0])
+
+
 def test_slots_are_not_divided_while_an_owner_of_an_older_build_answers():
     site = two_owners_divided()
     first = site.owners[0]
--- a/tests/test_waited_groups.py
+++ b/tests/test_waited_groups.py
@@ -78,10 +78,19 @@
 def test_the_demand_counts_only_groups_that_are_waited_for():
     progress = progress_of(required="d")
     progress.open["b-0"].running = True
-    demand = lot_demand(progress, Routed(), 0.0, seconds)
+    waited = waited_groups(progress, seconds)
+    demand = lot_demand(progress, waited, Routed(), 0.0, seconds)
     assert (demand.running, demand.waiting, demand.seconds) == (1, 4, 10.0)
 
 
+def test_samples_that_no_engine_can_run_now_demand_nothing():
+    progress = progress_of(wanted=1)
+    progress.open["a-0"].running = True
+    waited = waited_groups(progress, seconds)
+    demand = lot_demand(progress, waited, Routed(), 0.0, seconds, lambda sample: False)
+    assert (demand.running, demand.waiting, demand.seconds) == (1, 0, 1.0)
+
+
 @pytest.mark.parametrize(
     ("lot_id", "account", "left"),
     [("later", "", "bc"), ("earlier", "", ""), ("later", "other", "")],
@@ -95,6 +104,19 @@
     assert samples.groups_left(later.lot) == frozenset(left)
 
 
+def test_required_groups_stay_required_until_they_are_whole():
+    samples = IncompleteSamples()
+    samples.note(progress_of("ab", lot_id="first"))
+    again = progress_of("abc", lot_id="second")
+    again.required_groups = samples.groups_left(again.lot)
+    finish(again, "a-0", "a-1")
+    samples.note(again)
+    assert samples.groups_left(again.lot) == frozenset("b")
+    assert samples.groups_left(progress_of("abc", lot_id="third").lot) == frozenset(
+        "bc"
+    )
+
+
 @pytest.mark.parametrize("slots", [2.5, 0.5])
 def test_a_required_group_goes_before_a_shorter_one_that_nobody_waits_for(slots):
     progress = progress_of(groups="abcde", wanted=4, required="e")
