Shares: the cost of a computation doesn't grow with the engines of a service

Cause: five to ten times a second each owner made views of all engines of a service, for each of its Lots. Change: whether the slots suffice, and whether a sample can run, is decided on as many engines as that takes; computed five times a second.

--- a/src/wigeonfront/rollout/engine_shares.py
+++ b/src/wigeonfront/rollout/engine_shares.py
@@ -31,8 +31,9 @@
 
 logger = logging.getLogger(__name__)
 
-CHECK_SECONDS = 0.1
-"""Interval between two computations of the shares; half a round of the exchange."""
+CHECK_SECONDS = 0.2
+"""Interval between two computations of the shares, which look at each open sample; a
+little less than a round of the exchange."""
 
 MAX_WAIT_SECONDS = 2.0
 """Time without a run after which a trainer sends one even to an engine that is full.
@@ -231,13 +232,18 @@
         self._lots = ids
         demands = []
         waited: dict[str, frozenset[str]] = {}
+        startable: dict[str, Callable[[OpenSample], bool]] = {}
         for progress in active:
             route = routes[progress.lot.id]
-            seconds = self._placer.remaining_seconds(route.shares[0].service, ratio)
+            service = route.shares[0].service
+            seconds = self._placer.remaining_seconds(service, ratio)
             groups = self._waited_groups(progress, seconds, now)
             waited[progress.lot.id] = frozenset(groups)
-            startable = self._startable(route.shares[0].service, now)
-            demands.append(lot_demand(progress, groups, route, now, seconds, startable))
+            if service not in startable:
+                startable[service] = self._startable(service, now)
+            demands.append(
+                lot_demand(progress, groups, route, now, seconds, startable[service])
+            )
         self._waited = waited
         self._served_since = {
             id: since for id, since in self._served_since.items() if id in ids
@@ -352,8 +358,14 @@
         present = {claim.key for claim in claims}
         recent = self._recent[service]
         claims += recent.assumed(present, self._book.reported_at, now)
+        wanted = sum(claim.wanted for claim in claims)
+        if len(claims) < 2 or not self._book.complete:
+            return None
+        # Spares the search through all engines of a large service.
+        if self._placer.suffices(service, wanted):
+            return None
         engines = self._placer.engine_slots(service)
-        if not self._book.complete or not slots_short(claims, engines.usable):
+        if not slots_short(claims, engines.usable):
             return None
         trainers = trainer_shares(claims, engines.usable)
         by_lot = lot_shares(demands, trainers)
@@ -369,7 +381,6 @@
             )
             for trainer, keys in own.items()
         }
-        wanted = sum(claim.wanted for claim in claims)
         return ServiceShares(engines.usable, wanted, trainers, allotments)
 
     def _own_totals(self, field: str) -> dict[tuple[str, ...], float]:
--- a/src/wigeonfront/rollout/placement.py
+++ b/src/wigeonfront/rollout/placement.py
@@ -176,7 +176,26 @@
 
     def has_engine(self, service: str, needs: WeightNeeds, now: float) -> bool:
         """Return whether an engine of a service takes samples with given needs."""
-        return bool(usable_engines(self._table.views(service), needs, now))
+        limits = (MAX_CANDIDATES, None)
+        return any(
+            usable_engines(self._table.views(service, limit), needs, now)
+            for limit in limits
+        )
+
+    def suffices(self, service: str, slots: int) -> bool:
+        """Return whether a service has so many usable slots.
+
+        No more engines are looked at than about four times those that it takes.
+        """
+        limit = MAX_CANDIDATES
+        while True:
+            views = self._table.views(service, limit)
+            usable = (view for view in views if view.available and not view.draining)
+            if sum(view.target.slots for view in usable) >= slots:
+                return True
+            if len(views) < limit:
+                return False
+            limit *= 4
 
     def engine_slots(self, service: str) -> EngineSlots:
         """Return the slots of a service's engines."""
--- a/tests/test_engine_shares.py
+++ b/tests/test_engine_shares.py
@@ -560,6 +560,23 @@
     assert next(picks, None) is not None
 
 
+@pytest.mark.parametrize(
+    ("engines", "wanted", "most_views"), [(3000, 1000, 128), (3000, 4096, 640)]
+)
+def test_a_large_service_is_not_searched_whole_while_its_slots_suffice(
+    engines, wanted, most_views
+):
+    site = Site({"a": 1.0}, {f"e{n}": 8 for n in range(engines)})
+    table = site.owners[0].table
+    placer = SamplePlacer(table, lambda: None, site.clock)
+    seen = []
+    views = table.views
+    table.views = lambda service, limit: seen.append(limit) or views(service, limit)
+    assert placer.suffices(SERVICE, wanted)
+    assert sum(seen) <= most_views
+    assert not placer.suffices(SERVICE, engines * 8 + 1)
+
+
 def routes_of(owner):
     return dict.fromkeys(owner.lots, owner.configuration.routes[0])
 
