Logs: the way of a configuration version, with ages

Cause: three explanations of a change that is in force late could not be told apart: several sources that stop answering one after the other, a source that states its copy as newer than it is, and a change that is skipped. The configuration line had no revision and no age, source_lost not the time that it cost, and a request's answer not the version that decided it. Change: configuration has revision and age, source_lost has seconds, answer and reward_call_sent have version; rows_outdated tells for how long rows were used beyond their bound. Result: a test of rows_outdated; the tests of mirrors, scoring and entries pass.

--- a/src/wigeonfront/coordination/feed.py
+++ b/src/wigeonfront/coordination/feed.py
@@ -269,6 +269,7 @@
 
     def _ask(self, address: str, call: FeedCall) -> FeedAnswer | None:
         """Return a source's answer, or ``None`` where the source can't be used."""
+        asked_at = self._clock.monotonic()
         reply = self._post(address, call)
         reason, pause = "no answer", AVOID_SECONDS
         if isinstance(reply, NotSent) and reply.refused:
@@ -282,7 +283,14 @@
             else:
                 reason = "too old"
         self._avoided_until[address] = self._clock.monotonic() + pause
-        event(logger, "source_lost", source=address, prefix=call.prefix, reason=reason)
+        event(
+            logger,
+            "source_lost",
+            source=address,
+            prefix=call.prefix,
+            reason=reason,
+            seconds=self._clock.monotonic() - asked_at,
+        )
         return None
 
     def _post(self, address: str, call: FeedCall) -> Reply:
--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -83,6 +84,8 @@
     wait : float
         Longest time that one watch waits, in seconds. When the store drops its history,
         a waiting watch may miss the changes before; only the next watch reports it.
+    outdated_seconds : float
+        Age of the rows, in seconds, above which it is logged how old they had become.
 
     Examples
     --------
@@ -109,6 +112,7 @@
         on_change: OnChange = lambda mirror: None,
         pause: float = 0.0,
         wait: float = WATCH_SECONDS,
+        outdated_seconds: float = math.inf,
     ) -> None:
         self._source = source
         self._prefix = prefix
@@ -116,6 +120,7 @@
         self._on_change = on_change
         self._pause = pause
         self._wait = wait
+        self._outdated_seconds = outdated_seconds
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
         self._kept_changes: deque[Change] = deque(maxlen=MAX_KEPT_CHANGES)
@@ -298,10 +303,19 @@
         now = self._clock.monotonic()
         with self._lock:
             fresh_at = now - self._source.age
+            outdated = now - self._fresh_at if self._revision else 0.0
             if fresh_at - self._fresh_at > self._max_interval:
                 self._followed_since = fresh_at
             self._fresh_at = fresh_at
             self._changed.notify_all()
+        if outdated > self._outdated_seconds:
+            event(
+                logger,
+                "rows_outdated",
+                prefix=self._prefix,
+                seconds=outdated,
+                source_age=self._source.age,
+            )
         if self._failing_since is not None:
             self._note_regained(now)
 
--- a/src/wigeonfront/node/following.py
+++ b/src/wigeonfront/node/following.py
@@ -97,12 +97,12 @@
         state = mirror.state()
         row = state.rows.get(records.CONFIGURATION_KEY)
         if row is not None:
-            self._update_configuration(row)
+            self._update_configuration(row, mirror.age)
         for key, row in state.rows.items():
             if key.startswith(records.VERSION_PREFIX):
                 self._update_version(key.removeprefix(records.VERSION_PREFIX), row)
 
-    def _update_configuration(self, row: Row) -> None:
+    def _update_configuration(self, row: Row, age: float) -> None:
         new = records.decode_configuration(row.value, self._with_accounts)
         if isinstance(new, records.BadRow):
             self._bad_rows.log_once(row, new)
@@ -115,6 +115,8 @@
             version=new.version,
             previous=self.version,
             routes=len(new.routes),
+            revision=row.revision,
+            age=age,
         )
         self._current = new
         self._on_configuration(new)
--- a/src/wigeonfront/node/store_view.py
+++ b/src/wigeonfront/node/store_view.py
@@ -173,6 +173,7 @@
             self._clock,
             on_change,
             wait=seconds,
+            outdated_seconds=self._settings.bounds.configuration_seconds,
         )
 
     def _target_mirror(self, on_change: OnChange) -> Mirror:
@@ -184,6 +185,7 @@
             on_change,
             TARGET_PAUSE_SECONDS,
             seconds - TARGET_PAUSE_SECONDS,
+            self._settings.bounds.drain_seconds,
         )
 
     def _live_mirror(self, on_change: OnChange) -> Mirror:
--- a/src/wigeonfront/platform/front.py
+++ b/src/wigeonfront/platform/front.py
@@ -150,10 +150,11 @@
             keyed = configuration.accounts is not None
             request = _request(call, route, body, admitted, keyed)
             deadline = self._deadline(call, started)
+            version = configuration.version
             if route.kind is RouteKind.STREAMING:
                 self._streams.forward(request, route, started, deadline, call)
             else:
-                self._forward_plain(call, request, route, deadline, started)
+                self._forward_plain(call, request, route, version, deadline, started)
         self._observe_seconds(route.kind.value, started)
 
     def _observe_seconds(self, kind: str, started: float) -> None:
@@ -172,6 +173,7 @@
         call: RawCall,
         request: ForwardRequest,
         route: Route,
+        version: int,
         deadline: float,
         started: float,
     ) -> None:
@@ -184,6 +186,7 @@
             "answer",
             request=request.id,
             route=route.name,
+            version=version,
             account=request.account,
             status=status,
             reason=getattr(ended, "reason", ""),
--- a/src/wigeonfront/rollout/scoring.py
+++ b/src/wigeonfront/rollout/scoring.py
@@ -180,7 +180,7 @@
                 if not due.state.call.sends:
                     full.add(service)
                 continue
-            self._start(_Call(due, view, route))
+            self._start(_Call(due, view, route), configuration.version)
         return any(
             state.text.whole
             for progress in self._lots()
@@ -222,7 +222,7 @@
             self._clock.monotonic() - state.call.due_since,
         )
 
-    def _start(self, call: _Call) -> None:
+    def _start(self, call: _Call, version: int) -> None:
         state = call.due.state
         state.call.sends += 1
         state.call.sent_at = self._clock.monotonic()
@@ -234,6 +234,7 @@
             lot=call.due.progress.lot.id,
             sample=state.sample.id,
             call=call.reward_call.id,
+            version=version,
             target=call.target_id,
             load=call.view.in_flight,
             slots=call.view.target.slots,
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -404,3 +404,17 @@
     rows.watch(PREFIX, mirror.revision, 0.6)
     server.stop()
     assert waits == [0.0, pytest.approx(wait)]
+
+
+def test_rows_that_were_used_for_too_long_are_logged(caplog):
+    store, clock = make_store(), ManualClock(100.0)
+    store.put("op/a", b"1")
+    mirror = Mirror(DirectRows(store), PREFIX, clock, wait=0.0, outdated_seconds=2.0)
+    clock.advance(9.0)
+    assert mirror._list()
+    clock.advance(1.9)
+    assert mirror._watch()
+    assert "rows_outdated" not in caplog.text
+    clock.advance(2.1)
+    assert mirror._watch()
+    assert "event=rows_outdated prefix=op/ seconds=2.1" in caplog.text
