Relays: one that is cut off as well says so at once, and another is asked

Callers of an entry that the store turns away got an old version: a relay that is turned away too waited for the store as long as its caller did. Change: a relay calls the store by the same rule as for its own calls, so one that has just failed answers Unavailable at once; up to four relays are asked, within the time that one may take.

--- a/src/wigeonfront/coordination/relay.py
+++ b/src/wigeonfront/coordination/relay.py
@@ -49,9 +49,9 @@
 """Longest wait for a relayed call: the longest wait of the relay for the store, and the
 latency between the processes."""
 
-MAX_RELAYS = 2
-"""Number of relays that are asked for one call; a third one fails for the same reason
-in most cases."""
+MAX_RELAYS = 4
+"""Number of relays that are asked for one call. Relays that are cut off from the store
+as well answer at once; after `RELAY_CALL_SECONDS` no further one is asked."""
 
 OK = 200
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -187,11 +187,11 @@
 
     Parameters
     ----------
-    store : RowStore
-        The store, which is called directly.
+    store : RoutedStore
+        Calls the store directly, unless that has just failed.
     """
 
-    def __init__(self, store: RowStore) -> None:
+    def __init__(self, store: "RoutedStore") -> None:
         self._store = store
 
     def answer(self, call: RawCall) -> None:
@@ -202,7 +202,7 @@
             event(logger, "bad_relay_call", reason=str(error)[:200])
             call.reply(400)
             return
-        outcome = request.execute(self._store)
+        outcome = self._store.call_directly(request)
         call.reply(
             200, encode_outcome(outcome), (("Content-Type", "application/json"),)
         )
@@ -289,10 +289,15 @@
         """End a lease at once."""
         return self._call(RevokeCall(lease))
 
+    def call_directly(self, call: StoreCall) -> Any:
+        """Make a call without relays; `Unavailable` while direct calls fail."""
+        if not self._should_call_directly():
+            return Unavailable("cut off")
+        return self._execute(call)
+
     def _call(self, call: StoreCall, wait: float = 0.0) -> Any:
         if self._should_call_directly():
-            outcome: Any = call.execute(self._direct)
-            self._note_direct(outcome)
+            outcome = self._execute(call)
             if not isinstance(outcome, Unavailable):
                 return outcome
             relayed = self._relay(call, wait)
@@ -301,7 +306,10 @@
         if relayed is not None:
             return relayed
         # No relay could be asked, so a direct call that may fail is still better.
-        outcome = call.execute(self._direct)
+        return self._execute(call)
+
+    def _execute(self, call: StoreCall) -> Any:
+        outcome: Any = call.execute(self._direct)
         self._note_direct(outcome)
         return outcome
 
@@ -337,7 +345,10 @@
         body = msgspec.json.encode(call)
         outcome: Any = None
         in_doubt = False
+        until = self._clock.monotonic() + RELAY_CALL_SECONDS
         for address in addresses[:MAX_RELAYS]:
+            if self._clock.monotonic() >= until:
+                break
             timeout = RELAY_CALL_SECONDS + wait
             answer = self._pools.post(address, RELAY_PATH, body, timeout)
             if not isinstance(answer, Answer) or answer.status != OK:
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -360,7 +360,7 @@
 
     def _make_peer_calls(self) -> PeerCalls:
         return PeerCalls(
-            RelayServer(self._meter),
+            RelayServer(self._store),
             FeedServer(lambda: self._view.mirrors),
             ResultServer(self._lots.read_locally),
             SubmissionServer(self._lots.submit_locally),
--- a/tests/test_configuration_delay.py
+++ b/tests/test_configuration_delay.py
@@ -90,6 +90,7 @@
         self.world = world
         self.connect_seconds = connect_seconds
         self.connected = set()
+        self.relays = {}
 
     def post(self, address, path, body, timeout):
         world, now = self.world, self.world.clock.monotonic()
@@ -112,14 +113,19 @@
         cut_off_at = self.world.cut_off.get(address, NEVER)
         if path == RELAY_PATH:
             call = msgspec.json.decode(body, type=WatchCall)
-            return encode_outcome(
-                Store(self.world, address).watch(PREFIX, call.after, call.timeout)
-            )
+            return encode_outcome(self._relay(address).call_directly(call))
         call = msgspec.json.decode(body, type=FeedCall)
         changes, known_at = self.world.watch(call.after, call.wait, cut_off_at)
         age = self.world.clock.monotonic() - known_at
         return msgspec.json.encode(FeedChanges(changes, age))
 
+    def _relay(self, name):
+        """Return the store as another process calls it for this one."""
+        if name not in self.relays:
+            store, clock = Store(self.world, name), self.world.clock
+            self.relays[name] = RoutedStore(store, lambda: (), clock, Random(1))
+        return self.relays[name]
+
 
 class Pause:
     """The stop event of a mirror, whose waits advance the clock."""
@@ -183,3 +189,18 @@
     worlds = [failing_world(seed, share)[0] for seed in range(WORLDS)]
     delays = [seconds_until_in_force(world, SOURCES, bound, PEERS) for world in worlds]
     assert max(delays) < bound
+
+
+@pytest.mark.parametrize(("bound", "stretch"), [(2.0, 5.0), (3.0, 6.0), (4.0, 8.0)])
+@pytest.mark.parametrize("share", [0.35, 0.5, 0.7])
+def test_a_process_cut_off_from_the_store_finds_a_peer_that_is_not(
+    bound, stretch, share
+):
+    delays = []
+    for seed in range(WORLDS):
+        world, random = failing_world(seed, share)
+        world.cut_off["own"] = world.changed_at - random.uniform(0.0, 3.0)
+        for name in FAILURES:
+            getattr(world, name).pop(PEERS[-1], None)
+        delays.append(seconds_until_in_force(world, SOURCES, bound, PEERS))
+    assert max(delays) < bound + stretch
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -48,7 +48,7 @@
 @pytest.fixture
 def relay():
     store = make_store()
-    address, server = serve(RelayServer(store).answer)
+    address, server = serve(RelayServer(make_routed(store)).answer)
     yield store, address
     server.stop()
 
@@ -166,3 +166,24 @@
     store.write((), (Put("lot-results/x/0", b"1"),))
     store.list("op/", stale=True)
     assert store.totals() == "get:live=1,stale_list:op=1,write:lot-results=1"
+
+
+def test_a_relay_that_is_cut_off_answers_without_calling_the_store():
+    direct = FailingStore(Unavailable("ReadTimeoutError"))
+    cut_off = make_routed(direct)
+    cut_off.get("a")
+    address, server = serve(RelayServer(cut_off).answer)
+    good = make_store()
+    good.put("a", b"1")
+    other, second = serve(RelayServer(make_routed(good)).answer)
+    for seed in range(8):
+        routed = RoutedStore(
+            FailingStore(Unavailable("x")),
+            lambda: (address, other),
+            SystemClock(),
+            random.Random(seed),
+        )
+        assert routed.get("a").value == b"1"
+    assert direct.calls == 1
+    server.stop()
+    second.stop()
