Mirrors: a row newer than its listing is not kept from followers

A listing of several pages has the revision of its first page, so a row of a later page may be newer. The watch that follows tells that change again; the mirror knew the row and did not keep the change for its followers. One that had listed elsewhere before it got the revision without the change, and kept the older row until the row's next write. Found by reading; possible for the targets and live processes of large deployments (more than 500 rows), not for the configuration, whose listing is one page. Change: each change that a watch tells is kept for followers. Result: the test failed before ([] for ['op/b']).

--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -283,12 +283,14 @@
         return True
 
     def _apply(self, change: Change) -> None:
-        known = self._rows.get(change.key)
-        if known is not None and known.revision >= change.revision:
-            return
+        # Also if the row is known: a listing of several pages may have rows that are
+        # newer than its revision, and followers may have listed before them.
         if len(self._kept_changes) == MAX_KEPT_CHANGES:
             self._kept_after = self._kept_changes[0].revision
         self._kept_changes.append(change)
+        known = self._rows.get(change.key)
+        if known is not None and known.revision >= change.revision:
+            return
         if change.value is None:
             self._rows.pop(change.key, None)
         else:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -19,7 +19,7 @@
 )
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
-from wigeonfront.coordination.rows import Changes, Row
+from wigeonfront.coordination.rows import Changes, Listing, Row
 
 PREFIX = "op/"
 
@@ -421,3 +421,23 @@
     clock.advance(2.1)
     assert mirror._watch()
     assert "event=rows_outdated prefix=op/ seconds=2.1" in caplog.text
+
+
+class PagedStore(DirectRows):
+    """A store whose listing has a row that was written after its revision."""
+
+    def list(self, prefix):
+        listing = super().list(prefix)
+        return Listing(listing.rows, listing.revision - 1)
+
+
+def test_a_row_newer_than_its_listing_is_not_kept_from_followers():
+    store = make_store()
+    store.put("op/a", b"1")
+    before = store.list(PREFIX).revision
+    store.put("op/b", b"2")
+    mirror = Mirror(PagedStore(store), PREFIX, SystemClock(), wait=0.0)
+    assert mirror._list()
+    assert mirror._watch()
+    newer = mirror.changes_after(before, 0.0)
+    assert [change.key for change in newer.changes] == ["op/b"]
