Feeds: rows are as old as what proves them, also when an answer is late

Cause, by reading: the age of rows decides when a source is left, and which answers may be given to callers; it counted from the arrival of an answer. An answer of a source that was on its way for a second, or a late answer of the store, made the rows look a second newer, and its followers believed it: their wait of up to 1.67 s (bound 2 s) then began a second late. An answer that the history is gone made the rows look new, though changes were missing; until they were listed, an unknown key was refused for good on their age. Change: a source says for how long it held a call, so the time on the way counts as age; a listing counts from its request, a watch without changes from the end of its wait; without the history nothing is known. What an answer says of its age is read together with the changes. Not covered: an answer of the store with changes counts from its arrival. Result: 7 of 9 new cases fail on the code before, as rows of an age of 0.4 to 3.0 s looked new. Older builds don't say for how long they held a call; their answers count as older than they are.

--- a/src/wigeonfront/coordination/feed.py
+++ b/src/wigeonfront/coordination/feed.py
@@ -81,11 +81,14 @@
         Time by which the rows may be behind the store, in seconds.
     followed : float
         Time for which the mirror has followed its rows without a break, in seconds.
+    held : float
+        Time for which the call waited for a change, in seconds.
     """
 
     changes: Changes
     age: float
     followed: float = 0.0
+    held: float = 0.0
 
 
 class FeedRefused(msgspec.Struct, frozen=True, tag="refused"):
@@ -173,12 +176,12 @@
         if mirror is None or not mirror.ready:
             return FeedRefused("no such mirror yet")
         if request.after < 0:
-            state = mirror.state()
+            age, state = mirror.age, mirror.state()
             listing = Listing(tuple(state.rows.values()), state.revision)
-            return FeedListing(listing, mirror.age)
+            return FeedListing(listing, age)
         wait = min(request.wait, MAX_WAIT_SECONDS)
-        changes = mirror.changes_after(request.after, wait)
-        return FeedChanges(changes, mirror.age, mirror.followed_seconds)
+        read = mirror.read_after(request.after, wait)
+        return FeedChanges(read.changes, read.age, mirror.followed_seconds, read.held)
 
 
 class FollowedRows:
@@ -289,12 +292,15 @@
         left = max(0.0, self._seconds_until_too_old())
         # A store that failed shows without a wait whether it has returned.
         wait = 0.0 if STORE in self._avoided_until else min(timeout, left)
+        asked_at = self._clock.monotonic()
         found = ask(wait)
         if isinstance(found, Unavailable):
             self._avoided_until[STORE] = self._clock.monotonic() + AVOID_SECONDS
         else:
             self._avoided_until.pop(STORE, None)
-            self._note_source(STORE, 0.0)
+            now = self._clock.monotonic()
+            self._note_source(STORE)
+            self._note_known(known_until(found, asked_at, wait, now))
         return found
 
     def _seconds_until_too_old(self) -> float:
@@ -322,11 +328,15 @@
         avoided_until = self._avoided_until.get(source, -math.inf)
         return avoided_until <= self._clock.monotonic()
 
-    def _note_source(self, source: str, age: float) -> None:
-        self.age = age
-        fresh_at = self._clock.monotonic() - age
+    def _note_known(self, known_at: float | None) -> None:
+        """Record the time as of which the rows are known by an answer, if by any."""
+        if known_at is None:
+            return
+        self.age = self._clock.monotonic() - known_at
         known = math.isfinite(self._fresh_at)
-        self._fresh_at = max(self._fresh_at, fresh_at) if known else fresh_at
+        self._fresh_at = max(self._fresh_at, known_at) if known else known_at
+
+    def _note_source(self, source: str) -> None:
         if source != self._current:
             event(logger, "rows_followed", source=source)
             self._current = source
@@ -343,7 +353,8 @@
             if isinstance(answer, FeedRefused):
                 reason = answer.reason
             elif answer is not None and answer.age <= self._max_age:
-                self._note_source(address, answer.age)
+                self._note_source(address)
+                self._note_known(told_until(answer, asked_at))
                 return answer
             else:
                 reason = "too old"
@@ -364,6 +375,42 @@
         return self._pools.post(address, FEED_PATH, body, timeout)
 
 
+def known_until(
+    found: Listing | Changes, asked_at: float, wait: float, now: float
+) -> float | None:
+    """Return the time as of which the rows are known by an answer of the store.
+
+    A listing proves the time of its request, and a watch without changes its whole
+    wait. An answer with changes doesn't show when it was sent; it counts as just sent.
+    Without the history, the rows are not known.
+
+    Parameters
+    ----------
+    asked_at, now : float
+        Monotonic times of the call and of its answer.
+    wait : float
+        Time that a watch was to wait, in seconds.
+    """
+    if isinstance(found, Listing):
+        return asked_at
+    if found.compacted:
+        return None
+    return now if found.changes else min(now, asked_at + wait)
+
+
+def told_until(answer: FeedListing | FeedChanges, asked_at: float) -> float | None:
+    """Return the time as of which the rows are known by the answer of a source.
+
+    The answer may have been on its way for any time that the source did not hold the
+    call.
+    """
+    if isinstance(answer, FeedListing):
+        return asked_at - answer.age
+    if answer.changes.compacted:
+        return None
+    return asked_at + answer.held - answer.age
+
+
 def feed_sources(
     own_member: Member, members: Iterable[Member], seeds: Sequence[str]
 ) -> list[str]:
--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -68,6 +68,24 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class FollowedChanges:
+    """What a mirror answers to a follower.
+
+    Attributes
+    ----------
+    changes : Changes
+    age : float
+        Time by which the mirror may have been behind the store, in seconds.
+    held : float
+        Time for which the call waited for a change, in seconds.
+    """
+
+    changes: Changes
+    age: float
+    held: float
+
+
 class Mirror:
     """A replica of the rows below one prefix.
 
@@ -198,7 +216,7 @@
         """Time by which the rows may be behind the store, in seconds."""
         return self._clock.monotonic() - self._fresh_at
 
-    def changes_after(self, after: int, wait: float) -> Changes:
+    def read_after(self, after: int, wait: float) -> FollowedChanges:
         """Return the changes after a revision; wait for one if there is none.
 
         The wait also ends once the store has answered that there is no change. Each
@@ -211,22 +229,32 @@
         wait : float
             Longest wait in seconds.
         """
-        deadline = self._clock.monotonic() + wait
+        began = self._clock.monotonic()
         with self._lock:
-            fresh_at = self._fresh_at
-            while self._revision <= after:
-                if self._fresh_at > fresh_at + MIN_ADVANCE_SECONDS:
-                    return Changes((), after)
-                remaining = deadline - self._clock.monotonic()
-                if remaining <= 0:
-                    return Changes((), after)
-                self._changed.wait(remaining)
-            if after < self._kept_after:
-                return Changes((), after, compacted=True)
-            newer = tuple(
-                change for change in self._kept_changes if change.revision > after
-            )
-            return Changes(newer, self._revision)
+            self._await_news(after, began + wait)
+            changes = self._kept_changes_after(after)
+            return FollowedChanges(changes, self.age, self._clock.monotonic() - began)
+
+    def _await_news(self, after: int, deadline: float) -> None:
+        """Wait until there are changes, or until the rows have become more recent."""
+        fresh_at = self._fresh_at
+        while self._revision <= after:
+            if self._fresh_at > fresh_at + MIN_ADVANCE_SECONDS:
+                return
+            remaining = deadline - self._clock.monotonic()
+            if remaining <= 0:
+                return
+            self._changed.wait(remaining)
+
+    def _kept_changes_after(self, after: int) -> Changes:
+        if self._revision <= after:
+            return Changes((), after)
+        if after < self._kept_after:
+            return Changes((), after, compacted=True)
+        newer = tuple(
+            change for change in self._kept_changes if change.revision > after
+        )
+        return Changes(newer, self._revision)
 
     def run(self, stop: threading.Event) -> None:
         """Follow the store (a supervisor's task)."""
@@ -267,7 +295,8 @@
         if isinstance(changes, Unavailable):
             self._note_failure("watch", changes.reason)
             return False
-        self._note_answer()
+        # Without the history the rows are as old as before, until they are listed.
+        self._note_answer(known=not changes.compacted)
         if changes.compacted:
             event(logger, "history_gone", prefix=self._prefix, after=self._revision)
             self._listed = False
@@ -301,15 +330,9 @@
             self._failing_since = self._clock.monotonic()
             event(logger, "store_lost", prefix=self._prefix, call=call, reason=reason)
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, known: bool = True) -> None:
         now = self._clock.monotonic()
-        with self._lock:
-            fresh_at = now - self._source.age
-            outdated = now - self._fresh_at if self._revision else 0.0
-            if fresh_at - self._fresh_at > self._max_interval:
-                self._followed_since = fresh_at
-            self._fresh_at = fresh_at
-            self._changed.notify_all()
+        outdated = self._note_known(now) if known else 0.0
         if outdated > self._outdated_seconds:
             event(
                 logger,
@@ -321,6 +344,17 @@
         if self._failing_since is not None:
             self._note_regained(now)
 
+    def _note_known(self, now: float) -> float:
+        """Record as of when the rows are known; return how old they had become."""
+        with self._lock:
+            fresh_at = now - self._source.age
+            outdated = now - self._fresh_at if self._revision else 0.0
+            if fresh_at - self._fresh_at > self._max_interval:
+                self._followed_since = fresh_at
+            self._fresh_at = max(self._fresh_at, fresh_at)
+            self._changed.notify_all()
+        return outdated
+
     def _note_regained(self, now: float) -> None:
         """Record the end of a failure, and by when the store had returned.
 
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -13,6 +13,8 @@
     FOLLOWERS_PER_ENTRY,
     MAX_PEERS_ASKED,
     DirectRows,
+    FeedChanges,
+    FeedListing,
     FeedServer,
     FollowedRows,
     feed_sources,
@@ -20,6 +22,7 @@
 from wigeonfront.coordination.membership import Member
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.rows import Changes, Listing, Row
+from wigeonfront.http.client import Answer
 
 PREFIX = "op/"
 
@@ -152,12 +155,12 @@
     store.put("op/a", b"1")
     mirror._list()
     listed = mirror.state().revision
-    assert mirror.changes_after(listed, 0.0) == Changes((), listed)
+    assert mirror.read_after(listed, 0.0).changes == Changes((), listed)
     store.put("op/b", b"2")
     mirror._watch()
-    newer = mirror.changes_after(listed, 0.0)
+    newer = mirror.read_after(listed, 0.0).changes
     assert [change.key for change in newer.changes] == ["op/b"]
-    assert mirror.changes_after(listed - 1, 0.0).compacted
+    assert mirror.read_after(listed - 1, 0.0).changes.compacted
 
 
 class SkippingClock(SystemClock):
@@ -439,5 +442,85 @@
     mirror = Mirror(PagedStore(store), PREFIX, SystemClock(), wait=0.0)
     assert mirror._list()
     assert mirror._watch()
-    newer = mirror.changes_after(before, 0.0)
+    newer = mirror.read_after(before, 0.0).changes
     assert [change.key for change in newer.changes] == ["op/b"]
+
+
+class LatePeers:
+    """Peers whose answers take some seconds, in place of `Pools`."""
+
+    def __init__(self, clock, answer, seconds):
+        self.clock = clock
+        self.answer = answer
+        self.seconds = seconds
+
+    def post(self, address, path, body, timeout):
+        self.clock.advance(self.seconds)
+        return Answer(200, msgspec.json.encode(self.answer))
+
+
+class LateStore(DirectRows):
+    """A store whose answers take some seconds."""
+
+    def __init__(self, store, clock, seconds):
+        super().__init__(store)
+        self.clock = clock
+        self.seconds = seconds
+
+    def list(self, prefix):
+        self.clock.advance(self.seconds)
+        return super().list(prefix)
+
+    def watch(self, prefix, after, timeout):
+        self.clock.advance(self.seconds)
+        return super().watch(prefix, after, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("answer", "seconds", "age"),
+    [
+        (FeedChanges(Changes((), 5), age=0.0, held=0.5), 0.5, 0.0),
+        (FeedChanges(Changes((), 5), age=0.0, held=0.5), 1.3, 0.8),
+        (FeedChanges(Changes((), 5), age=0.4, held=0.5), 1.3, 1.2),
+        (FeedChanges(Changes((), 5), age=0.4, held=0.0), 1.3, 1.7),
+        (FeedListing(Listing((), 5), age=0.4), 0.3, 0.7),
+    ],
+)
+def test_an_answer_that_was_on_its_way_is_as_old_as_its_call(answer, seconds, age):
+    clock = ManualClock(100.0)
+    rows = FollowedRows(DirectRows(make_store()), lambda: ["a:1"], clock, 1.0)
+    rows._pools = LatePeers(clock, answer, seconds)
+    if isinstance(answer, FeedListing):
+        rows.list(PREFIX)
+    else:
+        rows.watch(PREFIX, 5, 0.5)
+    assert rows.age == pytest.approx(age)
+
+
+@pytest.mark.parametrize(
+    ("call", "seconds", "age"),
+    [("list", 0.9, 0.9), ("watch", 0.5, 0.0), ("watch", 1.4, 0.9)],
+)
+def test_a_late_answer_of_the_store_is_as_old_as_its_call(call, seconds, age):
+    clock = ManualClock(100.0)
+    rows = FollowedRows(LateStore(make_store(), clock, seconds), tuple, clock, 1.0)
+    if call == "list":
+        rows.list(PREFIX)
+    else:
+        rows.watch(PREFIX, 5, 0.5)
+    assert rows.age == pytest.approx(age)
+
+
+def test_rows_without_their_history_are_not_known():
+    store, clock = make_store(), ManualClock(100.0)
+    store.put("op/a", b"1")
+    mirror = Mirror(DirectRows(store), PREFIX, clock, wait=0.0)
+    assert mirror._list()
+    store.put("op/a", b"2")
+    store.compact()
+    clock.advance(3.0)
+    assert mirror._watch()
+    assert not mirror.ready
+    assert mirror.age == pytest.approx(3.0)
+    assert mirror._list()
+    assert mirror.age == 0.0
