Engine fleet: threads that update it at once don't fail

The mirrors of the targets, of the configuration and of the live processes each update the fleet from their own thread. Two at once could both remove an engine, and one raised KeyError: that ended its task, which started again after a pause, and what the update had not reached (named versions after a configuration) was not told again. Change: updates are under a lock.

--- a/src/wigeonfront/weights/fleet.py
+++ b/src/wigeonfront/weights/fleet.py
@@ -1,6 +1,7 @@
 """The engines that one entry orders, with a mover for each of them."""
 
 import logging
+import threading
 from collections.abc import Callable, Iterable, Mapping
 
 from wigeonfront.clock import Clock
@@ -120,6 +121,8 @@
         self._clock = clock
         self._orders_given = order_counter(metrics)
         self.places = EnginePlaces(targets, configuration)
+        # Mirrors of targets, of the configuration and of live processes all update it.
+        self._lock = threading.Lock()
         self._holders = Holders()
         self._is_mine: dict[str, bool] = {}
         self._known: dict[str, Target] = {}
@@ -128,13 +131,18 @@
     def update_assignment(self, assignment: Assignment) -> None:
         """Apply a newer assignment: start and stop movers as it requires."""
         self._rights.update_assignment(assignment)
-        if assignment.holders != self._holders:
-            self._holders = assignment.holders
-            self._is_mine = {}
-        self.update()
+        with self._lock:
+            if assignment.holders != self._holders:
+                self._holders = assignment.holders
+                self._is_mine = {}
+            self._update()
 
     def update(self) -> None:
         """Start and stop movers to match the present engines and holders."""
+        with self._lock:
+            self._update()
+
+    def _update(self) -> None:
         self._known = {
             target.id: target
             for target in self._targets()
@@ -150,7 +158,9 @@
     def version_named(self) -> None:
         """Have all movers check at once whether their engine is to be moved."""
         self.places.refresh()
-        for mover in list(self._movers.values()):
+        with self._lock:
+            movers = list(self._movers.values())
+        for mover in movers:
             mover.wake()
 
     def _orders_target(self, target: Target) -> bool:
