Mirrors: a change whose callback failed is told again

Cause, by reading: the rows are changed before the callback is called. If it raised, the supervisor started the task again, but the callback was only called at the next change; until then the process decided by the version before. Change: the restarted task calls the callback first. Result: the test failed before (one call in place of two).

--- a/src/wigeonfront/coordination/mirror.py
+++ b/src/wigeonfront/coordination/mirror.py
@@ -149,6 +149,8 @@
         self._rows: dict[str, Row] = {}
         self._revision = 0
         self._listed = False
+        # Whether the callback has not returned for the present rows.
+        self._untold = False
         self._failing_since: float | None = None
         self._regained_at = -1e9
         self._returned_at = -1e9
@@ -259,6 +261,8 @@
     def run(self, stop: threading.Event) -> None:
         """Follow the store (a supervisor's task)."""
         pause = RETRY_SECONDS
+        if self._untold:
+            self._tell()
         while not stop.is_set():
             if self._watch() if self._listed else self._list():
                 pause = RETRY_SECONDS
@@ -278,7 +282,7 @@
                 self._replace(listing.rows, listing.revision)
             self._listed = True
         self._log_listing(listing)
-        self._on_change(self)
+        self._tell()
         return True
 
     def _replace(self, rows: Iterable[Row], revision: int) -> None:
@@ -308,9 +312,15 @@
             if changes.changes:
                 self._changed.notify_all()
         if changes.changes:
-            self._on_change(self)
+            self._tell()
         return True
 
+    def _tell(self) -> None:
+        """Call the callback; one that raises is called again after the restart."""
+        self._untold = True
+        self._on_change(self)
+        self._untold = False
+
     def _apply(self, change: Change) -> None:
         # Also if the row is known: a listing of several pages may have rows that are
         # newer than its revision, and followers may have listed before them.
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -23,6 +23,7 @@
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.rows import Changes, Listing, Row
 from wigeonfront.http.client import Answer
+from wigeonfront.supervisor import Supervisor
 
 PREFIX = "op/"
 
@@ -524,3 +525,21 @@
     assert mirror.age == pytest.approx(3.0)
     assert mirror._list()
     assert mirror.age == 0.0
+
+
+def test_a_change_whose_callback_failed_is_told_again_after_the_restart(running):
+    store, told = make_store(), []
+    failures = [ValueError("a callback that fails once")]
+
+    def on_change(mirror):
+        told.append(values(mirror))
+        if told[-1] and failures:
+            raise failures.pop()
+
+    mirror = make_mirror(store, on_change=on_change)
+    tasks = Supervisor("mirror")
+    tasks.start("task", mirror.run)
+    wait_for(lambda: mirror.ready)
+    store.put("op/a", b"1")
+    wait_for(lambda: told[-2:] == [{"op/a": b"1"}] * 2)
+    tasks.stop()
