Supervisor: the pause before a restart doesn't grow over the life of a process

Change: after a run of a minute the pause begins anew, as the count of failures does. The decision is a function of its own. Result: a table of its cases; the last one (5 s, now 0.1 s) shows the change.

--- a/src/wigeonfront/supervisor.py
+++ b/src/wigeonfront/supervisor.py
@@ -28,6 +28,21 @@
 TaskFunction = Callable[[threading.Event], None]
 
 
+def restart_pause(previous: float, ran: float) -> float:
+    """Return the pause in seconds before a task that has failed starts again.
+
+    Parameters
+    ----------
+    previous : float
+        Pause before its last start; 0 if it has not failed before.
+    ran : float
+        Time from that start until the failure, in seconds.
+    """
+    if not previous or ran >= FAILURE_WINDOW_SECONDS:
+        return INITIAL_PAUSE_SECONDS
+    return min(MAX_PAUSE_SECONDS, 2 * previous)
+
+
 class BrokenInvariant(Exception):  # noqa: N818
     """An invariant of the process's state is violated; the process has to stop."""
 
@@ -130,8 +145,9 @@
 
     def _run_task(self, name: str, run: TaskFunction, stop: threading.Event) -> None:
         failures: deque[float] = deque(maxlen=MAX_FAILURES)
-        pause = INITIAL_PAUSE_SECONDS
+        pause = 0.0
         while not stop.is_set():
+            began = self._clock.monotonic()
             try:
                 run(stop)
                 return
@@ -149,8 +165,8 @@
             ):
                 self._give_up(name)
                 return
+            pause = restart_pause(pause, now - began)
             stop.wait(pause)
-            pause = min(MAX_PAUSE_SECONDS, pause * 2)
 
     def _give_up(self, name: str) -> None:
         event(logger, "supervisor_gave_up", level=logging.ERROR, task=name)
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -125,3 +125,20 @@
     root.child("new").start("late", runs.append)
     assert runs == []
     assert "late" not in child._threads
+
+
+@pytest.mark.parametrize(
+    ("previous", "ran", "pause"),
+    [
+        (0.0, 0.0, 0.1),
+        (0.1, 0.0, 0.2),
+        (0.2, 59.0, 0.4),
+        (4.0, 0.0, 5.0),
+        (5.0, 60.0, 0.1),
+    ],
+)
+def test_a_task_that_ran_for_long_starts_again_at_once(
+    previous, ran, pause, monkeypatch
+):
+    monkeypatch.setattr(supervisor, "INITIAL_PAUSE_SECONDS", 0.1)
+    assert supervisor.restart_pause(previous, ran) == pytest.approx(pause)
