Routes: an old copy of the configuration doesn't say that there is no route

Cause, by reading: an entry whose copy is older than a change may take answered 404 for a route that had been added since, which callers don't retry. Keys had the rule already: an unknown key is refused for good only by a copy that is recent enough. The age of the copy was known and not asked. Change: a call whose route is unknown gets 503 with Retry-After while the copy is older than a change may take, on the platform's interface and on /v1; no_route says so (outdated). Known routes are served from an old copy as before, so that an outage of the store stops nothing.

--- a/src/wigeonfront/accounts/admission.py
+++ b/src/wigeonfront/accounts/admission.py
@@ -24,7 +24,8 @@
     Attributes
     ----------
     fresh_seconds : float
-        Maximum age at which a key that the copy lacks counts as unknown for good.
+        Maximum age at which a key or a route that the copy lacks counts as unknown for
+        good.
     strict : bool
         Whether calls with a key are refused once the copy is older than
         `revoke_seconds`.
@@ -76,9 +77,10 @@
     Attributes
     ----------
     reason : str
-        ``unknown_key``, or ``unconfirmed`` where `AdmissionBounds.strict` is set.
+        ``unknown_key``, ``unconfirmed`` where `AdmissionBounds.strict` is set, or
+        ``unknown_route``.
     fingerprint : str
-        Fingerprint of the key.
+        Fingerprint of the key; empty for a route.
     retry_after : float
         Seconds after which the caller may retry.
     """
--- a/src/wigeonfront/accounts/gate.py
+++ b/src/wigeonfront/accounts/gate.py
@@ -49,6 +49,11 @@
         self._logged_at = -LOG_INTERVAL_SECONDS
         self._unlogged = 0
 
+    @property
+    def outdated(self) -> bool:
+        """Whether a change that must be in force by now may be missing here."""
+        return self._age() > self._bounds.fresh_seconds
+
     def check(
         self,
         directory: AccountDirectory | None,
--- a/src/wigeonfront/api/errors.py
+++ b/src/wigeonfront/api/errors.py
@@ -45,3 +45,15 @@
         if retry_after:
             headers.append(("Retry-After", f"{retry_after:g}"))
         call.reply_json(self.status, self.reply, headers)
+
+
+class UnknownRouteError(ApiError):
+    """The configuration in force has no route with this name, or one of another kind.
+
+    Parameters
+    ----------
+    name : str
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(404, "no_route", name)
--- a/src/wigeonfront/api/front.py
+++ b/src/wigeonfront/api/front.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from wigeonfront.api.errors import ApiError
+from wigeonfront.api.errors import ApiError, UnknownRouteError
 from wigeonfront.api.lots import ACKNOWLEDGE_PATH, LOTS_PATH, LotCalls
 from wigeonfront.api.messages import BodyError
 from wigeonfront.api.operations import (
@@ -38,6 +38,8 @@
     ----------
     configuration : callable
         Returns the configuration in force, or ``None`` before the first is known.
+    outdated : callable
+        Returns whether a change that must be in force by now may be missing here.
     ready : callable
         Returns whether callers may be sent to this entry.
     lots : LotCalls
@@ -50,6 +52,7 @@
     def __init__(
         self,
         configuration: Callable[[], Configuration | None],
+        outdated: Callable[[], bool],
         ready: Callable[[], bool],
         lots: LotCalls,
         requests: RequestCalls,
@@ -58,6 +61,7 @@
         quarantine: QuarantineCalls,
     ) -> None:
         self._configuration = configuration
+        self._outdated = outdated
         self._ready = ready
         self._lots = lots
         self._configured: dict[tuple[str, str], ConfiguredHandler] = {
@@ -86,6 +90,8 @@
         """Answer one call."""
         try:
             self._answer(call)
+        except UnknownRouteError as error:
+            self._refuse_route(error).answer(call)
         except ApiError as error:
             error.answer(call)
         except BodyError as error:
@@ -107,6 +113,12 @@
         else:
             self._find_by_prefix(call)(call)
 
+    def _refuse_route(self, error: UnknownRouteError) -> ApiError:
+        """Return the answer to a call on a route that is not known here."""
+        if not self._outdated():
+            return error
+        return ApiError(503, "not_ready", "old configuration", UNREADY_RETRY_SECONDS)
+
     def _find_configured(self, call: RawCall) -> ConfiguredHandler | None:
         if call.method == "GET" and call.path.startswith(LOTS_PATH + "/"):
             return self._read_lot
--- a/src/wigeonfront/api/lots.py
+++ b/src/wigeonfront/api/lots.py
@@ -7,7 +7,7 @@
 
 from wigeonfront.accounts import Admitted
 from wigeonfront.api.authentication import CallAuthenticator, scoped_id
-from wigeonfront.api.errors import ApiError
+from wigeonfront.api.errors import ApiError, UnknownRouteError
 from wigeonfront.api.messages import (
     LotAccepted,
     LotBody,
@@ -194,13 +194,13 @@
 
     Raises
     ------
-    ApiError
+    UnknownRouteError
         If there is no such route.
     """
     for route in configuration.routes:
         if route.name == name and route.kind in kinds:
             return route
-    raise ApiError(404, "no_route", name)
+    raise UnknownRouteError(name)
 
 
 def _make_reward_call(
--- a/src/wigeonfront/node/interface.py
+++ b/src/wigeonfront/node/interface.py
@@ -82,6 +82,7 @@
     )
     return ApiFront(
         lambda: parts.configuration.current,
+        lambda: parts.gate.outdated,
         parts.ready,
         LotCalls(parts.lots, samples, authenticator, parts.clock),
         requests,
--- a/src/wigeonfront/platform/front.py
+++ b/src/wigeonfront/platform/front.py
@@ -124,8 +124,13 @@
             host=host,
             path=call.path,
             version=configuration.version,
+            outdated=self._gate.outdated,
         )
-        call.reply(404)
+        if self._gate.outdated:
+            # Another entry may know the route.
+            _refuse(Undecided("unknown_route", ""), call)
+        else:
+            call.reply(404)
 
     def _answer_on_route(
         self,
--- a/tests/test_account_calls.py
+++ b/tests/test_account_calls.py
@@ -292,3 +292,15 @@
     seen = deployed.engines[0].headers | deployed.engines[1].headers
     priorities = [seen[id]["wigeonfront-request-priority"] for id in ("r1", "r2")]
     assert priorities == ["1", "4"]
+
+
+def test_a_route_that_an_old_configuration_lacks_is_refused_only_temporarily(deployed):
+    """The route may have been added since the entry last read the configuration."""
+    entry = deployed.add_entry("n1")
+    assert call(entry, "POST", "/added/x", **S1).status == 404
+    deployed.rows.faults.down = True
+    fresh = entry._settings.bounds.configuration_seconds
+    wait_for(lambda: entry._view.operator.age > fresh, 10.0)
+    assert call(entry, "POST", "/added/x", **S1).status == 503
+    deployed.rows.faults.down = False
+    wait_for(lambda: call(entry, "POST", "/added/x", **S1).status == 404)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -397,3 +397,12 @@
         )
         assert status == 200
     assert len(deployed.plain.requests) == 2
+
+
+def test_an_old_configuration_refuses_an_unknown_route_only_temporarily(apis, deployed):
+    api = apis("n1")
+    assert api.call("POST", "/v1/lots", LOT | {"route": "added"})[0] == 404
+    deployed.rows.faults.down = True
+    wait_for(lambda: api.entry._gate.outdated, 10.0)
+    status, error = api.call("POST", "/v1/lots", LOT | {"route": "added"})
+    assert (status, error["error"]) == (503, "not_ready")
