--- a/src/wigeonfront/coordination/feed.py
+++ b/src/wigeonfront/coordination/feed.py
@@ -8,7 +8,6 @@
 
 import logging
 import math
-import threading
 import zlib
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import TypeVar
@@ -222,7 +221,6 @@
         self._max_age = interval + AGE_SLACK_SECONDS
         self._pools = Pools(CONNECT_SECONDS)
         self._avoided_until: dict[str, float] = {}
-        self._lock = threading.Lock()
         self._current = ""
         # Monotonic time as of which the rows are known; no limit before the first.
         self._fresh_at = math.inf
@@ -261,29 +259,48 @@
         store before the rows are too old. Several sources that fail one after the other
         thus cost no more time than one.
         """
+        found: _Found | Unavailable | None = None
         store_usable = self._is_usable(STORE)
         reserve = ANSWER_MARGIN_SECONDS if store_usable else 0.0
-        for address in self._usable(self._sources()):
-            wait = min(timeout, self._seconds_until_too_old() - reserve)
-            if wait < 0.0 and store_usable:
-                break
-            answer = self._ask(address, feed_call(max(0.0, wait)))
-            if isinstance(answer, kind):
-                return answer
-            # The wait is used up, so the next source is asked without one.
-            timeout = 0.0
+        answer = self._ask_feeds(self._sources(), kind, feed_call, timeout, reserve)
+        if answer is not None:
+            return answer
         if store_usable:
             found = self._ask_store(ask_store, timeout)
             if not isinstance(found, Unavailable):
                 return found
-            timeout = 0.0
-        for address in self._usable(self._fallbacks())[:MAX_FALLBACKS_ASKED]:
-            wait = min(timeout, max(0.0, self._seconds_until_too_old()))
+        fallbacks = self._usable(self._fallbacks())[:MAX_FALLBACKS_ASKED]
+        answer = self._ask_feeds(fallbacks, kind, feed_call, timeout)
+        if answer is not None:
+            return answer
+        return self._ask_store(ask_store, timeout) if found is None else found
+
+    def _ask_feeds(
+        self,
+        addresses: Sequence[str],
+        kind: type[_Feed],
+        feed_call: Callable[[float], FeedCall],
+        timeout: float,
+        reserve: float = 0.0,
+    ) -> _Feed | None:
+        """Return the first usable answer of a process, or ``None`` if there is none.
+
+        Parameters
+        ----------
+        reserve : float
+            Time that must be left before the rows are too old, in seconds; 0 for any.
+        """
+        for address in self._usable(addresses):
+            left = self._seconds_until_too_old() - reserve
+            if reserve and left < 0.0:
+                return None
+            wait = max(0.0, min(timeout, left))
             answer = self._ask(address, feed_call(wait))
             if isinstance(answer, kind):
                 return answer
+            # The wait is used up, so the next process is asked without one.
             timeout = 0.0
-        return found if store_usable else self._ask_store(ask_store, timeout)
+        return None
 
     def _ask_store(
         self, ask: Callable[[float], _Found | Unavailable], timeout: float
