--- a/src/wigeonfront/coordination/feed.py
+++ b/src/wigeonfront/coordination/feed.py
@@ -39,6 +39,10 @@
 """Age of a source's copy, beyond the interval between two of the source's own calls,
 above which the source counts as cut off from the store."""
 
+REFRESH_SLACK_SECONDS = 0.2
+"""Time for which a follower waits beyond a source's own interval, so that it hears of
+the source's next answer from the store instead of asking the store itself."""
+
 AVOID_SECONDS = 4.0
 """Time for which a source that failed is not asked again."""
 
@@ -290,16 +294,17 @@
         reserve : float
             Time that must be left before the rows are too old, in seconds; 0 for any.
         """
+        patience = timeout + REFRESH_SLACK_SECONDS if timeout else 0.0
         for address in self._usable(addresses):
             left = self._seconds_until_too_old() - reserve
             if reserve and left < 0.0:
                 return None
-            wait = max(0.0, min(timeout, left))
+            wait = max(0.0, min(patience, left))
             answer = self._ask(address, feed_call(wait))
             if isinstance(answer, kind):
                 return answer
             # The wait is used up, so the next process is asked without one.
-            timeout = 0.0
+            patience = 0.0
         return None
 
     def _ask_store(
