--- a/tests/test_platform_machines.py
+++ b/tests/test_platform_machines.py
@@ -182,6 +182,8 @@
 class StaleMirror:
     """Rows at some moment, which may be before the rows that were read last."""
 
+    age = 0.0
+
     def __init__(self, rows):
         self.rows = rows
 
