--- a/review/2/trial.py
+++ b/review/2/trial.py
@@ -1,74 +1,66 @@
-"""Batch jobs at workers whose streams end with their connection, one of them slow."""
+"""Requests of some seconds at an entry that gets a planned stop meanwhile."""
 
-import base64
-import json
 import os
+import signal
+import subprocess
 import sys
 import threading
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
-from standins.client import call
-from standins.engine import ModelWorker, event_data
+from standins.client import Reply, call
 from standins.record import Record
 from standins.store import PlatformStore
-from standins.system import System, check_build, free_host
+from standins.system import Program, System, check_build, free_host
+from standins.worker import PlainWorker
 
 ZONES = ("hall-a", "hall-b", "hall-c")
-SERVICE = "judge-llm"
-MODEL = "m0"
-HOST = "judge.example"
-WORKERS = 6
-SLOTS = 12
-EVENT_SECONDS = 0.04
-EVENTS = 60
-JOBS = 6
-JOB_PAUSE = 4.0
-GROUPS, GROUP_SIZE = 7, 8
-SLOW_FACTOR = 4.0
-SLOW_SECONDS = 8.0
-"""Length of each slow-down of one worker of six."""
+SERVICE = "studio-portal"
+GRACE_SECONDS = 8.0
+WORK_SECONDS = 4.0
+SENT_BEFORE = (1.0, 0.5, 0.1)
+"""Times before the stop at which a request is sent."""
+
+RESTART_SECONDS = 1.0
+
+NOT_ANSWERED = Reply(-1)
 
 CONFIGURATION = {
     "version": 1,
     "routes": [
         {
-            "name": "frame-judge",
-            "host": HOST,
-            "prefix": "/judge/",
-            "kind": "rollout",
+            "name": "report",
+            "host": "portal.example",
+            "prefix": "/report/",
+            "kind": "non_idempotent",
             "service": SERVICE,
             "timeoutMs": 10000,
-            "targetLatencyMs": 400,
-            "deadlineMs": 7500,
-            "maxAttempts": 3,
-            "maxQueueS": 12,
+            "targetLatencyMs": 5000,
+            "maxAttempts": 2,
             "priority": 1,
-            "sticky": True,
-        }
-    ],
-    "services": [
-        {
-            "name": SERVICE,
-            "healthPath": "/health",
-            "maxConns": 150,
-            "engine": {
-                "slotCount": SLOTS,
-                "kvCapacityTokens": 82057,
-                "stride": 8,
-                "models": [{"name": MODEL, "version": 1}],
-            },
         }
     ],
+    "services": [{"name": SERVICE, "healthPath": "/health", "maxConns": 96}],
     "limits": {
         "maxHeaderBytes": 16384,
-        "maxBodyBytes": 33554432,
+        "maxBodyBytes": 1048576,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
 }
 
 
+@dataclass
+class Sent:
+    """A request, and what its client got."""
+
+    id: str
+    sent_at: float
+    reply: Reply = NOT_ANSWERED
+    ended_at: float = 0.0
+
+
 def main() -> int:
     """Run the trial and return the exit code."""
     check_build()
@@ -78,22 +70,18 @@
     store.start()
     store.put("op/config", CONFIGURATION)
     workers = [
-        ModelWorker(
+        PlainWorker(
             free_host(),
             store,
-            f"i-judge{number}",
+            f"i-portal{number}",
             SERVICE,
-            ZONES[number % len(ZONES)],
-            SLOTS,
-            MODEL,
-            EVENT_SECONDS,
-            lambda id: EVENTS,
-            False,
-            lambda worker, id, after: record.note(
-                f"run {id} after {after} at {worker}"
-            ),
+            zone,
+            6,
+            3,
+            WORK_SECONDS,
+            lambda worker, id: record.note(f"run {id} at {worker}"),
         )
-        for number in range(WORKERS)
+        for number, zone in enumerate(ZONES)
     ]
     for worker in workers:
         worker.start()
@@ -102,10 +90,12 @@
         if not system.start():
             record.conclude("could not run: the entries are not ready")
             return 2
-        time.sleep(2.0)
-        texts = _run_jobs(system, workers, record, trouble)
-        moved = len(system.log_lines("sample_moved"))
-        return _judge(texts, moved, trouble, record)
+        time.sleep(4.0)
+        sent: list[Sent] = []
+        stops: dict[str, float] = {}
+        for entry in system.entries:
+            _stop_once(entry, record, sent, stops, trouble)
+        return _judge(sent, stops, record)
     finally:
         system.stop()
         for worker in workers:
@@ -113,100 +103,72 @@
         store.stop()
 
 
-def _run_jobs(
-    system: System, workers: list[ModelWorker], record: Record, trouble: bool
-) -> dict[str, str]:
-    """Submit batch jobs, and return the text of each completed item."""
-    texts: dict[str, str] = {}
+def _stop_once(
+    entry: Program,
+    record: Record,
+    sent: list[Sent],
+    stops: dict[str, float],
+    trouble: bool,
+) -> None:
+    """Send requests to an entry, stop it as planned, and start it again."""
+    began = time.monotonic()
+    stop_at = began + max(SENT_BEFORE)
     threads = []
-    for step in range(JOBS):
-        if trouble and step % 2 == 1:
-            workers[step // 2].slow_factor = SLOW_FACTOR
-            threading.Timer(SLOW_SECONDS, _restore, (workers[step // 2],)).start()
-            record.note(f"slow {workers[step // 2].id}")
-        address = system.entries[step % len(ZONES)].front
-        thread = threading.Thread(
-            target=_run_job, args=(f"job{step}", address, record, texts)
-        )
+    for number, before in enumerate(SENT_BEFORE):
+        request = Sent(f"{entry.zone}-{number}", stop_at - before)
+        sent.append(request)
+        threads.append(threading.Thread(target=_send, args=(entry, request, record)))
+    for thread in threads:
         thread.start()
-        threads.append(thread)
-        time.sleep(JOB_PAUSE)
+    time.sleep(max(0.0, stop_at - time.monotonic()))
+    stops[entry.zone] = stop_at
+    if trouble:
+        record.note(f"SIGTERM to {entry.name}")
+        entry.signal(signal.SIGTERM)
+        try:
+            entry.process.wait(GRACE_SECONDS)
+            record.note(f"{entry.name} ended by itself")
+        except subprocess.TimeoutExpired:
+            entry.kill()
+            record.note(f"{entry.name} was killed after the grace time")
     for thread in threads:
         thread.join()
-    return texts
-
-
-def _restore(worker: ModelWorker) -> None:
-    worker.slow_factor = 1.0
+    if trouble:
+        time.sleep(RESTART_SECONDS)
+        entry.start()
+        while not entry.is_ready():
+            time.sleep(0.1)
 
 
-def _run_job(id: str, address: str, record: Record, texts: dict[str, str]) -> None:
-    """Submit one batch job and read its results until all are listed."""
-    items = [
-        {
-            "id": f"{id}-g{group}i{number}",
-            "path": f"/judge/{id}",
-            "headers": {
-                "Wigeonfront-Model": MODEL,
-                "Wigeonfront-Token-Counts": f"1016,{EVENTS * 8}",
-                "Wigeonfront-Prompt-Prefix": f"a{group}:1000,b{group}{number}:16",
-                "Wigeonfront-Length-Hint": str(EVENTS * 8),
-            },
-            "body": base64.b64encode(b"frame").decode(),
-            "tokens": 1016 + EVENTS * 8,
-            "group": f"{id}-g{group}",
-        }
-        for group in range(GROUPS)
-        for number in range(GROUP_SIZE)
-    ]
-    job = {
-        "step": 0,
-        "model": MODEL,
-        "minVersion": 1,
-        "targetGroups": 7,
-        "items": items,
-    }
+def _send(entry: Program, request: Sent, record: Record) -> None:
+    time.sleep(max(0.0, request.sent_at - time.monotonic()))
     headers = {
-        "Host": HOST,
-        "Wigeonfront-Attempt-Id": id,
-        "Content-Type": "application/json",
+        "Host": "portal.example",
+        "Wigeonfront-Attempt-Id": request.id,
+        "Wigeonfront-Deadline-Ms": "10000",
     }
-    reply = call(address, "POST", f"/judge/{id}", headers, json.dumps(job).encode())
-    record.note(f"job {id} answered {reply.status}")
-    until = time.monotonic() + 12.0
-    after = 0
-    while after < len(items) and time.monotonic() < until:
-        waiting = {"Host": HOST, "Wigeonfront-Wait-Ms": "1000"}
-        page = call(address, "GET", f"/lots/{id}?after={after}", waiting)
-        if page.status != 200:
-            time.sleep(0.2)
-            continue
-        results = json.loads(page.body)["results"]
-        for position, result in enumerate(results, after):
-            record.note(f"read {id} {position} {result['id']} {result['state']}")
-            if result["state"] == "completed":
-                texts[result["id"]] = result["output"]
-        after += len(results)
-    call(address, "DELETE", f"/lots/{id}", {"Host": HOST})
-
-
-def _judge(texts: dict[str, str], moved: int, trouble: bool, record: Record) -> int:
-    """Apply the rule MIXED to the completed items, and return the exit code."""
-    record.note(f"runs that the system moved to another worker: {moved}")
-    if not texts or (trouble and not moved):
-        record.conclude("could not run: no item was completed or moved")
-        return 2
-    broken = 0
-    for id, text in sorted(texts.items()):
-        whole = "\n".join(event_data(id, n + 1) for n in range(EVENTS))
-        if text != whole:
-            broken += 1
-            events = len(text.split("\n"))
-            record.note(f"MIXED: {id} is completed with {events} of {EVENTS} events")
+    record.note(f"sent {request.id} to {entry.name}")
+    body = request.id.encode()
+    reply = call(entry.front, "POST", f"/report/{request.id}", headers, body, 12.0)
+    request.reply, request.ended_at = reply, time.monotonic()
+    told = reply.status or "nothing: the connection was closed"
+    record.note(f"answered {request.id}: {told}")
+
+
+def _judge(sent: list[Sent], stops: dict[str, float], record: Record) -> int:
+    """Apply the rule LOST, and return the exit code."""
+    lost = [request for request in sent if request.reply.status == 0]
+    for request in lost:
+        after = request.ended_at - stops[request.id.rpartition("-")[0]]
+        record.note(f"LOST: {request.id} was cut {after:.1f} s after the SIGTERM")
+    answered = sum(request.reply.status == 200 for request in sent)
     record.conclude(
-        f"{len(texts)} items completed, {broken} without their whole output"
+        f"{len(sent)} requests sent, {answered} answered, "
+        f"{len(lost)} ended without an answer"
     )
-    return 1 if broken else 0
+    if lost:
+        return 1
+    return 0 if answered == len(sent) else 2
 
 
 if __name__ == "__main__":
