--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -26,9 +26,9 @@
         Returns the number of events of a request, by its id.
     framed : bool
         Whether streams are sent in chunks; others end with their connection.
-    on_run, on_event : callable
+    on_run : callable
         Called with the worker's id, the id of a request and the number of the event
-        after which a run begins, or that was made.
+        after which a run begins.
     """
 
     def __init__(
@@ -44,7 +44,6 @@
         events: Callable[[str], int],
         framed: bool,
         on_run: Callable[[str, str, int], None],
-        on_event: Callable[[str, str, int], None] = lambda worker, id, number: None,
     ) -> None:
         super().__init__(host, store, id, service, zone, slots)
         self.slow_factor = 1.0
@@ -53,7 +52,6 @@
         self._event_seconds = event_seconds
         self._events = events
         self._on_run = on_run
-        self._on_event = on_event
         self._lock = threading.Lock()
         self._running = 0
 
@@ -112,7 +110,6 @@
                 return
             text = f"id: {number}\ndata: {event_data(id, number)}\n\n".encode()
             connection.send(_chunk(text) if self.framed else text)
-            self._on_event(self.id, id, number)
         if self.framed:
             connection.send(b"0\r\n\r\n")
         else:
--- a/review/standins/http_server.py
+++ b/review/standins/http_server.py
@@ -7,7 +7,7 @@
 import socket
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 MAX_HEAD_BYTES = 65_536
@@ -35,10 +35,9 @@
 
 @dataclass
 class Connection:
-    """A connection of a caller; `notes` keeps what a stand-in wants to remember."""
+    """A connection of a caller."""
 
     sock: socket.socket
-    notes: dict[str, Any] = field(default_factory=dict)
     closing: bool = False
 
     def send(self, data: bytes) -> None:
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -102,8 +102,6 @@
         Number of requests that wait while all slots are taken; more are rejected.
     on_run : callable
         Called with the worker's id and the id of each request that begins to run.
-    on_refused : callable
-        Called with the worker's id and the id of each request that is rejected.
     """
 
     def __init__(
@@ -117,32 +115,24 @@
         queue: int,
         work_seconds: float,
         on_run: Callable[[str, str], None],
-        on_refused: Callable[[str, str], None] = lambda worker, id: None,
     ) -> None:
         super().__init__(host, store, id, service, zone, slots)
         self._work_seconds = work_seconds
         self._on_run = on_run
-        self._on_refused = on_refused
         self._lock = threading.Lock()
         self._free = threading.Semaphore(slots)
         self._admitted = 0
         self._most = slots + queue
         self._seals = itertools.count(1)
-        self.answers = 0
 
     def serve(self, connection: Connection, request: Request, id: str) -> None:
         """Run a request, or reject it where the queue is full."""
-        self.before_answer(connection)
         with self._lock:
             full = self._admitted >= self._most
             self._admitted += not full
-            self.answers += 1
         named = (("Wigeonfront-Attempt-Id", id),)
         if full:
-            self._on_refused(self.id, id)
-            refusal = answer(503, b"", (*named, NOT_EXECUTED))
-            connection.send(refusal)
-            self.after_refusal(connection, refusal, id)
+            connection.send(answer(503, b"", (*named, NOT_EXECUTED)))
             return
         with self._free:
             self._on_run(self.id, id)
@@ -156,9 +146,3 @@
             ("Keep-Alive", "timeout=5"),
         )
         connection.send(answer(200, request.body, sealed))
-
-    def before_answer(self, connection: Connection) -> None:
-        """Send what is to arrive before the answer to the request just read."""
-
-    def after_refusal(self, connection: Connection, refusal: bytes, id: str) -> None:
-        """Do what follows a rejection on its connection."""
