--- a/review/2/trial.py
+++ b/review/2/trial.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.client import Reply, call
-from standins.record import Record
-from standins.store import PlatformStore
-from standins.system import Program, System, check_build, free_host
-from standins.worker import PlainWorker
+from standin_client import Reply, call
+from standin_record import Record
+from standin_store import PlatformStore
+from standin_system import Program, System, check_build, free_host
+from standin_worker import PlainWorker
 
 ZONES = ("hall-a", "hall-b", "hall-c")
 SERVICE = "studio-portal"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 PYTHONPATH=. PYTHONDONTWRITEBYTECODE=1 python3 -c \
-    "import standins.client, standins.engine, standins.record, standins.system"
+    "import standin_client, standin_engine, standin_record, standin_system"
--- a/review/standins/engine.py
+++ b/review/standin_engine.py
@@ -5,9 +5,9 @@
 import time
 from collections.abc import Callable
 
-from standins.http_server import Connection, Request, answer
-from standins.store import PlatformStore
-from standins.worker import NOT_EXECUTED, Worker
+from standin_http_server import Connection, Request, answer
+from standin_store import PlatformStore
+from standin_worker import NOT_EXECUTED, Worker
 
 
 def event_data(id: str, number: int) -> str:
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -8,7 +8,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from standins.http_server import Connection, HttpServer, Request, answer
+from standin_http_server import Connection, HttpServer, Request, answer
 
 OPERATOR_PREFIXES = ("op/", "servers/")
 
--- a/review/standins/system.py
+++ b/review/standin_system.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from random import SystemRandom
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPS = ROOT / "target" / "deps"
 START_SECONDS = 20.0
 METRICS_PORT = 9464
--- a/review/standins/worker.py
+++ b/review/standin_worker.py
@@ -5,8 +5,8 @@
 import time
 from collections.abc import Callable
 
-from standins.http_server import Connection, HttpServer, Request, answer
-from standins.store import PlatformStore
+from standin_http_server import Connection, HttpServer, Request, answer
+from standin_store import PlatformStore
 
 ATTEMPT_ID = "wigeonfront-attempt-id"
 EXPECT_INSTANCE = "wigeonfront-expect-instance"
