Disks: a new owner gives results up only with a proof of their loss

Cause: LotSpools.recover took ten seconds without an answer of any disk for the loss of all of them.

Now a disk counts as lost if its machine is registered with another disk or has reported it empty, in rows as new as the Lot's owner, or if it was unregistered for as long as a disk keeps unchanged items. An owner that reaches no disk asks other entries to seal one and to return the items, so that it need not wait for the end of the cut.

--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -63,6 +63,7 @@
 from wigeonfront.rollout.spooling import LotSpools
 from wigeonfront.rollout.submissions import SubmissionStore
 from wigeonfront.spool import SpoolClient
+from wigeonfront.spool.relay import SpoolRelayServer
 from wigeonfront.supervisor import Supervisor
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.usage.starts import StartLog
@@ -153,7 +154,7 @@
         self._forwarder = self._make_forwarder()
         self._streams = self._make_streams()
         self._repository = LotRepository(self._store, settings.store_value_bytes)
-        self._spool = SpoolClient(clock)
+        self._spool = SpoolClient(clock, lambda: self._view.relays())
         self._demands = DemandBook(clock)
         self._runner = self._make_runner()
         self._targets = TargetFollower(
@@ -302,6 +303,7 @@
             LotSpools(
                 self._spool,
                 self._view.disks,
+                self._view.disk_registrations,
                 self._settings.tolerated_losses + 1,
                 self._clock,
             ),
@@ -368,6 +370,7 @@
             LoadServer(self._table, self._demands),
             ReportServer(self._table, self._clock, self._report_counter),
             VersionServer(lambda: self._configuration.version),
+            SpoolRelayServer(self._spool),
             {
                 path: answer
                 for duty in self._duties
--- a/src/wigeonfront/node/peer_calls.py
+++ b/src/wigeonfront/node/peer_calls.py
@@ -16,6 +16,8 @@
     ResultServer,
     SubmissionServer,
 )
+from wigeonfront.spool.calls import SPOOL_RELAY_PATH
+from wigeonfront.spool.relay import SpoolRelayServer
 
 
 class PeerCalls:
@@ -31,6 +33,7 @@
     loads : LoadServer
     reports : ReportServer
     version : VersionServer
+    spool_relay : SpoolRelayServer
     more : mapping of str to callable
         Handlers of further calls, by path.
     """
@@ -45,6 +48,7 @@
         loads: LoadServer,
         reports: ReportServer,
         version: VersionServer,
+        spool_relay: SpoolRelayServer,
         more: Mapping[str, Callable[[RawCall], None]],
     ) -> None:
         self._answers = {
@@ -57,6 +61,7 @@
             REPORTS_PATH: reports.answer,
             REPORT_PATH: loads.answer_report,
             VERSION_PATH: version.answer,
+            SPOOL_RELAY_PATH: spool_relay.answer,
             **more,
         }
 
--- a/src/wigeonfront/node/store_view.py
+++ b/src/wigeonfront/node/store_view.py
@@ -1,7 +1,7 @@
 """An entry's view of the platform's store, kept up to date by three mirrors."""
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.feed import (
@@ -20,11 +20,11 @@
     decode_member,
 )
 from wigeonfront.coordination.mirror import Mirror, OnChange
-from wigeonfront.coordination.rows import RowStore
+from wigeonfront.coordination.rows import Row, RowStore
 from wigeonfront.node.settings import NodeSettings
 from wigeonfront.observability.logs import event
 from wigeonfront.platform import records
-from wigeonfront.rollout.pending import DiskRegistrations
+from wigeonfront.rollout.disks import DiskRegistrations
 from wigeonfront.supervisor import Supervisor
 
 logger = logging.getLogger(__name__)
@@ -109,25 +109,29 @@
 
     def disks(self) -> list[Member]:
         """Return the registered storage processes."""
-        rows = self.live.state().rows
-        return [
-            member
-            for key, row in rows.items()
-            if key.startswith(STORAGE_PREFIX)
-            and (member := decode_member(row, STORAGE_PREFIX)) is not None
-        ]
+        found = _members(self.live.state().rows, STORAGE_PREFIX)
+        return [member for member in found.values() if member is not None]
 
     def disk_registrations(self) -> DiskRegistrations:
-        """Return the addresses of registered disks and the names of absent ones."""
-        registered = self.disks()
-        names = {member.name for member in registered}
-        rows = self.live.state().rows
-        ever = {
-            key.removeprefix(DISK_PREFIX) for key in rows if key.startswith(DISK_PREFIX)
-        }
-        addresses = tuple(member.address for member in registered)
-        absent = tuple(sorted(ever - names))
-        return DiskRegistrations(addresses, absent, self._live_followed_for())
+        """Return what the live mirror shows of the processes that have a disk."""
+        followed_for = self._live_followed_for()
+        state = self.live.state()
+        registered = _members(state.rows, STORAGE_PREFIX)
+        recorded = _members(state.rows, DISK_PREFIX)
+        return DiskRegistrations(
+            tuple(member.address for member in registered.values() if member),
+            tuple(sorted(recorded.keys() - registered.keys())),
+            followed_for,
+            {
+                member.incarnation: member.address
+                for member in registered.values()
+                if member
+            },
+            None
+            if None in recorded.values()
+            else frozenset(member.incarnation for member in recorded.values()),
+            state.revision,
+        )
 
     def _live_followed_for(self) -> float | None:
         if self.live.failing or not self.live.ready:
@@ -215,3 +219,12 @@
         """Return the addresses of the entries whose mirrors to follow."""
         seeds = self._settings.seed_addresses
         return feed_sources(self._registration.member, self.members(), seeds)
+
+
+def _members(rows: Mapping[str, Row], prefix: str) -> dict[str, Member | None]:
+    """Return the members in the rows with a prefix, by name; malformed ones as None."""
+    return {
+        key.removeprefix(prefix): decode_member(row, prefix)
+        for key, row in rows.items()
+        if key.startswith(prefix)
+    }
--- a/src/wigeonfront/rollout/pending.py
+++ b/src/wigeonfront/rollout/pending.py
@@ -13,6 +13,7 @@
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.membership import MAX_ABSENCE_SECONDS
 from wigeonfront.observability.logs import event
+from wigeonfront.rollout.disks import DiskRegistrations
 from wigeonfront.rollout.submissions import KEY_PREFIX
 from wigeonfront.spool import SpoolClient, Unreached
 
@@ -24,26 +25,6 @@
 accepted."""
 
 
-@dataclass(frozen=True, slots=True)
-class DiskRegistrations:
-    """The processes that have a disk, as an entry's mirror of the store shows them.
-
-    Attributes
-    ----------
-    addresses : tuple of str
-        Addresses of the registered processes.
-    absent : tuple of str
-        Names of the processes that were registered before and are not any more.
-    followed_for : float or None
-        Seconds for which the mirror has followed the store without a break; ``None`` if
-        it does not follow it.
-    """
-
-    addresses: tuple[str, ...]
-    absent: tuple[str, ...]
-    followed_for: float | None
-
-
 @dataclass(frozen=True, slots=True)
 class _Listing:
     """The ids of the Lots on all disks, and the reason if a disk was not reached."""
--- a/src/wigeonfront/rollout/spooling.py
+++ b/src/wigeonfront/rollout/spooling.py
@@ -10,6 +10,7 @@
 from wigeonfront.coordination import rendezvous
 from wigeonfront.coordination.membership import Member
 from wigeonfront.observability.logs import event
+from wigeonfront.rollout.disks import DiskRegistrations, loss_proof
 from wigeonfront.rollout.lot import SampleResult
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.spool import Recovered, SpoolClient, SpoolMember, Unreached
@@ -30,10 +31,6 @@
 RETRY_SECONDS = 0.3
 """Pause after a disk has not accepted results."""
 
-GIVE_UP_SECONDS = 10.0
-"""Time for which the next owner of a Lot looks for a disk that answers. After that all
-disks count as lost, which is more than the deployment tolerates."""
-
 
 def choose_members(
     lot_id: str, disks: Collection[Member], count: int
@@ -127,6 +124,8 @@
     spool : SpoolClient
     disks : callable
         Returns the registered processes with a disk.
+    registrations : callable
+        Returns the `DiskRegistrations` that this entry knows.
     count : int
         Disks of a Lot: one more than may be lost at once.
     clock : Clock
@@ -136,15 +135,18 @@
         self,
         spool: SpoolClient,
         disks: Callable[[], list[Member]],
+        registrations: Callable[[], DiskRegistrations],
         count: int,
         clock: Clock,
     ) -> None:
         self._spool = spool
         self._disks = disks
+        self._registrations = registrations
         self._count = count
         self._clock = clock
-        # Monotonic time since which no disk of a Lot has answered, by the Lot's id.
-        self._unreached_since: dict[str, float] = {}
+        # Monotonic time since which disks that were asked for are not registered, by
+        # their ids.
+        self._unregistered_since: dict[str, float] = {}
 
     def choose(self, lot_id: str) -> tuple[SpoolMember, ...]:
         """Return the disks of a new Lot's spool."""
@@ -172,20 +174,42 @@
         Returns
         -------
         list of SampleResult or Unreached
-            `Unreached` as long as the caller has to try again.
+            `Unreached` as long as the caller has to try again: until a disk answers, or
+            the loss of all is proved.
         """
-        found = self._spool.recover(members, lot_id, fence)
+        rows = self._registrations()
+        current = [
+            SpoolMember(rows.registered.get(member.disk, member.address), member.disk)
+            for member in members
+        ]
+        found = self._spool.recover(current, lot_id, fence)
         if isinstance(found, Recovered):
-            self._unreached_since.pop(lot_id, None)
             return unstored_results(kept, found)
-        now = self._clock.monotonic()
-        since = self._unreached_since.setdefault(lot_id, now)
-        if now - since < GIVE_UP_SECONDS:
+        proofs = [self._loss_proof(member.disk, rows, fence) for member in members]
+        if not all(proofs):
             return found
-        event(logger, "spool_given_up", lot=lot_id, seconds=now - since)
-        self._unreached_since.pop(lot_id, None)
+        event(
+            logger,
+            "spool_lost",
+            level=logging.ERROR,
+            lot=lot_id,
+            disks=",".join(member.disk for member in members),
+            proofs=",".join(proofs),
+        )
         return []
 
+    def _loss_proof(self, disk: str, rows: DiskRegistrations, fence: int) -> str:
+        """Return what proves that a disk of a Lot is lost; empty without a proof.
+
+        The head row names the disks, so they were registered before its revision.
+        """
+        now = self._clock.monotonic()
+        if disk in rows.registered or rows.followed_for is None:
+            self._unregistered_since.pop(disk, None)
+            return ""
+        since = self._unregistered_since.setdefault(disk, now)
+        return loss_proof(disk, rows, fence, now - since)
+
 
 class ResultSpooler:
     """Writes results to the spool, and deletes them there once the store has them.
--- a/src/wigeonfront/spool/calls.py
+++ b/src/wigeonfront/spool/calls.py
@@ -3,6 +3,7 @@
 import msgspec
 
 SPOOL_PATH = "/spool"
+SPOOL_RELAY_PATH = "/spool-relay"
 
 
 class SpoolMember(msgspec.Struct, frozen=True):
@@ -74,6 +75,14 @@
     prefix: str
 
 
+class Recover(msgspec.Struct, frozen=True, tag="recover"):
+    """Seal one of the members in the caller's place, and return the items."""
+
+    members: tuple[SpoolMember, ...]
+    key: str
+    fence: int
+
+
 class Done(msgspec.Struct, frozen=True, tag="done"):
     """The call is durable on the disk."""
 
@@ -102,6 +111,10 @@
 SpoolAnswer = Done | Gap | Fenced | Refused | Held
 
 
+class NotReached(msgspec.Struct, frozen=True, tag="not_reached"):
+    """A relay has not reached a member either."""
+
+
 class Keys(msgspec.Struct, frozen=True, tag="keys"):
     """The keys that a `ListKeys` request asked for."""
 
@@ -109,4 +122,4 @@
 
 
 SpoolRequest = SpoolCall | ListKeys
-SpoolReply = SpoolAnswer | Keys
+SpoolReply = SpoolAnswer | Keys | NotReached
--- a/src/wigeonfront/spool/client.py
+++ b/src/wigeonfront/spool/client.py
@@ -1,7 +1,8 @@
 """Writes items to all members of a spool, and reads them back from one of them."""
 
 import logging
-from collections.abc import Sequence
+import random
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -12,6 +13,7 @@
 from wigeonfront.observability.logs import event
 from wigeonfront.spool.calls import (
     SPOOL_PATH,
+    SPOOL_RELAY_PATH,
     Append,
     Done,
     Forget,
@@ -19,6 +21,8 @@
     Held,
     Keys,
     ListKeys,
+    NotReached,
+    Recover,
     Refused,
     Seal,
     SpoolCall,
@@ -39,6 +43,15 @@
 a call, so that a silent member delays its callers half of the time at most."""
 
 
+MAX_RELAYS = 2
+"""Largest number of processes that are asked to call the members in this one's place,
+at each attempt."""
+
+RELAY_SECONDS = 2.0
+"""Timeout of a call to such a process: the time that it needs for two silent members,
+and some more."""
+
+
 @dataclass(frozen=True, slots=True)
 class Recovered:
     """The items of a member when it was sealed, from `position` on."""
@@ -49,7 +62,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Unreached:
-    """No member has answered, so it is unknown whether there are items."""
+    """No member has answered, so it is unknown whether there are items.
+
+    Attributes
+    ----------
+    relays : int
+        Number of other processes that were asked and have not reached a member either.
+    """
+
+    relays: int = 0
+
+
+def _no_relays() -> Sequence[str]:
+    return ()
 
 
 class SpoolClient:
@@ -58,10 +83,16 @@
     Parameters
     ----------
     clock : Clock
+    relays : callable
+        Returns the addresses of the processes that may reach members which this process
+        does not reach.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, relays: Callable[[], Sequence[str]] = _no_relays
+    ) -> None:
         self._clock = clock
+        self._relays = relays
         self._pools = Pools(CONNECT_SECONDS)
         self._avoided: dict[str, float] = {}
 
@@ -97,13 +128,44 @@
     def recover(
         self, members: Sequence[SpoolMember], key: str, fence: int
     ) -> Recovered | Unreached:
-        """Seal a member against earlier writers, and return what it holds."""
+        """Seal a member against earlier writers, and return what it holds.
+
+        A member that this process does not reach is called through others.
+        """
+        found = self.recover_directly(members, key, fence)
+        if isinstance(found, Recovered):
+            return found
+        return self._recover_through_relays(Recover(tuple(members), key, fence))
+
+    def recover_directly(
+        self, members: Sequence[SpoolMember], key: str, fence: int
+    ) -> Recovered | Unreached:
+        """Do the same without other processes."""
         for member in members:
             answer = self._call(member, Seal(member.disk, key, fence))
             if isinstance(answer, Held):
                 return Recovered(answer.position, answer.items)
         return Unreached() if members else Recovered()
 
+    def _recover_through_relays(self, request: Recover) -> Recovered | Unreached:
+        addresses = [address for address in self._relays() if not self._avoids(address)]
+        answered = 0
+        for address in random.sample(addresses, min(MAX_RELAYS, len(addresses))):
+            answer = self._ask(address, request, SPOOL_RELAY_PATH, RELAY_SECONDS)
+            event(
+                logger,
+                "spool_relayed",
+                key=request.key,
+                fence=request.fence,
+                relay=address,
+                answer=type(answer).__name__,
+                reason=getattr(answer, "reason", ""),
+            )
+            if isinstance(answer, Held):
+                return Recovered(answer.position, answer.items)
+            answered += isinstance(answer, NotReached)
+        return Unreached(answered)
+
     def forget(
         self, members: Sequence[SpoolMember], key: str, fence: int, position: int
     ) -> None:
@@ -122,9 +184,15 @@
         event(logger, "spool_not_listed", member=address, reason=reason)
         return Unreached()
 
-    def _ask(self, address: str, request: SpoolRequest) -> SpoolReply:
+    def _ask(
+        self,
+        address: str,
+        request: SpoolRequest | Recover,
+        path: str = SPOOL_PATH,
+        seconds: float = ANSWER_SECONDS,
+    ) -> SpoolReply:
         body = msgspec.msgpack.encode(request)
-        answer = _decoded(self._pools.post(address, SPOOL_PATH, body, ANSWER_SECONDS))
+        answer = _decoded(self._pools.post(address, path, body, seconds))
         if isinstance(answer, Refused):
             self._avoided[address] = (
                 self._clock.monotonic() + FAILED_MEMBER_PAUSE_SECONDS
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -11,6 +11,7 @@
 from test_entry_node import SAMPLES, call, check_results, read, read_all, submit
 from wigeonfront.coordination.membership import DISK_PREFIX, Member
 from wigeonfront.coordination.rows import Absent
+from wigeonfront.http.client import NotSent
 from wigeonfront.platform import records
 from wigeonfront.rollout.head import LotState
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
@@ -131,6 +132,30 @@
     assert set(ran.values()) == {1}
 
 
+def cut_off_from_disks(entry, deployed):
+    """Drop the calls of an entry to the disks, as a network partition does."""
+    disks = {disk._settings.peer_address for disk in deployed.disks}
+    post = entry._spool._pools.post
+    entry._spool._pools.post = lambda address, *call: (
+        NotSent("cut off by the test") if address in disks else post(address, *call)
+    )
+
+
+def test_an_owner_that_reaches_no_disk_recovers_results_through_another_entry(deployed):
+    """The owner gave shown results up, as no disk answered it for ten seconds."""
+    first, second, third = (add_entry(deployed, name) for name in ("n1", "n2", "n3"))
+    page = run_in_an_outage(deployed, first)
+    kill(first, "l1")
+    second._lots.leave()
+    cut_off_from_disks(third, deployed)
+    deployed.rows.faults.down = False
+    wait_for(lambda: third._runner.owned("l1"), 10.0)
+    assert read_all(third, "l1") == page
+    assert not second._runner.owned("l1")
+    ran = deployed.engines[0].run_counts + deployed.engines[1].run_counts
+    assert set(ran.values()) == {1}
+
+
 def test_shown_results_survive_the_end_of_all_processes(deployed, tmp_path):
     first = add_entry(deployed, "n1")
     page = run_in_an_outage(deployed, first)
