Disks: an owner that reaches neither disks nor entries passes its Lot on

Callers saw: the Lot of an owner that is cut off from the disks and from the other entries, but not from the store, waited until the cut healed.

Cause: a restarted entry owns the Lots of its machine, whether it can recover them or not; the others leave them to it as long as it is registered.

After 1.5 s it now gives the Lot up in its head row and leaves it to the other entries for five seconds. If other entries answer that they do not reach a disk either, it keeps the Lot, as nobody else would get further. The test failed before (the owner never changed).

--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -13,7 +13,11 @@
 from wigeonfront.rollout.initial_state import InitialState
 from wigeonfront.rollout.known_lots import KnownLots
 from wigeonfront.rollout.lot import Lot
-from wigeonfront.rollout.ownership import OWNER_GRACE_SECONDS, claimable_lots
+from wigeonfront.rollout.ownership import (
+    NO_OWNER,
+    OWNER_GRACE_SECONDS,
+    claimable_lots,
+)
 from wigeonfront.rollout.repository import Kept, LotRepository
 from wigeonfront.rollout.runner import LotRunner
 from wigeonfront.rollout.spooling import LotSpools
@@ -24,6 +28,14 @@
 CLAIM_PAUSE_SECONDS = 0.2
 """Longest pause between two checks for Lots to claim."""
 
+PASS_ON_AFTER_SECONDS = 1.5
+"""Time for which an owner that reaches neither the disks of a Lot nor another entry
+tries, before it leaves the Lot to the other entries."""
+
+LEAVE_SECONDS = 5.0
+"""Time for which it then leaves the Lot to them: longer than all of them take to claim
+it in turn."""
+
 
 class LotTakeover:
     """Claims the Lots that this process should own, and runs them.
@@ -74,6 +86,10 @@
         self._missing_since: dict[str, float] = {}
         # Monotonic time at which the mirror first showed each Lot, by the Lot's id.
         self._first_heard_at: dict[str, float] = {}
+        # Monotonic time since which this process is cut off from the disks of a Lot and
+        # from the other entries, and until which it leaves a Lot to them, by Lot id.
+        self._cut_off_since: dict[str, float] = {}
+        self._left_until: dict[str, float] = {}
         self._changed = threading.Event()
         self.leaving = False
 
@@ -121,12 +137,15 @@
         self._missing_since = {
             owner: self._missing_since.get(owner, now) for owner in owners - live
         }
+        self._left_until = {
+            lot_id: until for lot_id, until in self._left_until.items() if now < until
+        }
         return claimable_lots(
             heads,
             members,
             self._missing_since,
             self._own_member().incarnation,
-            self._runner.owned_ids(),
+            {*self._runner.owned_ids(), *self._left_until},
             now,
             OWNER_GRACE_SECONDS,
         )
@@ -172,7 +191,9 @@
             return False
         spooled = self._spools.recover(lot_id, head.spools, head.revision, results)
         if isinstance(spooled, Unreached):
+            self._pass_on(lot_id, head, spooled)
             return False
+        self._cut_off_since.pop(lot_id, None)
         texts = self._repository.texts(lot_id)
         event(
             logger,
@@ -189,3 +210,23 @@
         initial = InitialState(results, spooled, head.spools, texts, known_for)
         self._runner.adopt(lot, head.revision, initial)
         return True
+
+    def _pass_on(self, lot_id: str, head: Head, unreached: Unreached) -> None:
+        """Leave a Lot to the other entries if only this process can't recover it."""
+        now = self._clock.monotonic()
+        others = [
+            member
+            for member in self._members()
+            if not member.leaving and member.name != self._own_member().name
+        ]
+        if unreached.relays or not others:
+            self._cut_off_since.pop(lot_id, None)
+            return
+        since = self._cut_off_since.setdefault(lot_id, now)
+        if now - since < PASS_ON_AFTER_SECONDS:
+            return
+        outcome = self._repository.claim(lot_id, head, NO_OWNER)
+        event(logger, "lot_passed_on", lot=lot_id, outcome=type(outcome).__name__)
+        self._cut_off_since.pop(lot_id, None)
+        if isinstance(outcome, Kept):
+            self._left_until[lot_id] = now + LEAVE_SECONDS
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -15,6 +15,7 @@
 from wigeonfront.platform import records
 from wigeonfront.rollout.head import LotState
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
+from wigeonfront.rollout.ownership import NO_OWNER
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import NotKept
 from wigeonfront.rollout.spooling import (
@@ -156,6 +157,21 @@
     assert set(ran.values()) == {1}
 
 
+def test_an_owner_that_reaches_neither_disks_nor_entries_passes_its_lot_on(deployed):
+    """The Lot stayed with an owner that could not recover it."""
+    first, second, third = (add_entry(deployed, name) for name in ("n1", "n2", "n3"))
+    page = run_in_an_outage(deployed, first)
+    kill(first, "l1")
+    cut_off_from_disks(second, deployed)
+    second._spool._relays = list
+    third._lots.leave()
+    deployed.rows.faults.down = False
+    wait_for(lambda: second._lots._repository.head("l1").owner == NO_OWNER, 15.0)
+    third._lots._takeover.leaving = False
+    wait_for(lambda: third._runner.owned("l1"), 10.0)
+    assert read_all(third, "l1") == page
+
+
 def test_shown_results_survive_the_end_of_all_processes(deployed, tmp_path):
     first = add_entry(deployed, "n1")
     page = run_in_an_outage(deployed, first)
