Pending Lots: a disk that is cut off does not count as gone after eight seconds

Callers saw: 404 for an accepted Lot, if the store was away when it was accepted and the two processes whose disks have it then stay cut off from the store and from all entries for longer than their leases.

The answer is 503 until the disk is back, was replaced, or would have dropped the Lot. After a machine with a disk was removed without being emptied, Lots that don't exist are answered 503 in place of 404 for up to ten minutes after a start of an entry.

The case "the VM is gone for good" of test_pending.py expected no doubt after eight seconds, which is the fault itself; it now stands at ten minutes, and three cases before it failed on the code before.

--- a/src/wigeonfront/rollout/pending.py
+++ b/src/wigeonfront/rollout/pending.py
@@ -11,9 +11,8 @@
 from dataclasses import dataclass
 
 from wigeonfront.clock import Clock
-from wigeonfront.coordination.membership import MAX_ABSENCE_SECONDS
 from wigeonfront.observability.logs import event
-from wigeonfront.rollout.disks import DiskRegistrations
+from wigeonfront.rollout.disks import LAPSED_SECONDS, DiskRegistrations
 from wigeonfront.rollout.submissions import KEY_PREFIX
 from wigeonfront.spool import SpoolClient, Unreached
 
@@ -93,12 +92,11 @@
 def doubt_about_disks(disks: DiskRegistrations) -> str:
     """Return why unregistered disks may have Lots; empty if they can't have any.
 
-    The registration of a process lapses in an outage that outlasts its lease. Once the
-    mirror has followed the store for long enough, all live processes have registered
-    again.
+    The registration of a process lapses in an outage that outlasts its lease, and while
+    the process is cut off. A disk that was replaced is not absent, and has no Lots.
     """
     if disks.followed_for is None:
         return "store not followed"
-    if disks.absent and disks.followed_for < MAX_ABSENCE_SECONDS:
+    if disks.absent and disks.followed_for < LAPSED_SECONDS:
         return f"disk of {disks.absent[0]} not back"
     return ""
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -4,6 +4,7 @@
 
 from wigeonfront.clock import ManualClock
 from wigeonfront.coordination.membership import MAX_ABSENCE_SECONDS
+from wigeonfront.rollout.disks import LAPSED_SECONDS
 from wigeonfront.rollout.pending import (
     LISTING_SECONDS,
     DiskRegistrations,
@@ -13,8 +14,6 @@
 from wigeonfront.rollout.submissions import KEY_PREFIX
 from wigeonfront.spool import Unreached
 
-ABSENCE_SECONDS = MAX_ABSENCE_SECONDS
-
 
 class ScriptedSpool:
     """Disks that hold the given Lots; other disks do not answer."""
@@ -42,9 +41,12 @@
         ((), None, "store not followed"),
         (("s1",), None, "store not followed"),
         (("s1", "s2"), 0.0, "disk of s1 not back"),
-        (("s1",), ABSENCE_SECONDS - 0.1, "disk of s1 not back"),
-        # The VM is gone for good.
-        (("s1",), ABSENCE_SECONDS, ""),
+        # The process may be cut off from the store and from all others.
+        (("s1",), MAX_ABSENCE_SECONDS, "disk of s1 not back"),
+        (("s1",), 300.0, "disk of s1 not back"),
+        (("s1",), LAPSED_SECONDS - 0.1, "disk of s1 not back"),
+        # Its disk would have dropped the Lot by now.
+        (("s1",), LAPSED_SECONDS, ""),
     ],
 )
 def test_when_unregistered_disks_may_have_lots(absent, followed_for, doubt):
