Stop: calls in progress get the stop time, whether Lots are open or not

Cause: EntryNode.stop waited for open Lots only, and closed the servers for callers with half a second for calls in progress.

Now the listeners and idle connections are closed once no more connections arrive, and the calls go on until 1.2 s before the end of the stop time, beside the end of the Lots and their hand-over. The parts of a stop are one sum, checked at start. Servers and tasks end concurrently. A storage process gives its calls half a second.

--- a/src/wigeonfront/http/raw.py
+++ b/src/wigeonfront/http/raw.py
@@ -9,7 +9,8 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
 
 from cheroot import server as cheroot_server
@@ -244,6 +245,8 @@
     ) -> None:
         self._handler = handler
         self._close_connections = False
+        self._calls_lock = threading.Lock()
+        self._open_calls = 0
         self._server = cheroot_server.HTTPServer(
             parse_address(address), gateway=self._make_gateway()
         )
@@ -266,8 +269,26 @@
 
         return _Gateway
 
+    @property
+    def open_calls(self) -> int:
+        """Number of calls whose handler has not ended."""
+        return self._open_calls
+
     def _serve(self, request: cheroot_server.HTTPRequest) -> None:
-        call = RawCall(request, lambda: self._close_connections)
+        with self._counted():
+            self._answer(RawCall(request, lambda: self._close_connections))
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        with self._calls_lock:
+            self._open_calls += 1
+        try:
+            yield
+        finally:
+            with self._calls_lock:
+                self._open_calls -= 1
+
+    def _answer(self, call: RawCall) -> None:
         try:
             self._handler(call)
         except (OSError, BodyCutOff) as error:
@@ -300,6 +321,11 @@
         """Serve until `close` is called; a task of a supervisor."""
         self._server.serve()
 
+    @property
+    def listening(self) -> bool:
+        """Whether the server accepts connections."""
+        return self._server.socket is not None
+
     def close_kept_alive(self) -> None:
         """Close each connection after the answer to its current request."""
         self._close_connections = True
@@ -311,7 +337,12 @@
         """
         close_all([self], seconds)
 
-    def _start_close(self, seconds: float) -> threading.Thread:
+    def start_close(self, seconds: float) -> threading.Thread:
+        """Stop listening and close idle connections; return the thread that does so.
+
+        Calls in progress get `seconds` to end; the thread ends after them.
+        """
+        self.close_kept_alive()
         self._server.shutdown_timeout = seconds
         stopper = threading.Thread(target=self._server.stop, daemon=True)
         stopper.start()
@@ -323,7 +354,7 @@
 
     Each server takes up to half a second to notice that it is to stop.
     """
-    stoppers = [server._start_close(seconds) for server in servers]
+    stoppers = [server.start_close(seconds) for server in servers]
     deadline = time.monotonic() + seconds + CLOSE_SLACK_SECONDS
     for stopper in stoppers:
         stopper.join(max(0.0, deadline - time.monotonic()))
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -42,6 +42,7 @@
 from wigeonfront.node.peer_calls import PeerCalls
 from wigeonfront.node.process import run_node, stop_this_process
 from wigeonfront.node.settings import NodeSettings
+from wigeonfront.node.stop_budget import MIN_STOP_SECONDS, stop_budget
 from wigeonfront.node.store_view import StoreView
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
@@ -87,21 +88,10 @@
 """Interval between two checks for idle connections and lapsed registrations. A lapsed
 registration is used for up to this time longer."""
 
-UNREADY_SECONDS = 2.3
-"""Time from the stop signal until no more connections arrive: the platform checks the
-readiness once a second and takes an entry out of service after two failed checks."""
-
-STOP_RESERVE_SECONDS = 3.0
-"""Part of the allowed stop time reserved for handing over Lots and for closing: a store
-that does not answer takes a second of it."""
-
-HAND_OVER_SECONDS = 1.5
-"""Part of the reserve in which calls to an unavailable store are retried."""
-
 CALLER_SERVERS = ("front", "api")
 
-CLOSE_SECONDS = 0.5
-"""Time in which calls may end after the listener is closed."""
+STOP_POLL_SECONDS = 0.1
+"""Pause between two checks whether a part of a stop has ended."""
 
 
 class EntryNode:
@@ -432,6 +422,14 @@
 
     def start(self) -> None:
         """Bind all servers and start all tasks."""
+        if self._settings.bounds.stop_seconds < MIN_STOP_SECONDS:
+            event(
+                logger,
+                "stop_time_short",
+                level=logging.WARNING,
+                seconds=self._settings.bounds.stop_seconds,
+                needed=MIN_STOP_SECONDS,
+            )
         for server in self._servers.values():
             server.bind()
         start = self._supervisor.start
@@ -466,23 +464,37 @@
         for server in self._caller_servers():
             server.close_kept_alive()
         event(logger, "stopping", lots=len(self._runner.owned_ids()))
-        work_deadline = (
-            began + self._settings.bounds.stop_seconds - STOP_RESERVE_SECONDS
-        )
-        self._clock.sleep(UNREADY_SECONDS)
-        while self._runner.has_open_lots() and self._clock.monotonic() < work_deadline:
-            self._clock.sleep(0.1)
-        self._lots.hand_over(work_deadline + HAND_OVER_SECONDS)
-        close_all(self._caller_servers(), CLOSE_SECONDS)
+        budget = stop_budget(self._settings.bounds.stop_seconds)
+        self._clock.sleep(budget.unready)
+        for server in self._caller_servers():
+            server.start_close(budget.calls_end - budget.unready)
+        self._wait(lambda: not self._runner.has_open_lots(), began + budget.hand_over)
+        self._lots.hand_over(began + budget.hand_over_end)
+        self._wait(self._calls_ended, began + budget.calls_end)
         for duty in self._duties:
             duty.leave()
+        cut_off = sum(server.open_calls for server in self._caller_servers())
         self.close()
-        event(logger, "drained", seconds=self._clock.monotonic() - began)
+        seconds = self._clock.monotonic() - began
+        event(logger, "drained", seconds=seconds, cut_off=cut_off)
+
+    def _wait(self, ended: Callable[[], bool], until: float) -> None:
+        """Wait until `ended` returns ``True``, or until a monotonic time."""
+        while not ended() and self._clock.monotonic() < until:
+            self._clock.sleep(STOP_POLL_SECONDS)
+
+    def _calls_ended(self) -> bool:
+        return not any(
+            server.listening or server.open_calls for server in self._caller_servers()
+        )
 
     def close(self) -> None:
         """Close all servers without a grace time, and end all tasks."""
-        close_all((*self._servers.values(), self._metrics_page.server), 0.0)
+        servers = (*self._servers.values(), self._metrics_page.server)
+        closing = threading.Thread(target=close_all, args=(servers, 0.0))
+        closing.start()
         self._supervisor.stop()
+        closing.join()
 
     def _caller_servers(self) -> list[RawServer]:
         return [
--- a/src/wigeonfront/node/storage.py
+++ b/src/wigeonfront/node/storage.py
@@ -40,6 +40,9 @@
 WATCH_SECONDS = 4.0
 """Time that one watch waits: less than half of the time given to retire a machine."""
 
+CLOSE_SECONDS = 0.5
+"""Time in which calls may end at a stop: the time for which their callers wait."""
+
 SPOOL_THREADS = 32
 UPKEEP_INTERVAL_SECONDS = 1.0
 
@@ -125,7 +128,7 @@
     def stop(self) -> None:
         """End all tasks."""
         if self._spool is not None:
-            close_all([self._server], 0.0)
+            close_all([self._server], CLOSE_SECONDS)
         self._supervisor.stop()
         if self._spool is not None:
             self._spool.close()
