Quarantine: a sample under which engines crashed is delayed, never held back

Callers saw: after a burst of crashes of engines a sound sample was never sent again, though all was calm and engines had room, and its group stayed incomplete.

The rows outlive processes, so that the next owner held it back too.

Now both are sent again four seconds after the last crash, by any owner. From the sixth crash on they are isolated: one at a time, twice as many after each run without a crash, on the emptiest engine; crashes beside them don't count.

--- a/src/wigeonfront/forwarding/guard.py
+++ b/src/wigeonfront/forwarding/guard.py
@@ -14,8 +14,17 @@
     def blocked_for(self, request: ForwardRequest) -> float:
         """Return the seconds for which `request` must not be sent; 0 if it may be."""
 
-    def sample_blocked_for(self, request: ForwardRequest) -> float:
-        """Return the same for the request of a sample of a Lot."""
+    def needs_isolation(self, request: ForwardRequest) -> bool:
+        """Return whether an owed request must run apart from other requests."""
+
+    def owed_run(
+        self, request: ForwardRequest, target: Target
+    ) -> AbstractContextManager[float]:
+        """Return a context manager that spans the run of an owed request at `target`.
+
+        Samples of accepted Lots and their reward calls are owed. The value is 0 if the
+        request may be sent, or the seconds to wait otherwise.
+        """
 
     def is_suspect(self, request: ForwardRequest) -> bool:
         """Return whether targets have crashed under `request`."""
@@ -50,9 +59,14 @@
         """Return 0."""
         return 0.0
 
-    def sample_blocked_for(self, request: ForwardRequest) -> float:
-        """Return 0."""
-        return 0.0
+    def needs_isolation(self, request: ForwardRequest) -> bool:
+        """Return ``False``."""
+        return False
+
+    @contextmanager
+    def owed_run(self, request: ForwardRequest, target: Target) -> Iterator[float]:
+        """Allow the run."""
+        yield 0.0
 
     def is_suspect(self, request: ForwardRequest) -> bool:
         """Return ``False``."""
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -1,6 +1,7 @@
 """Detects targets that crash while they run a request, and blocks the request."""
 
 import logging
+import math
 import threading
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
@@ -12,8 +13,9 @@
 from wigeonfront.forwarding.fingerprint import fingerprint, host_of
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
+from wigeonfront.quarantine.isolation import IsolationLimit
 from wigeonfront.quarantine.ledger import CrashLedger
-from wigeonfront.quarantine.policy import quarantine_end, sample_retry_at
+from wigeonfront.quarantine.policy import needs_isolation, owed_pause, quarantine_end
 from wigeonfront.quarantine.record import Crash
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
@@ -25,6 +27,9 @@
 incarnation, in either order, for which the target counts as crashed: a restarted target
 registers within this time."""
 
+ISOLATION_PAUSE_SECONDS = 0.5
+"""Pause until an owed request that has to be isolated asks again whether it may run."""
+
 MAX_WRITE_WAIT_SECONDS = 0.1
 """Longest time for which a request that has crashed a target waits until its crash is
 written and the crashes seen by other entries are known: many times what the store
@@ -80,6 +85,11 @@
         self._possible_crashes: list[_PossibleCrash] = []
         # Fingerprint and target id of each running request that has crashed a target.
         self._suspects_running: list[tuple[str, str]] = []
+        self._isolation = IsolationLimit()
+        # Fingerprint and target id of each isolated run, with the monotonic time at
+        # which its crash no longer explains that of another request; infinite while it
+        # is in progress.
+        self._isolated: dict[tuple[str, str], float] = {}
         # Recently replaced targets, with the monotonic time of their replacement.
         self._replaced: dict[str, float] = {}
         self._crashes = metrics.counter(
@@ -91,32 +101,88 @@
 
     def blocked_for(self, request: ForwardRequest) -> float:
         """Return the seconds for which `request` must not be sent; 0 if it may be."""
-        return self._blocked_for(request, quarantine_end)
-
-    def sample_blocked_for(self, request: ForwardRequest) -> float:
-        """Return the same for the request of a sample, which gets a few more runs."""
-        return self._blocked_for(request, sample_retry_at)
-
-    def _blocked_for(
-        self, request: ForwardRequest, end: Callable[[Collection[Crash]], float]
-    ) -> float:
         if self._ledger.empty:
             return 0.0
         digest = fingerprint(request)
         crashes = self._ledger.crashes(digest)
-        seconds = end(crashes) - self._clock.time()
+        seconds = quarantine_end(crashes) - self._clock.time()
         if seconds <= 0:
             return 0.0
+        self._note_blocked(request, digest, len(crashes), seconds)
+        return seconds
+
+    def _note_blocked(
+        self, request: ForwardRequest, digest: str, crashes: int, seconds: float
+    ) -> None:
         self._blocked.increment()
         event(
             logger,
             "request_quarantined",
             request=request.id,
             fingerprint=digest,
-            crashes=len(crashes),
+            crashes=crashes,
             seconds=seconds,
         )
-        return seconds
+
+    def needs_isolation(self, request: ForwardRequest) -> bool:
+        """Return whether an owed request must run apart from other requests."""
+        return not self._ledger.empty and needs_isolation(
+            self._ledger.crashes(fingerprint(request))
+        )
+
+    @contextmanager
+    def owed_run(self, request: ForwardRequest, target: Target) -> Iterator[float]:
+        """Return a context manager that spans the run of an owed request at `target`.
+
+        Its value is 0 if the request may be sent, or the seconds to wait otherwise.
+        """
+        if self._ledger.empty:
+            yield 0.0
+            return
+        digest = fingerprint(request)
+        crashes = self._ledger.crashes(digest)
+        seconds = owed_pause(crashes, self._clock.time())
+        isolated = not seconds and needs_isolation(crashes)
+        if isolated and not self._isolation.enter():
+            isolated, seconds = False, ISOLATION_PAUSE_SECONDS
+        if seconds:
+            self._note_blocked(request, digest, len(crashes), seconds)
+            yield seconds
+        elif isolated:
+            with self._isolated_run(digest, target), self.running(request, target):
+                yield 0.0
+        else:
+            yield 0.0
+
+    @contextmanager
+    def _isolated_run(self, digest: str, target: Target) -> Iterator[None]:
+        key = digest, target.id
+        with self._lock:
+            self._isolated[key] = math.inf
+        try:
+            yield
+        finally:
+            with self._lock:
+                crashed = self._isolated.get(key) != math.inf
+                if not crashed:
+                    del self._isolated[key]
+            self._isolation.leave(crashed)
+
+    def _explained_by_isolated(self, digest: str, target_id: str) -> bool:
+        """Return whether another, isolated request ran at a target that crashed.
+
+        The crash then does not count against the requests beside it.
+        """
+        now = self._clock.monotonic()
+        with self._lock:
+            self._isolated = {
+                key: until for key, until in self._isolated.items() if now < until
+            }
+            if (digest, target_id) in self._isolated:
+                until = now + REPLACEMENT_WINDOW_SECONDS
+                self._isolated[digest, target_id] = until
+                return False
+            return any(id == target_id for _, id in self._isolated)
 
     def is_suspect(self, request: ForwardRequest) -> bool:
         """Return whether targets have crashed under `request`."""
@@ -166,6 +232,15 @@
             # A draining target shuts down as planned, together with its requests.
             return
         crash = self._describe_crash(request, target, seconds)
+        if self._explained_by_isolated(crash.fingerprint, target.id):
+            event(
+                logger,
+                "crash_not_counted",
+                request=request.id,
+                fingerprint=crash.fingerprint,
+                target=target.id,
+            )
+            return
         if self._refuses_connections(target.address):
             self._record_crash(crash, "refuses connections")
         elif self._await_replacement(crash):
--- a/src/wigeonfront/quarantine/policy.py
+++ b/src/wigeonfront/quarantine/policy.py
@@ -28,12 +28,13 @@
 MAX_QUARANTINE_SECONDS = 24 * 3600.0
 MAX_GROWTH_STEPS = 3
 
-SAMPLE_EXTRA_RUNS = 3
-"""Number of runs that a quarantined sample still gets: its Lot waits for it, and only
-the owner of the Lot sends it again."""
+OWED_PAUSE_SECONDS = 4.0
+"""Pause after each further crash until an owed request is sent again: within this time
+the crashed target is running again."""
 
-SAMPLE_RETRY_PAUSE_SECONDS = 4.0
-"""Pause before each of these runs, within which the crashed engine is running again."""
+CRASHES_TO_ISOLATE = 6
+"""Number of crashes from which on an owed request is isolated while it runs. Innocent
+requests reach it only where targets crash for long."""
 
 RETENTION_SECONDS = 3600.0
 """Time for which crashes are kept after the newest crash, or after the end of the
@@ -66,21 +67,38 @@
     return _newest(crashes) + min(seconds, MAX_QUARANTINE_SECONDS)
 
 
-def sample_retry_at(crashes: Collection[Crash]) -> float:
-    """Return the time until which a sample of a Lot is not run; 0 if it may be run.
+def owed_pause(crashes: Collection[Crash], now: float) -> float:
+    """Return the seconds for which an owed request is not sent; 0 if it may be.
+
+    A sample of an accepted Lot, and its reward call, are owed: they are never refused
+    for good, however many targets crashed while they ran.
+
+    Parameters
+    ----------
+    crashes : collection of Crash
+        All known crashes of the request.
+    now : float
 
     Examples
     --------
-    >>> crashes = [Crash("f", f"i-{n}", n + 0.5, n + 1.0) for n in range(6)]
-    >>> sample_retry_at(crashes[:2]), sample_retry_at(crashes[:3])
-    (0.0, 7.0)
-    >>> sample_retry_at(crashes) == quarantine_end(crashes)
-    True
+    >>> crashes = [Crash("f", f"i-{n}", n + 0.5, n + 1.0) for n in range(90)]
+    >>> owed_pause(crashes[:2], 2.0), owed_pause(crashes[:3], 4.0)
+    (0.0, 3.0)
+    >>> owed_pause(crashes, 90.0), owed_pause(crashes, 94.0)
+    (4.0, 0.0)
     """
-    end = quarantine_end(crashes)
-    if not end or len(crashes) >= CRASHES_TO_QUARANTINE + SAMPLE_EXTRA_RUNS:
-        return end
-    return _newest(crashes) + SAMPLE_RETRY_PAUSE_SECONDS
+    if not quarantine_end(crashes):
+        return 0.0
+    seconds = _newest(crashes) + OWED_PAUSE_SECONDS - now
+    if seconds > 2 * OWED_PAUSE_SECONDS:
+        # The clock of the entry that saw the crash is ahead.
+        return 0.0
+    return min(max(0.0, seconds), OWED_PAUSE_SECONDS)
+
+
+def needs_isolation(crashes: Collection[Crash]) -> bool:
+    """Return whether an owed request must be isolated from others while it runs."""
+    return len(crashes) >= CRASHES_TO_ISOLATE and quarantine_end(crashes) > 0
 
 
 def sequential_crashes(crashes: Collection[Crash]) -> int:
--- a/src/wigeonfront/rollout/after_run.py
+++ b/src/wigeonfront/rollout/after_run.py
@@ -23,10 +23,6 @@
 """Pause before a failed sample is retried."""
 
 
-QUARANTINE_CHECK_SECONDS = 5.0
-"""Longest pause between two checks whether a sample is still quarantined."""
-
-
 @dataclass(frozen=True, slots=True)
 class TextWhole:
     """The sample's text is whole and fits its Lot."""
@@ -102,7 +98,8 @@
 
 @next_step.register
 def _(outcome: RunQuarantined, run: Run, table: TargetTable, now: float) -> NextStep:
-    run.state.not_before = now + min(outcome.seconds, QUARANTINE_CHECK_SECONDS)
+    run.state.not_before = now + outcome.seconds
+    run.state.isolated = outcome.isolated
     return Requeue()
 
 
--- a/src/wigeonfront/rollout/picking.py
+++ b/src/wigeonfront/rollout/picking.py
@@ -89,7 +89,9 @@
                     continue
             group_targets = _group_targets(runs, waiting.state.sample.group)
             shared = waiting.group_key in ranks
-            view = self._placer.place(waiting, service, group_targets, shared, room)
+            view = self._placer.place(
+                waiting, service, group_targets, shared, room, _reserved_target(runs)
+            )
             if view is not None:
                 yield Pick(waiting, view)
                 usage.add(service, trainer, view.target.id)
@@ -111,6 +113,15 @@
     return routes
 
 
+def _reserved_target(runs: Collection[Run]) -> str:
+    """Return the id of the engine that is kept for an isolated run; empty for none.
+
+    Only one engine is: after a burst of crashes many samples are isolated, which would
+    otherwise take all engines from the others.
+    """
+    return next((run.target_id for run in runs if run.handle.isolated), "")
+
+
 def _group_targets(runs: Collection[Run], group: str) -> frozenset[str]:
     """Return the ids of the engines that run samples of a group."""
     return frozenset(run.target_id for run in runs if run.state.sample.group == group)
--- a/src/wigeonfront/rollout/placement.py
+++ b/src/wigeonfront/rollout/placement.py
@@ -84,6 +84,7 @@
         group_targets: frozenset[str],
         shared: bool = False,
         room: EngineRoom | None = None,
+        reserved: str = "",
     ) -> TargetView | None:
         """Return the engine that a sample should be sent to now, if any.
 
@@ -101,14 +102,20 @@
             Slots are short, and other owners get their share of them.
         room : EngineRoom, optional
             Quotas of the sample's trainer, if the slots are divided.
+        reserved : str
+            Id of an engine that is used only if there is no other; empty for none.
         """
         # All engines are considered where any of them may have the text's version.
         limit = None if waiting.needs.text_version else MAX_CANDIDATES
         views = self._table.views(service, limit)
-        chosen = self._choose(waiting, views, service, group_targets, shared, room)
+        chosen = self._choose(
+            waiting, views, service, group_targets, shared, room, reserved
+        )
         if chosen is None and len(views) == limit:
             views = self._table.views(service)
-            chosen = self._choose(waiting, views, service, group_targets, shared, room)
+            chosen = self._choose(
+                waiting, views, service, group_targets, shared, room, reserved
+            )
         return chosen
 
     def _choose(
@@ -119,6 +126,7 @@
         group_targets: frozenset[str],
         shared: bool,
         room: EngineRoom | None,
+        reserved: str,
     ) -> TargetView | None:
         if self._should_drop_text(waiting, views, service):
             event(
@@ -130,14 +138,16 @@
                 events=waiting.state.text.last_id,
             )
             waiting.state.discard_text()
+        others = [view for view in views if view.target.id != reserved]
         return choose_engine(
-            views,
+            others or views,
             waiting.needs,
             group_targets,
             waiting.state.avoid,
             self._clock.monotonic(),
             shared,
             room,
+            waiting.state.isolated,
         )
 
     def ranks(
--- a/src/wigeonfront/rollout/progress.py
+++ b/src/wigeonfront/rollout/progress.py
@@ -81,6 +81,8 @@
         Runs that ended because no event arrived in time.
     not_before : float
         Monotonic time before which the sample is not sent again.
+    isolated : bool
+        Whether it runs apart from other samples, as engines crashed while it ran.
     waiting_since : float
         Monotonic time at which the last run that generated text ended, or at which this
         process became the owner.
@@ -99,6 +101,7 @@
     moves: int = 0
     silent_runs: int = 0
     not_before: float = 0.0
+    isolated: bool = False
     waiting_since: float = 0.0
     snapshot: Text | None = None
     saved: int = 0
--- a/src/wigeonfront/rollout/reward_call.py
+++ b/src/wigeonfront/rollout/reward_call.py
@@ -87,7 +87,7 @@
     forwarder : Forwarder
     protocol : RewardProtocol
     guard : RequestGuard, optional
-        Blocks the calls that are quarantined.
+        Delays and isolates the calls under which targets crashed.
     """
 
     def __init__(
@@ -123,11 +123,12 @@
             Allows other threads to cancel the call.
         """
         request = self._protocol.reward_request(call)
-        if self._guard.blocked_for(request):
-            return CallRefused("quarantined")
-        outcome = self._forwarder.send(
-            request, view, deadline, run_seconds=run_seconds, handle=handle
-        )
+        with self._guard.owed_run(request, view.target) as blocked:
+            if blocked:
+                return CallRefused("quarantined")
+            outcome = self._forwarder.send(
+                request, view, deadline, run_seconds=run_seconds, handle=handle
+            )
         if handle.cancelled:
             return CallCancelled()
         if isinstance(outcome, Answered):
--- a/src/wigeonfront/rollout/run_outcomes.py
+++ b/src/wigeonfront/rollout/run_outcomes.py
@@ -76,9 +76,12 @@
     ----------
     seconds : float
         Time until it may be sent.
+    isolated : bool
+        It must then run apart from other samples.
     """
 
     seconds: float
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -385,7 +385,8 @@
         state = waiting.state
         state.running = True
         first_event_seconds = first_event_wait(view, state.silent_runs)
-        run = Run(waiting.progress, state, view, RunHandle(first_event_seconds))
+        handle = RunHandle(first_event_seconds, state.isolated)
+        run = Run(waiting.progress, state, view, handle)
         self._runs[run.key] = run
         self._table.record_started(view.target.id, state.sample.model)
         self._log.sent(run)
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -62,15 +62,19 @@
     first_event_seconds : float
         Timeout in seconds for the run's first event.
 
+    isolated : bool
+        The engine was chosen so that the run is apart from other runs.
+
     Attributes
     ----------
     moved : bool
         The run was ended in order to be continued on another engine.
     """
 
-    def __init__(self, first_event_seconds: float) -> None:
+    def __init__(self, first_event_seconds: float, isolated: bool = False) -> None:
         super().__init__()
         self.first_event_seconds = first_event_seconds
+        self.isolated = isolated
         self.moved = False
 
     def move(self) -> None:
@@ -88,7 +92,7 @@
     protocol : SampleProtocol
     clock : Clock
     guard : RequestGuard, optional
-        Blocks the samples that are quarantined.
+        Delays and isolates the samples under which engines crashed.
     """
 
     def __init__(
@@ -130,9 +134,24 @@
             Called after each event with the version that generated it.
         """
         request = self._protocol.sample_request(lot, sample, text.last_id)
-        blocked = self._guard.sample_blocked_for(request)
-        if blocked:
-            return RunQuarantined(blocked)
+        isolated = self._guard.needs_isolation(request)
+        if isolated and not handle.isolated:
+            return RunQuarantined(0.0, isolated)
+        with self._guard.owed_run(request, target) as blocked:
+            if blocked:
+                return RunQuarantined(blocked, isolated)
+            return self._send(request, lot, text, target, seconds, handle, on_event)
+
+    def _send(
+        self,
+        request: ForwardRequest,
+        lot: Lot,
+        text: Text,
+        target: Target,
+        seconds: float,
+        handle: RunHandle,
+        on_event: Callable[[int], None],
+    ) -> RunOutcome:
         head_seconds = min(handle.first_event_seconds, seconds)
         head_deadline = self._clock.monotonic() + head_seconds
         call = self._exchange.open(
--- a/src/wigeonfront/rollout/scheduling.py
+++ b/src/wigeonfront/rollout/scheduling.py
@@ -289,6 +289,7 @@
     now: float,
     shared: bool = False,
     room: EngineRoom | None = None,
+    isolated: bool = False,
 ) -> TargetView | None:
     """Return the engine that should run a sample fastest, or ``None`` if all are full.
 
@@ -307,6 +308,8 @@
         Slots are short, and other owners get their share of them.
     room : EngineRoom, optional
         Quotas of the sample's trainer, in place of `shared`.
+    isolated : bool
+        The sample should run apart from others, so that the emptiest engine is chosen.
     """
     usable = usable_engines(views, needs, now)
     healthy = [view for view in usable if view.target.id != avoid] or usable
@@ -329,6 +332,8 @@
         bonus = GROUP_BONUS if view.target.id in group_targets else 0
         return event_seconds(view, typical, bonus)
 
+    if isolated:
+        return min(with_room, key=lambda view: (view.load, cost(view)), default=None)
     return min(fast or with_room, key=cost, default=None)
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -30,7 +30,13 @@
     CrashWriter,
     quarantine_end,
 )
-from wigeonfront.quarantine.policy import expires_at
+from wigeonfront.quarantine.policy import (
+    CRASHES_TO_ISOLATE,
+    OWED_PAUSE_SECONDS,
+    expires_at,
+    needs_isolation,
+    owed_pause,
+)
 from wigeonfront.quarantine.record import decode_crash, encode_crash
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
@@ -69,6 +75,40 @@
     assert quarantine_end(crashes) == end
 
 
+BURSTS = [n // 3 * 2.0 + n % 3 * 0.1 for n in range(10)]
+ONE_BY_ONE = [n * 3.0 for n in range(10)]
+
+
+@pytest.mark.parametrize("times", [BURSTS, ONE_BY_ONE, range(500)])
+def test_an_owed_request_is_sent_again_seconds_after_its_last_crash(times):
+    crashes = crashes_at(*times)
+    last = max(times)
+    assert quarantine_end(crashes) > last + HOUR
+    assert owed_pause(crashes, last) == OWED_PAUSE_SECONDS
+    assert owed_pause(crashes, last + OWED_PAUSE_SECONDS) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("ahead", "longest"), [(1.0, OWED_PAUSE_SECONDS), (HOUR, 0.0), (-HOUR, 0.0)]
+)
+def test_a_wrong_clock_of_another_entry_holds_no_owed_request_back(ahead, longest):
+    crashes = crashes_at(*(time + ahead for time in BURSTS))
+    assert owed_pause(crashes, max(BURSTS)) == longest
+
+
+@pytest.mark.parametrize(
+    ("crashes", "isolated"),
+    [
+        (crashes_at(*range(CRASHES_TO_ISOLATE - 1)), False),
+        (crashes_at(*range(CRASHES_TO_ISOLATE)), True),
+        # All at one moment.
+        (crashes_at(*[5.0 + n / 100 for n in range(10)]), False),
+    ],
+)
+def test_when_an_owed_request_is_isolated(crashes, isolated):
+    assert needs_isolation(crashes) is isolated
+
+
 @pytest.mark.parametrize(
     ("crashes", "at"),
     [
@@ -396,6 +436,57 @@
     assert not guarded.guard.targets_to_avoid(OTHER)
 
 
+def after_many_crashes(*requests):
+    """Return a guard that knows enough crashes of each request to isolate it."""
+    guarded = Guarded()
+    for request in requests:
+        for n in range(CRASHES_TO_ISOLATE):
+            at = 900.0 + n
+            crash = Crash(fingerprint(request), f"old-{n}", at - 0.5, at)
+            guarded.ledger.add(crash)
+    return guarded
+
+
+def test_isolated_requests_run_one_at_a_time_until_one_runs_without_a_crash():
+    guarded = after_many_crashes(REQUEST, OTHER)
+    guard, (target, second, *_) = guarded.guard, guarded.targets
+    first, other = guard.owed_run(REQUEST, target), guard.owed_run(OTHER, second)
+    with first as first_blocked, other as other_blocked:
+        assert (first_blocked, other_blocked > 0) == (0.0, True)
+    with guard.owed_run(OTHER, second) as blocked:
+        assert blocked == 0.0
+        with guard.owed_run(REQUEST, target) as blocked:
+            assert blocked == 0.0
+
+
+def test_a_crash_of_an_isolated_request_does_not_count_against_others_beside_it():
+    guarded = after_many_crashes(REQUEST)
+    target = guarded.targets[0]
+    with guarded.guard.owed_run(REQUEST, target):
+        guarded.crash(0, OTHER)
+        guarded.crash(0, REQUEST)
+    guarded.guard.connection_lost(OTHER, target, 0.5)
+    assert not guarded.ledger.crashes(fingerprint(OTHER))
+    assert len(guarded.ledger.crashes(fingerprint(REQUEST))) == CRASHES_TO_ISOLATE + 1
+    # A later crash, without an isolated request, counts.
+    guarded.crash(1, OTHER)
+    assert guarded.ledger.crashes(fingerprint(OTHER))
+
+
+def test_a_crash_limits_isolated_requests_to_one_again():
+    guarded = after_many_crashes(REQUEST, OTHER)
+    guard, (target, second, *_) = guarded.guard, guarded.targets
+    for crashed in (False, True):
+        with guard.owed_run(REQUEST, target):
+            if crashed:
+                guarded.crash(0, REQUEST)
+        guarded.clock.advance(OWED_PAUSE_SECONDS)
+    with guard.owed_run(REQUEST, target) as blocked:
+        assert blocked == 0.0
+        with guard.owed_run(OTHER, second) as blocked:
+            assert blocked > 0.0
+
+
 class RecordingExchange:
     """Answers each send, and records its target and the targets that others avoid."""
 
--- a/tests/test_reward_call.py
+++ b/tests/test_reward_call.py
@@ -8,9 +8,13 @@
 from platform_standins.engine import PlainService
 from rows_fakes import free_address, make_forwarder_by
 from test_forwarding import RawTarget, make_exchange
+from test_quarantine import Guarded, RecordingExchange
 from wigeonfront.clock import SystemClock
+from wigeonfront.forwarding.fingerprint import fingerprint
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.platform.lot_calls import PlatformSamples
+from wigeonfront.quarantine import Crash
+from wigeonfront.quarantine.policy import OWED_PAUSE_SECONDS
 from wigeonfront.rollout.lot import RewardCall
 from wigeonfront.rollout.reward_call import (
     CallBroken,
@@ -147,3 +151,24 @@
         assert isinstance(send(caller, table, 1.0, call=other), Scored)
     finally:
         service.stop()
+
+
+def test_a_reward_call_under_which_many_targets_crashed_is_sent_again():
+    """After three crashes a reward call was held back for ten minutes and more."""
+    guarded = Guarded()
+    samples = PlatformSamples()
+    digest = fingerprint(samples.reward_request(CALL))
+    for n in range(10):
+        guarded.ledger.add(Crash(digest, f"old-{n}", 900.0 + n, 900.5 + n))
+    exchange = RecordingExchange(guarded.guard)
+    forwarder, table, _ = make_forwarder_by(
+        exchange, guarded.clock, guarded.targets[:1], "z", guarded.guard
+    )
+    caller = RewardCaller(forwarder, samples, guarded.guard)
+    guarded.clock.advance(-guarded.clock.time() + 910.0)
+    (view,) = table.views("desk")
+    for wait, sent in ((0.0, 0), (OWED_PAUSE_SECONDS, 1)):
+        guarded.clock.advance(wait)
+        until = guarded.clock.monotonic() + 1.0
+        caller.send(CALL, view, until, 20.0, CallHandle())
+        assert len(exchange.sent) == sent
