Take-over: an owner that passed a Lot on does not claim it again at once

Seen in a full run of the tests: the entry that had passed a Lot on, as it reached neither disks nor entries, was itself the first in the order of claims of a Lot without an owner, and took it back. claimable_lots asks for the left Lots only where the head row names this process. They are now left out before.

The test chose its Lot so that either entry could be first; it now takes one whose first claimer is the entry that passes it on, and failed before.

--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -141,11 +141,11 @@
             lot_id: until for lot_id, until in self._left_until.items() if now < until
         }
         return claimable_lots(
-            heads,
+            {id: head for id, head in heads.items() if id not in self._left_until},
             members,
             self._missing_since,
             self._own_member().incarnation,
-            {*self._runner.owned_ids(), *self._left_until},
+            self._runner.owned_ids(),
             now,
             OWNER_GRACE_SECONDS,
         )
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -15,7 +15,7 @@
 from wigeonfront.platform import records
 from wigeonfront.rollout.head import LotState
 from wigeonfront.rollout.lot import Lot, Sample, SampleResult
-from wigeonfront.rollout.ownership import NO_OWNER
+from wigeonfront.rollout.ownership import NO_OWNER, claim_delay
 from wigeonfront.rollout.progress import LotProgress
 from wigeonfront.rollout.repository import NotKept
 from wigeonfront.rollout.spooling import (
@@ -24,6 +24,7 @@
     choose_members,
     spool_due,
 )
+from wigeonfront.rollout.takeover import LEAVE_SECONDS
 from wigeonfront.spool import SpoolMember
 from wigeonfront.spool.calls import Append, Refused
 
@@ -160,16 +161,23 @@
 def test_an_owner_that_reaches_neither_disks_nor_entries_passes_its_lot_on(deployed):
     """The Lot stayed with an owner that could not recover it."""
     first, second, third = (add_entry(deployed, name) for name in ("n1", "n2", "n3"))
-    page = run_in_an_outage(deployed, first)
-    kill(first, "l1")
+    entries = [entry._registration.member.incarnation for entry in (second, third)]
+    # The second entry is also the first that claims the Lot once it has no owner.
+    lot = next(
+        f"l{number}"
+        for number in range(100)
+        if claim_delay(f"l{number}", entries[0], entries) == 0.0
+    )
+    page = run_in_an_outage(deployed, first, lot)
+    kill(first, lot)
     cut_off_from_disks(second, deployed)
     second._spool._relays = list
     third._lots.leave()
     deployed.rows.faults.down = False
-    wait_for(lambda: second._lots._repository.head("l1").owner == NO_OWNER, 15.0)
+    wait_for(lambda: second._lots._repository.head(lot).owner == NO_OWNER, 15.0)
     third._lots._takeover.leaving = False
-    wait_for(lambda: third._runner.owned("l1"), 10.0)
-    assert read_all(third, "l1") == page
+    wait_for(lambda: third._runner.owned(lot), LEAVE_SECONDS)
+    assert read_all(third, lot) == page
 
 
 def test_shown_results_survive_the_end_of_all_processes(deployed, tmp_path):
