Answers: one deadline and one limit of bytes, below all parsing

Callers saw, by a target of ours: a target that sends header lines, informational answers, trailers or a body without an end, or a byte now and then, held their requests past every deadline, or filled the memory of the entry.

Cause: time was limited for single reads, bytes for single lines. What is read in a loop had no limit, nor had the bodies that the store's client and calls between processes read.

http/bounded.py now checks each read from a socket against the deadline of the whole answer, the bytes of its head and body, and a budget of the process. Bytes without a whole event are no progress of a stream. What passes a limit is an answer that broke off.

--- a/benchmarks/mutations/decisions.py
+++ b/benchmarks/mutations/decisions.py
@@ -614,6 +614,20 @@
         "test_quarantine.py",
         "test_crashing_requests.py",
     ),
+    _mutation(
+        "an answer may take any time",
+        "http/bounded.py",
+        "        if seconds <= 0:",
+        "        if False:",
+        "test_endless_answers.py",
+    ),
+    _mutation(
+        "an answer may have any number of bytes",
+        "http/bounded.py",
+        "        if limit.bytes_left <= 0:",
+        "        if False:",
+        "test_endless_answers.py",
+    ),
     _mutation(
         "an isolated request does not explain the crashes beside it",
         "quarantine/guard.py",
--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -15,12 +15,12 @@
 from typing import Any
 from weakref import WeakSet
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from wigeonfront.clock import Clock
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.slow_wait import SlowWait
+from wigeonfront.http.bounded import BoundedConnection
 from wigeonfront.http.encoding import parse_address
 from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE
 
@@ -79,7 +79,7 @@
 
     Attributes
     ----------
-    http_connection : urllib3.connection.HTTPConnection
+    http_connection : BoundedConnection
     sock : socket
         Socket of the connection. It is stored here because the library drops its own
         reference while the body is still being read.
@@ -92,7 +92,7 @@
         Seconds for which it may be kept idle.
     """
 
-    http_connection: HTTPConnection
+    http_connection: BoundedConnection
     sock: socket.socket
     target_id: str
     used: bool = False
@@ -243,12 +243,13 @@
         slow: SlowWait | None,
     ) -> Connection | NoConnection:
         host, port = parse_address(address)
-        http_connection = HTTPConnection(
+        http_connection = BoundedConnection(
             host,
             port,
             timeout=CONNECT_TIMEOUT_SECONDS,
             socket_options=_socket_options(),
         )
+        http_connection.clock = self._clock
         try:
             if handle is None or slow is None:
                 http_connection.connect()
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -30,13 +30,12 @@
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.open_call import OpenCall, do_nothing
 from wigeonfront.forwarding.slow_wait import SlowWait
+from wigeonfront.http.bounded import MAX_BODY_BYTES, PROCESS_BUDGET, AnswerLimit
 from wigeonfront.observability.logs import event
 from wigeonfront.targets.target import Target
 
 logger = logging.getLogger(__name__)
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-
 REFUSAL_BODY_TIMEOUT_SECONDS = 0.1
 """Longest wait for the body of a refusal, which arrives together with its head."""
 
@@ -50,6 +49,25 @@
 begun to leave meanwhile: a quarter of the time for which such a target still serves,
 because senders learn of it late."""
 
+
+@dataclass(frozen=True, slots=True)
+class BodyLimit:
+    """What the body of an answer may take.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time until which it must have arrived.
+    max_bytes : int
+    held : bool
+        Whether the process holds the body, and not only passes it on.
+    """
+
+    deadline: float
+    max_bytes: int = MAX_BODY_BYTES
+    held: bool = True
+
+
 OnSent = Callable[[], None]
 AcceptsWork = Callable[[str], bool]
 
@@ -91,6 +109,7 @@
     handle : CallHandle or None
     started : float
         Monotonic time at which the send started, in seconds.
+    body : BodyLimit
     """
 
     request: ForwardRequest
@@ -98,6 +117,7 @@
     connection: Connection
     handle: CallHandle | None
     started: float
+    body: BodyLimit
 
 
 class Exchange:
@@ -168,13 +188,8 @@
             return call
         if handle is not None:
             handle.record_answer_begun()
-        body = bytearray()
         try:
-            for piece in call.pieces(max(0.05, deadline - self._clock.monotonic())):
-                body += piece
-                if len(body) > MAX_ANSWER_BYTES:
-                    call.close()
-                    return Broken("answer too large")
+            body = call.body(max(0.05, deadline - self._clock.monotonic()))
         except TimeoutError:
             call.close()
             return TimedOut(self._clock.monotonic() - started)
@@ -187,7 +202,7 @@
             return CallerGone()
         headers = self._protocol.response_headers(call.headers)
         call.finish()
-        return Answered(call.status, headers, bytes(body), call.framed)
+        return Answered(call.status, headers, body, call.framed)
 
     def open(
         self,
@@ -200,6 +215,7 @@
         on_sent: OnSent = do_nothing,
         reuse_deadline: float | None = None,
         slow: SlowWait | None = None,
+        body: BodyLimit | None = None,
     ) -> OpenCall | NotExecuted | Broken | CallerGone | TimedOut:
         """Send `request` and return once the head of the answer has arrived.
 
@@ -222,6 +238,8 @@
             on a new connection.
         slow : SlowWait, optional
             Told if the connection or the head is awaited for long.
+        body : BodyLimit, optional
+            Limit of the body; by default it must have arrived by `deadline` too.
         """
         if handle is not None and handle.cancelled:
             return CallerGone()
@@ -238,7 +256,14 @@
         if handle is not None and not handle.attach(connection.sock):
             connection.close()
             return CallerGone()
-        send = _Send(request, target, connection, handle, self._clock.monotonic())
+        send = _Send(
+            request,
+            target,
+            connection,
+            handle,
+            self._clock.monotonic(),
+            body or BodyLimit(deadline),
+        )
         until = deadline
         if connection.used and reuse_deadline is not None:
             until = min(deadline, reuse_deadline)
@@ -269,6 +294,7 @@
                 handle,
                 on_sent,
                 slow=slow,
+                body=body,
             )
             refused = isinstance(second, NotExecuted)
             # The first send may have run, unless the target is still alive and had
@@ -324,6 +350,12 @@
         connection, handle = send.connection, send.handle
         http_connection = connection.http_connection
         http_connection.sock.settimeout(max(0.05, deadline - self._clock.monotonic()))
+        http_connection.limit = AnswerLimit(
+            deadline,
+            send.body.deadline,
+            send.body.max_bytes,
+            budget=PROCESS_BUDGET if send.body.held else None,
+        )
         try:
             response = http_connection.getresponse()
         except TimeoutError:
@@ -367,9 +399,9 @@
 
     def _drain(self, call: OpenCall) -> None:
         """Read the short body of a refusal, so that its connection can be reused."""
+        until = self._clock.monotonic() + REFUSAL_BODY_TIMEOUT_SECONDS
         try:
-            for _ in call.pieces(REFUSAL_BODY_TIMEOUT_SECONDS):
-                pass
+            call.discard_body(until, REFUSAL_BODY_TIMEOUT_SECONDS)
         except (HTTPError, OSError, http.client.HTTPException):
             call.close()
             return
--- a/src/wigeonfront/forwarding/open_call.py
+++ b/src/wigeonfront/forwarding/open_call.py
@@ -8,9 +8,13 @@
 
 from wigeonfront.forwarding.connections import Connection, Connections
 from wigeonfront.forwarding.handle import CallHandle
+from wigeonfront.http.bounded import MAX_BODY_BYTES, AnswerTooLong
 
 READ_BYTES = 65_536
 
+MAX_ERROR_BYTES = 1024 * 1024
+"""Longest body of an answer that only tells of an error."""
+
 OnLost = Callable[[str], None]
 """Called with the reason why a connection was lost during a request."""
 
@@ -94,6 +98,32 @@
             self._on_lost("body:IncompleteRead")
             raise http.client.IncompleteRead(b"", self._response.length_remaining)
 
+    def body(self, silence: float, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body; parameters and errors as for `pieces`.
+
+        Raises
+        ------
+        AnswerTooLong
+            If it has more than `max_bytes`.
+        """
+        data = bytearray()
+        for piece in self.pieces(silence):
+            data += piece
+            if len(data) > max_bytes:
+                raise AnswerTooLong(f"the body has more than {max_bytes} bytes")
+        return bytes(data)
+
+    def discard_body(self, deadline: float, silence: float) -> None:
+        """Read a short body to its end until a monotonic time, and drop it.
+
+        Errors are those of `pieces`.
+        """
+        limit = self._connection.http_connection.limit
+        if limit is not None:
+            limit.lower(deadline, MAX_ERROR_BYTES)
+        for _ in self.pieces(silence):
+            pass
+
     def finish(self) -> None:
         """Return the connection to the pool after the whole body was read."""
         self._on_answered()
--- a/src/wigeonfront/forwarding/streams.py
+++ b/src/wigeonfront/forwarding/streams.py
@@ -14,9 +14,14 @@
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Route
 from wigeonfront.forwarding.attempt import CallerGone, ForwardRequest, NotExecuted
-from wigeonfront.forwarding.exchange import Exchange, TargetProtocol, caller_closed
+from wigeonfront.forwarding.exchange import (
+    BodyLimit,
+    Exchange,
+    TargetProtocol,
+    caller_closed,
+)
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
-from wigeonfront.forwarding.open_call import OpenCall
+from wigeonfront.forwarding.open_call import MAX_ERROR_BYTES, OpenCall
 from wigeonfront.forwarding.placement import choose_target
 from wigeonfront.forwarding.steps import (
     GATEWAY_TIMEOUT,
@@ -217,7 +222,8 @@
         """
         target = view.target
         self._table.record_started(target.id)
-        opened = self._exchange.open(request, target, due, call.socket)
+        limit = BodyLimit(due, held=False)
+        opened = self._exchange.open(request, target, due, call.socket, body=limit)
         if not isinstance(opened, OpenCall):
             self._table.record_ended(target.id, health_evidence(opened))
             if isinstance(opened, NotExecuted) and opened.replaced:
@@ -258,7 +264,7 @@
     ) -> StreamEnd:
         body = b""
         try:
-            body = b"".join(opened.pieces(MAX_EVENT_GAP_SECONDS))
+            body = opened.body(MAX_EVENT_GAP_SECONDS, MAX_ERROR_BYTES)
             opened.finish()
         except (HTTPError, OSError, http.client.HTTPException):
             opened.close()
@@ -280,6 +286,7 @@
         start: "StreamStart",
     ) -> tuple[StreamEnd, int]:
         reader = EventReader(self._protocol.version_field)
+        event_at = self._clock.monotonic()
         try:
             for piece in opened.pieces(MAX_EVENT_GAP_SECONDS):
                 for raw in reader.feed_raw(piece):
@@ -290,11 +297,14 @@
                     start.record()
                     call.write(raw + BOUNDARY)
                     last_id = found.id
+                    event_at = self._clock.monotonic()
                 if caller_closed(call.socket):
                     opened.close()
                     call.abort()
                     return StreamEnd.DONE, last_id
-                if self._clock.monotonic() >= due:
+                if self._clock.monotonic() >= min(
+                    due, event_at + MAX_EVENT_GAP_SECONDS
+                ):
                     opened.close()
                     return StreamEnd.BROKEN, last_id
         except (HTTPError, ValueError, http.client.HTTPException, TimeoutError):
--- /dev/null
+++ b/src/wigeonfront/http/bounded.py
@@ -0,0 +1,240 @@
+"""HTTP connections on which no answer is read without an end.
+
+An answer may have a head, a chunk extension, trailers or a body without an end, or may
+arrive byte by byte. The library limits single lines and the time of single reads alone.
+Here each answer has a deadline and a limit for the bytes of its head and of its body,
+and all answers that a process reads at once have a limit together. They are checked
+where the bytes come from the socket, below all parsing.
+"""
+
+import http.client
+import io
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from urllib3 import HTTPConnectionPool
+from urllib3.connection import HTTPConnection
+
+from wigeonfront.clock import Clock, SystemClock
+
+MAX_HEAD_BYTES = 128 * 1024
+"""Longest head of an answer, with the informational answers before it: a hundred times
+the usual one."""
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+WHOLE_ANSWER_FACTOR = 2.0
+"""Time for a whole answer, as a multiple of the longest wait for its head."""
+
+DEFAULT_BUDGET_BYTES = 128 * 1024 * 1024
+
+BUDGET_SHARE = 0.25
+"""Share of a process's memory that answers may take while they are read. Joining the
+pieces of a body takes as much again."""
+
+SLACK_SECONDS = 0.02
+"""Time by which a read may pass the deadline, so that its timeout need not be set."""
+
+
+class AnswerTooLong(http.client.HTTPException):
+    """An answer has more bytes than it may have."""
+
+
+class ByteBudget:
+    """Limits the bytes of all answers that are being read.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number of bytes.
+
+    Examples
+    --------
+    >>> budget = ByteBudget(10)
+    >>> budget.take(8), budget.take(8)
+    (True, False)
+    >>> budget.release(8)
+    >>> budget.take(8)
+    True
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._lock = threading.Lock()
+        self._limit = limit
+        self._taken = 0
+
+    def resize(self, limit: int) -> None:
+        """Change the limit."""
+        with self._lock:
+            self._limit = limit
+
+    @property
+    def taken(self) -> int:
+        """Bytes that are held now."""
+        return self._taken
+
+    def take(self, count: int) -> bool:
+        """Count bytes that were read; return ``False`` if they exceed the limit."""
+        with self._lock:
+            if self._taken + count > self._limit:
+                return False
+            self._taken += count
+            return True
+
+    def release(self, count: int) -> None:
+        """Count bytes as no longer held."""
+        with self._lock:
+            self._taken -= count
+
+
+PROCESS_BUDGET = ByteBudget(DEFAULT_BUDGET_BYTES)
+"""Budget of this process; see `fit_budget`."""
+
+
+def fit_budget(memory_bytes: int) -> None:
+    """Adjust the budget of this process to the memory that the process may use."""
+    PROCESS_BUDGET.resize(int(BUDGET_SHARE * memory_bytes))
+
+
+@dataclass(slots=True)
+class AnswerLimit:
+    """What one answer may take.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic time at which the part that is being read must have arrived.
+    body_deadline : float
+        The same for the body, once the head has arrived.
+    body_bytes : int
+    bytes_left : int
+        Bytes that may still arrive in the part that is being read.
+    budget : ByteBudget or None
+        Budget from which the body is taken until it was read; ``None`` if its pieces
+        are passed on, so that they are not held.
+    """
+
+    deadline: float
+    body_deadline: float
+    body_bytes: int = MAX_BODY_BYTES
+    bytes_left: int = MAX_HEAD_BYTES
+    budget: ByteBudget | None = field(default=PROCESS_BUDGET)
+
+    def start_body(self) -> None:
+        """Apply the limits of the body from now on."""
+        self.deadline = self.body_deadline
+        self.bytes_left = self.body_bytes
+
+    def lower(self, deadline: float, count: int) -> None:
+        """Lower the limits of the part that is being read."""
+        self.deadline = min(self.deadline, deadline)
+        self.bytes_left = min(self.bytes_left, count)
+
+
+class _BoundedSource(io.RawIOBase):
+    """Reads from a socket within the limit of an answer."""
+
+    def __init__(
+        self,
+        raw: io.RawIOBase,
+        sock: socket.socket,
+        limit: AnswerLimit,
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._raw = raw
+        self._sock = sock
+        self._limit = limit
+        self._clock = clock
+        self._taken = 0
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: bytearray | memoryview) -> int | None:
+        limit = self._limit
+        seconds = limit.deadline - self._clock.monotonic()
+        if seconds <= 0:
+            raise TimeoutError("the answer has not arrived before its deadline")
+        if limit.bytes_left <= 0:
+            raise AnswerTooLong("the answer is longer than it may be")
+        timeout = self._sock.gettimeout()
+        if timeout is None or seconds < timeout - SLACK_SECONDS:
+            self._sock.settimeout(seconds)
+        count = self._raw.readinto(memoryview(buffer)[: limit.bytes_left]) or 0
+        limit.bytes_left -= count
+        if limit.budget is not None:
+            if not limit.budget.take(count):
+                raise AnswerTooLong("the answers being read exceed their budget")
+            self._taken += count
+        return count
+
+    def close(self) -> None:
+        if not self.closed and self._limit.budget is not None:
+            self._limit.budget.release(self._taken)
+            self._taken = 0
+        self._raw.close()
+        super().close()
+
+
+class _BoundedResponse(http.client.HTTPResponse):
+    """An answer that is read within its limit."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        *args: object,
+        limit: AnswerLimit,
+        clock: Clock,
+        **options: object,
+    ) -> None:
+        super().__init__(sock, *args, **options)
+        self._limit = limit
+        source = _BoundedSource(self.fp.detach(), sock, limit, clock)
+        self.fp = io.BufferedReader(source)
+
+    def begin(self) -> None:
+        super().begin()
+        self._limit.start_body()
+        if self.length is not None and self.length > self._limit.body_bytes:
+            raise AnswerTooLong(f"the answer announces {self.length} bytes")
+
+
+class BoundedConnection(HTTPConnection):
+    """A connection whose answers are bounded.
+
+    Attributes
+    ----------
+    limit : AnswerLimit or None
+        Limit of the next answer. Without it the answer must arrive within
+        `WHOLE_ANSWER_FACTOR` times the timeout of a read.
+    clock : Clock
+    """
+
+    limit: AnswerLimit | None = None
+    clock: Clock = SystemClock()
+
+    @property
+    def response_class(self) -> Callable[..., http.client.HTTPResponse]:
+        """Class of the answers, with the limit of the next one."""
+        limit = self.limit or self._default_limit()
+        return partial(_BoundedResponse, limit=limit, clock=self.clock)
+
+    def _default_limit(self) -> AnswerLimit:
+        now = self.clock.monotonic()
+        seconds = float(self.timeout or 0.0)
+        return AnswerLimit(now + seconds, now + WHOLE_ANSWER_FACTOR * seconds)
+
+
+class BoundedConnectionPool(HTTPConnectionPool):
+    """A pool of connections whose answers are bounded."""
+
+    ConnectionCls = BoundedConnection
+
+
+def is_too_long(error: BaseException) -> bool:
+    """Return whether an error of the library comes from an answer that is too long."""
+    return any(isinstance(cause, AnswerTooLong) for cause in (error, *error.args))
--- a/src/wigeonfront/http/client.py
+++ b/src/wigeonfront/http/client.py
@@ -11,6 +11,7 @@
     NewConnectionError,
 )
 
+from wigeonfront.http.bounded import BoundedConnectionPool
 from wigeonfront.http.encoding import JSON_TYPE, encode, parse_address
 
 
@@ -63,7 +64,8 @@
     address : str
         ``host:port``, or a URL.
     connect_seconds, read_seconds : float
-        Longest wait without data while connecting and while reading.
+        Longest wait for a connection, and for the head of an answer; a whole answer may
+        take twice as long.
     size : int
         Largest number of idle connections.
     """
@@ -88,7 +90,7 @@
         return f"{self._host}:{self._port}"
 
     def _make_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.HTTPConnectionPool(
+        return BoundedConnectionPool(
             self._host, self._port, maxsize=self._size, block=False, retries=False
         )
 
@@ -118,8 +120,7 @@
             An object that is not bytes is sent as JSON.
         headers : dict of str to str, optional
         timeout : float, optional
-            Longest wait without data while reading, in seconds, in place of the
-            pool's.
+            Longest wait for the head of the answer, in seconds, in place of the pool's.
         """
         read_seconds = self._read_seconds if timeout is None else timeout
         try:
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -32,6 +32,7 @@
     ReportServer,
 )
 from wigeonfront.forwarding.streams import StreamForwarder
+from wigeonfront.http.bounded import fit_budget
 from wigeonfront.http.raw import RawCall, RawServer, close_all
 from wigeonfront.node.assigning import EntryAssignment
 from wigeonfront.node.duties import make_duties
@@ -558,4 +559,5 @@
 
 def run(settings: NodeSettings) -> int:
     """Run an entry until it gets a stop signal; return the exit code."""
+    fit_budget(settings.memory_bytes)
     return run_node(EntryNode(settings, SystemClock()), "entry", settings.name)
--- a/src/wigeonfront/node/storage.py
+++ b/src/wigeonfront/node/storage.py
@@ -21,6 +21,7 @@
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.relay import RoutedStore
 from wigeonfront.coordination.rows import Put, Stored
+from wigeonfront.http.bounded import fit_budget
 from wigeonfront.http.raw import RawServer, close_all
 from wigeonfront.node.following import BadRowLog
 from wigeonfront.node.process import run_node
@@ -176,4 +177,5 @@
 
 def run(settings: NodeSettings) -> int:
     """Run a storage process until it gets a stop signal; return the exit code."""
+    fit_budget(settings.memory_bytes)
     return run_node(StorageNode(settings, SystemClock()), "storage", settings.name)
--- a/src/wigeonfront/platform/json_client.py
+++ b/src/wigeonfront/platform/json_client.py
@@ -22,6 +22,7 @@
 )
 
 from wigeonfront.coordination.rows import Unavailable
+from wigeonfront.http.bounded import BoundedConnectionPool, is_too_long
 from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE
 
 OK = 200
@@ -84,7 +85,8 @@
     url : str
         ``http://host:port`` or ``host:port``.
     connect_timeout, read_timeout : float
-        Longest wait for a connection and for an answer, in seconds.
+        Longest wait for a connection and for the head of an answer, in seconds; a whole
+        answer may take twice as long.
     reset_on_close : bool
         Whether connections are closed by a reset. A call whose answer the client no
         longer waits for is then not delivered when an interrupted network recovers.
@@ -143,8 +145,12 @@
             self._pool.close()
 
     def _new_pool(self) -> HTTPConnectionPool:
-        return urllib3.connection_from_url(
-            self._url, maxsize=POOL_SIZE, socket_options=self._socket_options
+        url = urllib3.util.parse_url(self._url)
+        return BoundedConnectionPool(
+            url.host or "",
+            url.port,
+            maxsize=POOL_SIZE,
+            socket_options=self._socket_options,
         )
 
     def _drop_connections(self, used: HTTPConnectionPool) -> None:
@@ -178,8 +184,8 @@
             )
         except (NewConnectionError, ConnectTimeoutError):
             return NotSent("connect")
-        except ProtocolError:
-            return Unanswered("cut")
+        except ProtocolError as error:
+            return Unanswered("too long" if is_too_long(error) else "cut")
         except HTTPError as error:
             self._drop_connections(pool)
             return Unanswered(type(error).__name__)
--- a/src/wigeonfront/rollout/events.py
+++ b/src/wigeonfront/rollout/events.py
@@ -4,6 +4,9 @@
 
 BOUNDARY = b"\n\n"
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Longest event: a page of results holds as many bytes."""
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -46,9 +49,17 @@
         return [self._parse(raw) for raw in self.feed_raw(piece)]
 
     def feed_raw(self, piece: bytes) -> list[bytes]:
-        """Return the bytes of the events that end in `piece`."""
+        """Return the bytes of the events that end in `piece`.
+
+        Raises
+        ------
+        ValueError
+            If the event that follows them is too long already.
+        """
         self._rest = (self._rest + piece).replace(b"\r\n", b"\n")
         *whole, self._rest = self._rest.split(BOUNDARY)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event has more than {MAX_EVENT_BYTES} bytes")
         return [raw for raw in whole if raw.strip()]
 
     def parse(self, raw: bytes) -> StreamEvent:
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -15,7 +15,7 @@
     NotExecuted,
     TimedOut,
 )
-from wigeonfront.forwarding.exchange import Exchange
+from wigeonfront.forwarding.exchange import BodyLimit, Exchange
 from wigeonfront.forwarding.guard import NO_GUARD, RequestGuard
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.open_call import OpenCall
@@ -37,6 +37,9 @@
 EVENT_SECONDS = 1.0
 """Timeout between two events: over ten times what a full and slow engine takes."""
 
+MAX_TEXT_BYTES = 4 * 1024 * 1024
+"""Longest stream of a run: four times what a page of results holds."""
+
 OK = 200
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
@@ -155,7 +158,12 @@
         head_seconds = min(handle.first_event_seconds, seconds)
         head_deadline = self._clock.monotonic() + head_seconds
         call = self._exchange.open(
-            request, target, head_deadline, run_seconds=seconds, handle=handle
+            request,
+            target,
+            head_deadline,
+            run_seconds=seconds,
+            handle=handle,
+            body=BodyLimit(self._clock.monotonic() + seconds, MAX_TEXT_BYTES),
         )
         if isinstance(call, NotExecuted):
             return RunRefused(call.reason, call.status != 0, call.replaced)
@@ -175,9 +183,16 @@
     ) -> RunOutcome:
         version = self._protocol.answer_version(call.headers)
         reader = EventReader(self._protocol.version_field)
+        event_at = self._clock.monotonic()
         try:
             for piece in call.pieces(EVENT_SECONDS):
-                for event in reader.feed(piece):
+                events = reader.feed(piece)
+                if events:
+                    event_at = self._clock.monotonic()
+                elif self._clock.monotonic() - event_at > EVENT_SECONDS:
+                    call.close()
+                    return RunBroken("no whole event")
+                for event in events:
                     version = event.version or version
                     if not _allowed(lot, text, version):
                         call.close()
