Read anew: names of the field, and short answers beside an exhausted budget

Renamed: accepted work (was owed), yield (was leave and pass on). The budget of answers leaves 64 KiB of each free and lets one take half, so that one endless body does not make the others fail (its test fails without). A malformed row of a disk is not taken for an absent one.

--- a/benchmarks/mutations/decisions.py
+++ b/benchmarks/mutations/decisions.py
@@ -609,7 +609,7 @@
     _mutation(
         "a sample is held back like a plain request",
         "quarantine/policy.py",
-        "    return min(max(0.0, seconds), OWED_PAUSE_SECONDS)",
+        "    return min(max(0.0, seconds), ACCEPTED_PAUSE_SECONDS)",
         "    return max(0.0, quarantine_end(crashes) - now)",
         "test_quarantine.py",
         "test_crashing_requests.py",
--- a/src/wigeonfront/forwarding/guard.py
+++ b/src/wigeonfront/forwarding/guard.py
@@ -15,15 +15,15 @@
         """Return the seconds for which `request` must not be sent; 0 if it may be."""
 
     def needs_isolation(self, request: ForwardRequest) -> bool:
-        """Return whether an owed request must run apart from other requests."""
+        """Return whether accepted work must run apart from other requests."""
 
-    def owed_run(
+    def accepted_run(
         self, request: ForwardRequest, target: Target
     ) -> AbstractContextManager[float]:
-        """Return a context manager that spans the run of an owed request at `target`.
+        """Return a context manager that spans the run of accepted work at `target`.
 
-        Samples of accepted Lots and their reward calls are owed. The value is 0 if the
-        request may be sent, or the seconds to wait otherwise.
+        Accepted work is the samples of accepted Lots and their reward calls. The value
+        is 0 if the request may be sent, or the seconds to wait otherwise.
         """
 
     def is_suspect(self, request: ForwardRequest) -> bool:
@@ -64,7 +64,7 @@
         return False
 
     @contextmanager
-    def owed_run(self, request: ForwardRequest, target: Target) -> Iterator[float]:
+    def accepted_run(self, request: ForwardRequest, target: Target) -> Iterator[float]:
         """Allow the run."""
         yield 0.0
 
--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -1,10 +1,10 @@
-"""HTTP connections on which no answer is read without an end.
+"""HTTP connections that bound the time and the bytes of each answer.
 
-An answer may have a head, a chunk extension, trailers or a body without an end, or may
-arrive byte by byte. The library limits single lines and the time of single reads alone.
-Here each answer has a deadline and a limit for the bytes of its head and of its body,
-and all answers that a process reads at once have a limit together. They are checked
-where the bytes come from the socket, below all parsing.
+A server in trouble may send a head, a chunk extension, trailers or a body that never
+end, or a byte now and then. The library bounds only single lines and single reads. Here
+each answer has a deadline and a limit for the bytes of its head and of its body. All
+answers that a process reads at once share a budget. The bounds are checked where bytes
+are read from the socket, below all parsing.
 """
 
 import http.client
@@ -25,16 +25,25 @@
 the usual one."""
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Longest body of an answer, if the caller sets no other limit."""
 
 WHOLE_ANSWER_FACTOR = 2.0
 """Time for a whole answer, as a multiple of the longest wait for its head."""
 
 DEFAULT_BUDGET_BYTES = 128 * 1024 * 1024
+"""Budget of a process that does not say how much memory it may use."""
 
 BUDGET_SHARE = 0.25
 """Share of a process's memory that answers may take while they are read. Joining the
 pieces of a body takes as much again."""
 
+SINGLE_SHARE = 0.5
+"""Share of the budget that one answer may take."""
+
+FREE_BYTES = 64 * 1024
+"""Bytes of each body that are not taken from the budget, so that short answers still
+arrive while long ones exhaust it."""
+
 SLACK_SECONDS = 0.02
 """Time by which a read may pass the deadline, so that its timeout need not be set."""
 
@@ -76,6 +85,11 @@
         """Bytes that are held now."""
         return self._taken
 
+    @property
+    def largest(self) -> int:
+        """Largest number of bytes that one answer may take."""
+        return int(SINGLE_SHARE * self._limit)
+
     def take(self, count: int) -> bool:
         """Count bytes that were read; return ``False`` if they exceed the limit."""
         with self._lock:
@@ -149,6 +163,7 @@
         self._sock = sock
         self._limit = limit
         self._clock = clock
+        self._free_bytes = FREE_BYTES
         self._taken = 0
 
     def readable(self) -> bool:
@@ -166,12 +181,21 @@
             self._sock.settimeout(seconds)
         count = self._raw.readinto(memoryview(buffer)[: limit.bytes_left]) or 0
         limit.bytes_left -= count
-        if limit.budget is not None:
-            if not limit.budget.take(count):
-                raise AnswerTooLong("the answers being read exceed their budget")
-            self._taken += count
+        self._take(count)
         return count
 
+    def _take(self, count: int) -> None:
+        """Take bytes from the budget, beyond those that each answer has."""
+        budget = self._limit.budget
+        free = min(count, self._free_bytes)
+        self._free_bytes -= free
+        count -= free
+        if budget is None or not count:
+            return
+        if self._taken + count > budget.largest or not budget.take(count):
+            raise AnswerTooLong("the answers being read exceed their budget")
+        self._taken += count
+
     def close(self) -> None:
         if not self.closed and self._limit.budget is not None:
             self._limit.budget.release(self._taken)
--- a/src/wigeonfront/node/store_view.py
+++ b/src/wigeonfront/node/store_view.py
@@ -109,28 +109,25 @@
 
     def disks(self) -> list[Member]:
         """Return the registered storage processes."""
-        found = _members(self.live.state().rows, STORAGE_PREFIX)
-        return [member for member in found.values() if member is not None]
+        found, _ = _members(self.live.state().rows, STORAGE_PREFIX)
+        return found
 
     def disk_registrations(self) -> DiskRegistrations:
         """Return what the live mirror shows of the processes that have a disk."""
         followed_for = self._live_followed_for()
         state = self.live.state()
-        registered = _members(state.rows, STORAGE_PREFIX)
-        recorded = _members(state.rows, DISK_PREFIX)
+        registered, _ = _members(state.rows, STORAGE_PREFIX)
+        recorded, malformed = _members(state.rows, DISK_PREFIX)
+        names = {member.name for member in registered}
+        ever = {member.name for member in recorded} | malformed
+        disks = frozenset(member.incarnation for member in recorded)
         return DiskRegistrations(
-            tuple(member.address for member in registered.values() if member),
-            tuple(sorted(recorded.keys() - registered.keys())),
-            followed_for,
-            {
-                member.incarnation: member.address
-                for member in registered.values()
-                if member
-            },
-            None
-            if None in recorded.values()
-            else frozenset(member.incarnation for member in recorded.values()),
-            state.revision,
+            addresses=tuple(member.address for member in registered),
+            absent=tuple(sorted(ever - names)),
+            followed_for=followed_for,
+            registered={member.incarnation: member.address for member in registered},
+            recorded=None if malformed else disks,
+            revision=state.revision,
         )
 
     def _live_followed_for(self) -> float | None:
@@ -221,10 +218,16 @@
         return feed_sources(self._registration.member, self.members(), seeds)
 
 
-def _members(rows: Mapping[str, Row], prefix: str) -> dict[str, Member | None]:
-    """Return the members in the rows with a prefix, by name; malformed ones as None."""
-    return {
-        key.removeprefix(prefix): decode_member(row, prefix)
-        for key, row in rows.items()
-        if key.startswith(prefix)
-    }
+def _members(rows: Mapping[str, Row], prefix: str) -> tuple[list[Member], set[str]]:
+    """Return the members in the rows with a prefix, and the names in malformed rows."""
+    members: list[Member] = []
+    malformed: set[str] = set()
+    for key, row in rows.items():
+        if not key.startswith(prefix):
+            continue
+        member = decode_member(row, prefix)
+        if member is None:
+            malformed.add(key.removeprefix(prefix))
+        else:
+            members.append(member)
+    return members, malformed
--- a/src/wigeonfront/quarantine/guard.py
+++ b/src/wigeonfront/quarantine/guard.py
@@ -15,7 +15,11 @@
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.quarantine.isolation import IsolationLimit
 from wigeonfront.quarantine.ledger import CrashLedger
-from wigeonfront.quarantine.policy import needs_isolation, owed_pause, quarantine_end
+from wigeonfront.quarantine.policy import (
+    accepted_pause,
+    needs_isolation,
+    quarantine_end,
+)
 from wigeonfront.quarantine.record import Crash
 from wigeonfront.targets.table import TargetTable
 from wigeonfront.targets.target import Target
@@ -28,7 +32,7 @@
 registers within this time."""
 
 ISOLATION_PAUSE_SECONDS = 0.5
-"""Pause until an owed request that has to be isolated asks again whether it may run."""
+"""Pause until accepted work that has to be isolated asks again whether it may run."""
 
 MAX_WRITE_WAIT_SECONDS = 0.1
 """Longest time for which a request that has crashed a target waits until its crash is
@@ -125,14 +129,14 @@
         )
 
     def needs_isolation(self, request: ForwardRequest) -> bool:
-        """Return whether an owed request must run apart from other requests."""
+        """Return whether accepted work must run apart from other requests."""
         return not self._ledger.empty and needs_isolation(
             self._ledger.crashes(fingerprint(request))
         )
 
     @contextmanager
-    def owed_run(self, request: ForwardRequest, target: Target) -> Iterator[float]:
-        """Return a context manager that spans the run of an owed request at `target`.
+    def accepted_run(self, request: ForwardRequest, target: Target) -> Iterator[float]:
+        """Return a context manager that spans the run of accepted work at `target`.
 
         Its value is 0 if the request may be sent, or the seconds to wait otherwise.
         """
@@ -141,7 +145,7 @@
             return
         digest = fingerprint(request)
         crashes = self._ledger.crashes(digest)
-        seconds = owed_pause(crashes, self._clock.time())
+        seconds = accepted_pause(crashes, self._clock.time())
         isolated = not seconds and needs_isolation(crashes)
         if isolated and not self._isolation.enter():
             isolated, seconds = False, ISOLATION_PAUSE_SECONDS
--- a/src/wigeonfront/quarantine/policy.py
+++ b/src/wigeonfront/quarantine/policy.py
@@ -28,12 +28,12 @@
 MAX_QUARANTINE_SECONDS = 24 * 3600.0
 MAX_GROWTH_STEPS = 3
 
-OWED_PAUSE_SECONDS = 4.0
-"""Pause after each further crash until an owed request is sent again: within this time
+ACCEPTED_PAUSE_SECONDS = 4.0
+"""Pause after each further crash until accepted work is sent again: within this time
 the crashed target is running again."""
 
 CRASHES_TO_ISOLATE = 6
-"""Number of crashes from which on an owed request is isolated while it runs. Innocent
+"""Number of crashes from which on accepted work is isolated while it runs. Innocent
 requests reach it only where targets crash for long."""
 
 RETENTION_SECONDS = 3600.0
@@ -67,11 +67,11 @@
     return _newest(crashes) + min(seconds, MAX_QUARANTINE_SECONDS)
 
 
-def owed_pause(crashes: Collection[Crash], now: float) -> float:
-    """Return the seconds for which an owed request is not sent; 0 if it may be.
+def accepted_pause(crashes: Collection[Crash], now: float) -> float:
+    """Return the seconds for which accepted work is not sent; 0 if it may be.
 
-    A sample of an accepted Lot, and its reward call, are owed: they are never refused
-    for good, however many targets crashed while they ran.
+    Accepted work is the samples of accepted Lots and their reward calls. It is never
+    refused for good, however many targets crashed while it ran.
 
     Parameters
     ----------
@@ -82,22 +82,22 @@
     Examples
     --------
     >>> crashes = [Crash("f", f"i-{n}", n + 0.5, n + 1.0) for n in range(90)]
-    >>> owed_pause(crashes[:2], 2.0), owed_pause(crashes[:3], 4.0)
+    >>> accepted_pause(crashes[:2], 2.0), accepted_pause(crashes[:3], 4.0)
     (0.0, 3.0)
-    >>> owed_pause(crashes, 90.0), owed_pause(crashes, 94.0)
+    >>> accepted_pause(crashes, 90.0), accepted_pause(crashes, 94.0)
     (4.0, 0.0)
     """
     if not quarantine_end(crashes):
         return 0.0
-    seconds = _newest(crashes) + OWED_PAUSE_SECONDS - now
-    if seconds > 2 * OWED_PAUSE_SECONDS:
+    seconds = _newest(crashes) + ACCEPTED_PAUSE_SECONDS - now
+    if seconds > 2 * ACCEPTED_PAUSE_SECONDS:
         # The clock of the entry that saw the crash is ahead.
         return 0.0
-    return min(max(0.0, seconds), OWED_PAUSE_SECONDS)
+    return min(max(0.0, seconds), ACCEPTED_PAUSE_SECONDS)
 
 
 def needs_isolation(crashes: Collection[Crash]) -> bool:
-    """Return whether an owed request must be isolated from others while it runs."""
+    """Return whether accepted work must be isolated from others while it runs."""
     return len(crashes) >= CRASHES_TO_ISOLATE and quarantine_end(crashes) > 0
 
 
--- a/src/wigeonfront/rollout/reward_call.py
+++ b/src/wigeonfront/rollout/reward_call.py
@@ -123,7 +123,7 @@
             Allows other threads to cancel the call.
         """
         request = self._protocol.reward_request(call)
-        with self._guard.owed_run(request, view.target) as blocked:
+        with self._guard.accepted_run(request, view.target) as blocked:
             if blocked:
                 return CallRefused("quarantined")
             outcome = self._forwarder.send(
--- a/src/wigeonfront/rollout/sample_run.py
+++ b/src/wigeonfront/rollout/sample_run.py
@@ -140,7 +140,7 @@
         isolated = self._guard.needs_isolation(request)
         if isolated and not handle.isolated:
             return RunQuarantined(0.0, isolated)
-        with self._guard.owed_run(request, target) as blocked:
+        with self._guard.accepted_run(request, target) as blocked:
             if blocked:
                 return RunQuarantined(blocked, isolated)
             return self._send(request, lot, text, target, seconds, handle, on_event)
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -28,13 +28,13 @@
 CLAIM_PAUSE_SECONDS = 0.2
 """Longest pause between two checks for Lots to claim."""
 
-PASS_ON_AFTER_SECONDS = 1.5
+YIELD_AFTER_SECONDS = 1.5
 """Time for which an owner that reaches neither the disks of a Lot nor another entry
-tries, before it leaves the Lot to the other entries."""
+tries to recover it, before it gives the Lot up to the other entries."""
 
-LEAVE_SECONDS = 5.0
-"""Time for which it then leaves the Lot to them: longer than all of them take to claim
-it in turn."""
+YIELD_SECONDS = 5.0
+"""Time for which it then does not claim the Lot: longer than all of the others take to
+claim it in turn."""
 
 
 class LotTakeover:
@@ -87,9 +87,9 @@
         # Monotonic time at which the mirror first showed each Lot, by the Lot's id.
         self._first_heard_at: dict[str, float] = {}
         # Monotonic time since which this process is cut off from the disks of a Lot and
-        # from the other entries, and until which it leaves a Lot to them, by Lot id.
+        # from the other entries, and until which it does not claim a Lot, by Lot id.
         self._cut_off_since: dict[str, float] = {}
-        self._left_until: dict[str, float] = {}
+        self._yielded_until: dict[str, float] = {}
         self._changed = threading.Event()
         self.leaving = False
 
@@ -137,11 +137,16 @@
         self._missing_since = {
             owner: self._missing_since.get(owner, now) for owner in owners - live
         }
-        self._left_until = {
-            lot_id: until for lot_id, until in self._left_until.items() if now < until
+        self._cut_off_since = {
+            lot_id: at for lot_id, at in self._cut_off_since.items() if lot_id in heads
+        }
+        self._yielded_until = {
+            lot_id: until
+            for lot_id, until in self._yielded_until.items()
+            if now < until
         }
         return claimable_lots(
-            {id: head for id, head in heads.items() if id not in self._left_until},
+            {id: head for id, head in heads.items() if id not in self._yielded_until},
             members,
             self._missing_since,
             self._own_member().incarnation,
@@ -191,7 +196,7 @@
             return False
         spooled = self._spools.recover(lot_id, head.spools, head.revision, results)
         if isinstance(spooled, Unreached):
-            self._pass_on(lot_id, head, spooled)
+            self._yield_lot(lot_id, head, spooled)
             return False
         self._cut_off_since.pop(lot_id, None)
         texts = self._repository.texts(lot_id)
@@ -211,8 +216,8 @@
         self._runner.adopt(lot, head.revision, initial)
         return True
 
-    def _pass_on(self, lot_id: str, head: Head, unreached: Unreached) -> None:
-        """Leave a Lot to the other entries if only this process can't recover it."""
+    def _yield_lot(self, lot_id: str, head: Head, unreached: Unreached) -> None:
+        """Give a Lot up to the other entries if only this process can't recover it."""
         now = self._clock.monotonic()
         others = [
             member
@@ -223,10 +228,10 @@
             self._cut_off_since.pop(lot_id, None)
             return
         since = self._cut_off_since.setdefault(lot_id, now)
-        if now - since < PASS_ON_AFTER_SECONDS:
+        if now - since < YIELD_AFTER_SECONDS:
             return
         outcome = self._repository.claim(lot_id, head, NO_OWNER)
         event(logger, "lot_passed_on", lot=lot_id, outcome=type(outcome).__name__)
         self._cut_off_since.pop(lot_id, None)
         if isinstance(outcome, Kept):
-            self._left_until[lot_id] = now + LEAVE_SECONDS
+            self._yielded_until[lot_id] = now + YIELD_SECONDS
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -192,7 +192,7 @@
 def test_a_sample_that_crashes_its_engines_takes_them_down_one_by_one_with_pauses(
     deployed, engines, monkeypatch
 ):
-    monkeypatch.setattr(policy, "OWED_PAUSE_SECONDS", 0.5)
+    monkeypatch.setattr(policy, "ACCEPTED_PAUSE_SECONDS", 0.5)
     entry = deployed.add_entry("n1")
     engines_known(entry, engines)
     assert submit(entry, "l1", CRASHES) == 202
@@ -206,7 +206,7 @@
     deployed, engines, monkeypatch, restarted
 ):
     """After six crashes a sample was held back for a day, though it is owed."""
-    monkeypatch.setattr(policy, "OWED_PAUSE_SECONDS", 0.5)
+    monkeypatch.setattr(policy, "ACCEPTED_PAUSE_SECONDS", 0.5)
     entries = [deployed.add_entry(name) for name in ("n1", "n2")]
     for entry in entries:
         engines_known(entry, engines)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -243,3 +243,13 @@
     slow = EndlessTarget(HEAD + b"Connection: close\r\n\r\n", b"a", 0.05)
     assert sample(slow.address) == RunBroken("no whole event")
     slow.close()
+
+
+def test_short_answers_arrive_while_long_ones_take_the_whole_budget():
+    whole = EndlessTarget(HEAD + b"Content-Length: 2\r\n\r\nok", b"", 0.05)
+    assert PROCESS_BUDGET.take(BUDGET_BYTES)
+    try:
+        assert plain(whole.address).body == b"ok"
+    finally:
+        PROCESS_BUDGET.release(BUDGET_BYTES)
+        whole.close()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -31,11 +31,11 @@
     quarantine_end,
 )
 from wigeonfront.quarantine.policy import (
+    ACCEPTED_PAUSE_SECONDS,
     CRASHES_TO_ISOLATE,
-    OWED_PAUSE_SECONDS,
+    accepted_pause,
     expires_at,
     needs_isolation,
-    owed_pause,
 )
 from wigeonfront.quarantine.record import decode_crash, encode_crash
 from wigeonfront.targets.table import TargetTable
@@ -80,20 +80,20 @@
 
 
 @pytest.mark.parametrize("times", [BURSTS, ONE_BY_ONE, range(500)])
-def test_an_owed_request_is_sent_again_seconds_after_its_last_crash(times):
+def test_accepted_work_is_sent_again_seconds_after_its_last_crash(times):
     crashes = crashes_at(*times)
     last = max(times)
     assert quarantine_end(crashes) > last + HOUR
-    assert owed_pause(crashes, last) == OWED_PAUSE_SECONDS
-    assert owed_pause(crashes, last + OWED_PAUSE_SECONDS) == 0.0
+    assert accepted_pause(crashes, last) == ACCEPTED_PAUSE_SECONDS
+    assert accepted_pause(crashes, last + ACCEPTED_PAUSE_SECONDS) == 0.0
 
 
 @pytest.mark.parametrize(
-    ("ahead", "longest"), [(1.0, OWED_PAUSE_SECONDS), (HOUR, 0.0), (-HOUR, 0.0)]
+    ("ahead", "longest"), [(1.0, ACCEPTED_PAUSE_SECONDS), (HOUR, 0.0), (-HOUR, 0.0)]
 )
-def test_a_wrong_clock_of_another_entry_holds_no_owed_request_back(ahead, longest):
+def test_a_wrong_clock_of_another_entry_holds_no_accepted_work_back(ahead, longest):
     crashes = crashes_at(*(time + ahead for time in BURSTS))
-    assert owed_pause(crashes, max(BURSTS)) == longest
+    assert accepted_pause(crashes, max(BURSTS)) == longest
 
 
 @pytest.mark.parametrize(
@@ -105,7 +105,7 @@
         (crashes_at(*[5.0 + n / 100 for n in range(10)]), False),
     ],
 )
-def test_when_an_owed_request_is_isolated(crashes, isolated):
+def test_when_accepted_work_is_isolated(crashes, isolated):
     assert needs_isolation(crashes) is isolated
 
 
@@ -450,19 +450,22 @@
 def test_isolated_requests_run_one_at_a_time_until_one_runs_without_a_crash():
     guarded = after_many_crashes(REQUEST, OTHER)
     guard, (target, second, *_) = guarded.guard, guarded.targets
-    first, other = guard.owed_run(REQUEST, target), guard.owed_run(OTHER, second)
+    first, other = (
+        guard.accepted_run(REQUEST, target),
+        guard.accepted_run(OTHER, second),
+    )
     with first as first_blocked, other as other_blocked:
         assert (first_blocked, other_blocked > 0) == (0.0, True)
-    with guard.owed_run(OTHER, second) as blocked:
+    with guard.accepted_run(OTHER, second) as blocked:
         assert blocked == 0.0
-        with guard.owed_run(REQUEST, target) as blocked:
+        with guard.accepted_run(REQUEST, target) as blocked:
             assert blocked == 0.0
 
 
 def test_a_crash_of_an_isolated_request_does_not_count_against_others_beside_it():
     guarded = after_many_crashes(REQUEST)
     target = guarded.targets[0]
-    with guarded.guard.owed_run(REQUEST, target):
+    with guarded.guard.accepted_run(REQUEST, target):
         guarded.crash(0, OTHER)
         guarded.crash(0, REQUEST)
     guarded.guard.connection_lost(OTHER, target, 0.5)
@@ -477,13 +480,13 @@
     guarded = after_many_crashes(REQUEST, OTHER)
     guard, (target, second, *_) = guarded.guard, guarded.targets
     for crashed in (False, True):
-        with guard.owed_run(REQUEST, target):
+        with guard.accepted_run(REQUEST, target):
             if crashed:
                 guarded.crash(0, REQUEST)
-        guarded.clock.advance(OWED_PAUSE_SECONDS)
-    with guard.owed_run(REQUEST, target) as blocked:
+        guarded.clock.advance(ACCEPTED_PAUSE_SECONDS)
+    with guard.accepted_run(REQUEST, target) as blocked:
         assert blocked == 0.0
-        with guard.owed_run(OTHER, second) as blocked:
+        with guard.accepted_run(OTHER, second) as blocked:
             assert blocked > 0.0
 
 
--- a/tests/test_reward_call.py
+++ b/tests/test_reward_call.py
@@ -14,7 +14,7 @@
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.platform.lot_calls import PlatformSamples
 from wigeonfront.quarantine import Crash
-from wigeonfront.quarantine.policy import OWED_PAUSE_SECONDS
+from wigeonfront.quarantine.policy import ACCEPTED_PAUSE_SECONDS
 from wigeonfront.rollout.lot import RewardCall
 from wigeonfront.rollout.reward_call import (
     CallBroken,
@@ -167,7 +167,7 @@
     caller = RewardCaller(forwarder, samples, guarded.guard)
     guarded.clock.advance(-guarded.clock.time() + 910.0)
     (view,) = table.views("desk")
-    for wait, sent in ((0.0, 0), (OWED_PAUSE_SECONDS, 1)):
+    for wait, sent in ((0.0, 0), (ACCEPTED_PAUSE_SECONDS, 1)):
         guarded.clock.advance(wait)
         until = guarded.clock.monotonic() + 1.0
         caller.send(CALL, view, until, 20.0, CallHandle())
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -24,7 +24,7 @@
     choose_members,
     spool_due,
 )
-from wigeonfront.rollout.takeover import LEAVE_SECONDS
+from wigeonfront.rollout.takeover import YIELD_SECONDS
 from wigeonfront.spool import SpoolMember
 from wigeonfront.spool.calls import Append, Refused
 
@@ -177,7 +177,7 @@
     read_head = second._lots._repository.head
     wait_for(lambda: getattr(read_head(lot), "owner", None) == NO_OWNER, 15.0)
     third._lots._takeover.leaving = False
-    wait_for(lambda: third._runner.owned(lot), LEAVE_SECONDS)
+    wait_for(lambda: third._runner.owned(lot), YIELD_SECONDS)
     assert read_all(third, lot) == page
 
 
