--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 from random import Random
 
-from standins_2 import http11
-from standins_2.desk import Desk, desk_body, desk_seal
-from standins_2.world import ZONES, CannotRun, Record, World
+import standin2_http11 as http11
+from standin2_desk import Desk, desk_body, desk_seal
+from standin2_world import ZONES, CannotRun, Record, World
 
 FOLDER = Path("review/5")
 HOST = "desk.example"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,11 +1,11 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/4 to review/6 start, below
-# target/review-2: the project's own and those of this review.
+# Builds the stand-ins that the scripts of review/4 and review/5 start, below
+# target/review-2: the project's own and those of this review (standin2_*.py).
 set -eu
 cd "$(dirname "$0")/.."
 
 rm -rf target/review-2
 mkdir -p target/review-2
 cp -r examples/platform_standins target/review-2/platform_standins
-cp -r review/standins_2 target/review-2/standins_2
+cp review/standin2_*.py target/review-2/
 PYTHONPATH=target/deps:target/review-2 python3 -m compileall -q target/review-2
--- a/review/standins_2/desk.py
+++ b/review/standin2_desk.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from random import Random
 
-from standins_2.http11 import Listener, Reader, answer, head
+from standin2_http11 import Listener, Reader, answer, head
 
 SLOT_SECONDS = 2.0
 BODY_BYTES = 800
--- a/review/standins_2/engine.py
+++ b/review/standin2_engine.py
@@ -8,10 +8,10 @@
 from random import Random
 from typing import Any
 
-from standins_2.http11 import Listener, Message, Reader, answer, head, json_answer
-from standins_2.outputs import event_count, event_data
-from standins_2.trainer import MODEL, SERVICE
-from standins_2.world import ZONES, World
+from standin2_http11 import Listener, Message, Reader, answer, head, json_answer
+from standin2_outputs import event_count, event_data
+from standin2_trainer import MODEL, SERVICE
+from standin2_world import ZONES, World
 
 NOT_EXECUTED = {"Wigeonfront-Not-Executed": "1"}
 QUEUE = 4
--- a/review/standins_2/trainer.py
+++ b/review/standin2_trainer.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from standins_2 import http11
-from standins_2.outputs import whole_output
-from standins_2.world import Record
+import standin2_http11 as http11
+from standin2_outputs import whole_output
+from standin2_world import Record
 
 HOST = "judge.example"
 MODEL = "model-a"
--- a/review/standins_2/world.py
+++ b/review/standin2_world.py
@@ -14,9 +14,10 @@
 from pathlib import Path
 from typing import Any
 
+import standin2_http11 as http11
+
 from platform_standins.rows import MemoryRows
 from platform_standins.store import StoreServer
-from standins_2 import http11
 
 ROOT = Path.cwd()
 DEPLOY = ROOT / "deploy" / "system.toml"
--- a/review/standins_2/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins for the cases of the second review: platform, workers and clients."""
