Answers: a connection that ends within a head is no end of the answer

In the same way an order to an engine, a deletion, a write to the store or a copy to another entry counted as carried out, and a lease as lost.

Cause: http.client takes the end of the connection for the blank line behind a head, for the end of a chunk's size line and for the end of the trailers. A head that lost its length this way then had a body that ends with the connection, which had ended already. Exchange and Pool asked only for a status and a seal.

Change: where bytes are read from the socket, below all parsing, an end of the connection is an answer's end only if the head is whole and neither a length nor chunks delimit the body. Anywhere else it raises AnswerCutOff, which goes the way of every lost connection: counted against the target, connection closed, sent again only if the request may be. An end before the first byte is still RemoteDisconnected, as an idle connection closes so. The check of length_remaining in OpenCall has become unreachable and is gone.

The readers of test_endless_answers.py moved to answer_readers.py unchanged but that each is made before it reads, so that one can read twice on a connection.

--- a/src/wigeonfront/forwarding/open_call.py
+++ b/src/wigeonfront/forwarding/open_call.py
@@ -94,9 +94,6 @@
         except (HTTPError, OSError, http.client.HTTPException) as error:
             self._on_lost(f"body:{type(error).__name__}")
             raise
-        if self._response.length_remaining:
-            self._on_lost("body:IncompleteRead")
-            raise http.client.IncompleteRead(b"", self._response.length_remaining)
 
     def body(self, silence: float, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body; parameters and errors as for `pieces`.
--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -5,8 +5,13 @@
 each answer has a deadline and a limit for the bytes of its head and of its body. All
 answers that a process reads at once share a budget. The bounds are checked where bytes
 are read from the socket, below all parsing.
+
+The library also takes the end of the connection for the end of a head, of a size line
+and of the trailers. Here it ends an answer only if its head is whole and neither a
+length nor chunks delimit its body; anywhere else the answer is cut off.
 """
 
+import enum
 import http.client
 import io
 import socket
@@ -52,6 +57,10 @@
     """An answer has more bytes than it may have."""
 
 
+class AnswerCutOff(http.client.HTTPException):
+    """The connection was closed within an answer."""
+
+
 class ByteBudget:
     """Limits the bytes of all answers that are being read.
 
@@ -148,6 +157,19 @@
         self.bytes_left = min(self.bytes_left, count)
 
 
+class _Part(enum.Enum):
+    """The part of an answer that is being read; says what a closed connection means."""
+
+    NOTHING = "nothing"
+    """Before the first byte: the server may have closed an idle connection."""
+
+    DELIMITED = "delimited"
+    """The head, or a body with a length or in chunks."""
+
+    UNDELIMITED = "undelimited"
+    """A body that ends with the connection."""
+
+
 class _BoundedSource(io.RawIOBase):
     """Reads from a socket within the limit of an answer."""
 
@@ -165,6 +187,12 @@
         self._clock = clock
         self._free_bytes = FREE_BYTES
         self._taken = 0
+        self._part = _Part.NOTHING
+
+    def start_body(self, delimited: bool) -> None:
+        """Read the body from now on; `delimited` if it has a length or chunks."""
+        self._limit.start_body()
+        self._part = _Part.DELIMITED if delimited else _Part.UNDELIMITED
 
     def readable(self) -> bool:
         return True
@@ -180,6 +208,10 @@
         if timeout is None or seconds < timeout - SLACK_SECONDS:
             self._sock.settimeout(seconds)
         count = self._raw.readinto(memoryview(buffer)[: limit.bytes_left]) or 0
+        if not count and self._part is _Part.DELIMITED:
+            raise AnswerCutOff("the connection was closed within the answer")
+        if count and self._part is _Part.NOTHING:
+            self._part = _Part.DELIMITED
         limit.bytes_left -= count
         self._take(count)
         return count
@@ -217,12 +249,12 @@
     ) -> None:
         super().__init__(sock, *args, **options)
         self._limit = limit
-        source = _BoundedSource(self.fp.detach(), sock, limit, clock)
-        self.fp = io.BufferedReader(source)
+        self._source = _BoundedSource(self.fp.detach(), sock, limit, clock)
+        self.fp = io.BufferedReader(self._source)
 
     def begin(self) -> None:
         super().begin()
-        self._limit.start_body()
+        self._source.start_body(self.chunked or self.length is not None)
         if self.length is not None and self.length > self._limit.body_bytes:
             raise AnswerTooLong(f"the answer announces {self.length} bytes")
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,39 +4,30 @@
 import socket
 import threading
 import time
-from dataclasses import replace
 
 import pytest
 
-from rows_fakes import make_forwarder_by, make_lot
-from test_forwarding import make_exchange
-from wigeonfront.clock import SystemClock
-from wigeonfront.forwarding import Broken, CallHandle, ForwardRequest
+from answer_readers import (
+    NOT_WHOLE,
+    READERS,
+    SEALED_HEAD,
+    SECONDS,
+    engine_order,
+    plain,
+    sample,
+    store,
+)
 from wigeonfront.http import bounded
 from wigeonfront.http.bounded import PROCESS_BUDGET, fit_budget
-from wigeonfront.http.client import Pool
-from wigeonfront.platform.engine_calls import PlatformEngine
-from wigeonfront.platform.json_client import JsonClient
-from wigeonfront.platform.lot_calls import PlatformSamples
-from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.rollout import sample_run
-from wigeonfront.rollout.events import EventReader, Text
-from wigeonfront.rollout.lot import RewardCall
-from wigeonfront.rollout.reward_call import RewardCaller
+from wigeonfront.rollout.events import EventReader
 from wigeonfront.rollout.run_outcomes import RunBroken
-from wigeonfront.rollout.sample_run import RunHandle, SampleRunner
-from wigeonfront.targets.target import Target
-
-SECONDS = 0.6
-"""Deadline of each call."""
 
 BUDGET_BYTES = 4 * 1024 * 1024
 SOCKET_BYTES = 8 * 1024 * 1024
 """More than the buffers of a loopback connection hold."""
 
-HEAD = (
-    b"HTTP/1.1 200 OK\r\nWigeonfront-Attempt-Id: r1\r\nWigeonfront-Server-Seal: s\r\n"
-)
+HEAD = SEALED_HEAD
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 LINES = b"X-Filler: 0123456789\r\n" * 500
 LETTERS = b"a" * 16_384
@@ -113,109 +104,19 @@
     PROCESS_BUDGET.resize(bounded.DEFAULT_BUDGET_BYTES)
 
 
-REQUEST = ForwardRequest("r1", "POST", "/a", (("Host", "h"),), b"in", True, "")
-
-
-def plain(address):
-    _, exchange = make_exchange()
-    until = time.monotonic() + SECONDS
-    return exchange.send(REQUEST, Target("i-1", "s", address, "z", 4), until)
-
-
-def hedged(address):
-    _, exchange = make_exchange()
-    until = time.monotonic() + SECONDS
-    target = Target("i-1", "s", address, "z", 4)
-    return exchange.send(REQUEST, target, until, handle=CallHandle())
-
-
-def streamed(address):
-    _, exchange = make_exchange()
-    until = time.monotonic() + SECONDS
-    target = Target("i-1", "s", address, "z", 4)
-    opened = exchange.open(REQUEST, target, until)
-    if not hasattr(opened, "pieces"):
-        return opened
-    try:
-        for _ in opened.pieces(SECONDS):
-            pass
-    except Exception as error:
-        opened.close()
-        return Broken(type(error).__name__)
-    return opened
-
-
-def sample(address):
-    _, exchange = make_exchange()
-    runner = SampleRunner(exchange, PlatformSamples(), SystemClock())
-    lot = make_lot()
-    request = replace(lot.samples[0], id="r1")
-    target = Target("i-1", "s", address, "z", 4)
-    return runner.run(
-        lot,
-        request,
-        Text(),
-        target,
-        SECONDS,
-        RunHandle(SECONDS),
-        lambda version: None,
-    )
-
-
-def reward_call(address):
-    _, exchange = make_exchange()
-    targets = [Target("i-1", "s", address, "z", 4)]
-    forwarder, table, _ = make_forwarder_by(exchange, SystemClock(), targets, "z")
-    (view,) = table.views("s")
-    caller = RewardCaller(forwarder, PlatformSamples())
-    until = time.monotonic() + SECONDS
-    call = RewardCall("r1", "h.example", "/score", b"in")
-    return caller.send(call, view, until, 20.0, CallHandle())
-
-
-def process(address):
-    return Pool(address, read_seconds=SECONDS / 2).call("POST", "/x", b"in")
-
-
-def json_service(address):
-    return JsonClient(address, read_timeout=SECONDS / 2).post("/x", None)
-
-
-def store(address):
-    return MetadataStore(address).get("op/a")
-
-
-def engine_order(address):
-    return PlatformEngine(address, "n1").report()
-
-
-WAYS = [
-    plain,
-    hedged,
-    streamed,
-    sample,
-    reward_call,
-    process,
-    json_service,
-    store,
-    engine_order,
-]
-NOT_WHOLE = {
-    *("Broken", "TimedOut", "NotExecuted", "CallBroken", "CallRefused"),
-    *("RunBroken", "RunSilent", "RunRefused", "Unanswered", "Unavailable"),
-}
 LONGEST = {store: 4.5, engine_order: 6.5}
 """Seconds of the calls whose timeouts are fixed: a read is tried twice."""
 
 
-@pytest.mark.parametrize("way", WAYS, ids=lambda way: way.__name__)
+@pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
 def test_an_answer_without_an_end_is_read_neither_for_ever_nor_without_a_limit(
-    target, way
+    target, reader
 ):
     """Endless bytes held their caller, or filled its memory."""
+    read = reader(target.address)
     began = time.monotonic()
-    outcome = way(target.address)
-    assert time.monotonic() - began < LONGEST.get(way, SECONDS) + 0.5
+    outcome = read()
+    assert time.monotonic() - began < LONGEST.get(reader, SECONDS) + 0.5
     assert target.sent < BUDGET_BYTES + SOCKET_BYTES
     assert type(outcome).__name__ in NOT_WHOLE
     assert PROCESS_BUDGET.taken == 0
@@ -227,7 +128,7 @@
     monkeypatch.setattr(sample_run, "MAX_TEXT_BYTES", 100_000)
     events = b"".join(b"id: %d\ndata: x\n\n" % (n + 1) for n in range(20_000))
     endless = EndlessTarget(HEAD + b"Connection: close\r\n\r\n" + events, b"", 0.05)
-    assert sample(endless.address) == RunBroken("ProtocolError")
+    assert sample(endless.address)() == RunBroken("ProtocolError")
     endless.close()
 
 
@@ -241,7 +142,7 @@
 def test_an_engine_that_sends_bytes_but_no_whole_event_is_silent(monkeypatch):
     monkeypatch.setattr(sample_run, "EVENT_SECONDS", 0.3)
     slow = EndlessTarget(HEAD + b"Connection: close\r\n\r\n", b"a", 0.05)
-    assert sample(slow.address) == RunBroken("no whole event")
+    assert sample(slow.address)() == RunBroken("no whole event")
     slow.close()
 
 
@@ -249,7 +150,7 @@
     whole = EndlessTarget(HEAD + b"Content-Length: 2\r\n\r\nok", b"", 0.05)
     assert PROCESS_BUDGET.take(BUDGET_BYTES)
     try:
-        assert plain(whole.address).body == b"ok"
+        assert plain(whole.address)().body == b"ok"
     finally:
         PROCESS_BUDGET.release(BUDGET_BYTES)
         whole.close()
