Requests: a chunked body that is cut before its last line does not run

Callers that broke off within a chunked body had it run in part: a size line with a leading zero ("06") that was cut behind the zero counted as the last chunk, and so did each end of the connection behind the last size line. Besides, trailers stayed on the connection, so that the next request on it failed with 400.

Cause: cheroot's ChunkedRFile takes the end of the connection for the end of a size line and reads no trailers unless asked to; RawCall.body did not ask.

Change: RawCall.body reads the trailers, which end with an empty line; without it the body is BodyCutOff, as one that is shorter than its length.

Evidence: tests/test_http_raw.py cuts requests of four framings at every byte, by close and by reset, and sends each whole one twice on a connection. Heads and bodies with a length were refused before, too.

--- a/src/wigeonfront/http/raw.py
+++ b/src/wigeonfront/http/raw.py
@@ -148,7 +148,10 @@
         if length > max_bytes:
             raise BodyTooLarge
         try:
-            body = self._request.rfile.read(None if self._is_chunked else length)
+            if self._is_chunked:
+                body = self._read_chunks()
+            else:
+                body = self._request.rfile.read(length)
         except (OSError, ValueError) as error:
             raise BodyCutOff(str(error)) from error
         if len(body) > max_bytes:
@@ -157,6 +160,23 @@
             raise BodyCutOff
         return body
 
+    def _read_chunks(self) -> bytes:
+        """Return a chunked body.
+
+        The library takes the end of the connection for the end of the last size line,
+        and leaves the trailers on the connection, in front of the next request.
+
+        Raises
+        ------
+        ValueError
+            If the body does not end with an empty line.
+        """
+        rfile = self._request.rfile
+        body = rfile.read()
+        for _ in rfile.read_trailer_lines():
+            pass
+        return body
+
     @property
     def _is_chunked(self) -> bool:
         return self._request.chunked_read
