Answers: an end that this process made is no end of the answer

In the same way cut answers and streams of targets that were replaced counted as whole (Connections.abort_calls), and reward calls and second sends that were ended.

Cause: these ends shut the socket down, and to its reader that is the same end of bytes as the close of a target, which is the regular end of an answer without a length. Only Exchange.send knew of one of these cases, a handle that was cancelled.

Change: all such ends go through one LocalShutdown for each connection, which CallHandle and Connections share. Where bytes are read, an end of the connection is an answer's end only if LocalShutdown was not asked for it. It is set before the socket is shut down, so the reader cannot find the end without it; an answer that had ended already when its connection is shut down counts as cut off, too, which costs a run but no text. The check in Exchange.send is gone.

--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -22,7 +22,7 @@
 from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.http.bounded import BoundedConnection
 from wigeonfront.http.encoding import parse_address
-from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE
+from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE, LocalShutdown
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Longest wait for a connection to be established. It is a hundred times a round trip
@@ -80,9 +80,8 @@
     Attributes
     ----------
     http_connection : BoundedConnection
-    sock : socket
-        Socket of the connection. It is stored here because the library drops its own
-        reference while the body is still being read.
+    shutdown : LocalShutdown
+        Ends the connection from another thread.
     target_id : str
     used : bool
         Whether the connection has carried an answer before.
@@ -93,12 +92,20 @@
     """
 
     http_connection: BoundedConnection
-    sock: socket.socket
+    shutdown: LocalShutdown
     target_id: str
     used: bool = False
     idle_since: float = 0.0
     max_idle_seconds: float = DEFAULT_IDLE_SECONDS
 
+    @property
+    def sock(self) -> socket.socket:
+        """Socket of the connection.
+
+        The library drops its own reference while the body is still being read.
+        """
+        return self.shutdown.sock
+
     def close(self) -> None:
         """Close the connection at once, even while another thread reads from it."""
         self.shut_down()
@@ -120,11 +127,7 @@
 
     def shut_down(self) -> None:
         """Make the thread that uses the connection fail; that thread then closes it."""
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The socket is closed already.
-            pass
+        self.shutdown.shut_down()
 
 
 class Connections:
@@ -253,12 +256,15 @@
         try:
             if handle is None or slow is None:
                 http_connection.connect()
+                shutdown = LocalShutdown(http_connection.sock)
             else:
-                http_connection.sock = self._connect_watched(host, port, handle, slow)
+                shutdown = self._connect_watched(host, port, handle, slow)
+                http_connection.sock = shutdown.sock
         except (HTTPError, OSError) as error:
             http_connection.close()
             return NoConnection(_is_refusal(error))
-        connection = Connection(http_connection, http_connection.sock, target_id)
+        http_connection.local_shutdown = shutdown
+        connection = Connection(http_connection, shutdown, target_id)
         with self._lock:
             self.opened += 1
             self._in_use.add(connection)
@@ -266,18 +272,18 @@
 
     def _connect_watched(
         self, host: str, port: int, handle: CallHandle, slow: SlowWait
-    ) -> socket.socket:
-        """Return a connected socket; `handle` can end the wait for it."""
+    ) -> LocalShutdown:
+        """Return the shutdown of a connected socket; `handle` can end the wait."""
         failure = OSError(f"no address of {host}")
         for family, kind, protocol, _, address in socket.getaddrinfo(
             host, port, type=socket.SOCK_STREAM
         ):
-            sock = socket.socket(family, kind, protocol)
+            shutdown = LocalShutdown(socket.socket(family, kind, protocol))
             try:
-                self._connect_socket(sock, address, handle, slow)
-                return sock
+                self._connect_socket(shutdown, address, handle, slow)
+                return shutdown
             except OSError as error:
-                sock.close()
+                shutdown.sock.close()
                 failure = error
                 if handle.cancelled:
                     break
@@ -285,15 +291,16 @@
 
     def _connect_socket(
         self,
-        sock: socket.socket,
+        shutdown: LocalShutdown,
         address: tuple[Any, ...],
         handle: CallHandle,
         slow: SlowWait,
     ) -> None:
+        sock = shutdown.sock
         for option in _socket_options():
             sock.setsockopt(*option)
         sock.setblocking(False)
-        if not handle.attach(sock):
+        if not handle.attach(shutdown):
             raise ConnectionAbortedError("the call was cancelled")
         error = sock.connect_ex(address)
         if error == errno.EINPROGRESS:
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -195,11 +195,9 @@
             return TimedOut(self._clock.monotonic() - started)
         except (HTTPError, OSError, http.client.HTTPException) as error:
             call.close()
+            if handle is not None and handle.cancelled:
+                return CallerGone()
             return Broken(f"body:{type(error).__name__}", lost=True)
-        if not call.framed and handle is not None and handle.cancelled:
-            # The body may have ended because the connection was shut down.
-            call.close()
-            return CallerGone()
         headers = self._protocol.response_headers(call.headers)
         call.finish()
         return Answered(call.status, headers, body, call.framed)
@@ -253,7 +251,7 @@
             if handle is not None and handle.cancelled:
                 return CallerGone()
             return NotExecuted(connection.reason)
-        if handle is not None and not handle.attach(connection.sock):
+        if handle is not None and not handle.attach(connection.shutdown):
             connection.close()
             return CallerGone()
         send = _Send(
--- a/src/wigeonfront/forwarding/handle.py
+++ b/src/wigeonfront/forwarding/handle.py
@@ -1,8 +1,9 @@
 """Handle that ends a call to a target from another thread."""
 
-import socket
 import threading
 
+from wigeonfront.http.sockets import LocalShutdown
+
 
 class CallHandle:
     """Cancels or interrupts a call by shutting down its connection.
@@ -15,7 +16,7 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._socket: socket.socket | None = None
+        self._shutdown: LocalShutdown | None = None
         self._cancelled = False
         self._interrupted = False
         self._superseded = False
@@ -41,19 +42,19 @@
         """Whether the head of an answer has arrived."""
         return self._answer_begun
 
-    def attach(self, sock: socket.socket | None) -> bool:
-        """Attach the socket of a send; return ``False`` if the call was cancelled."""
+    def attach(self, shutdown: LocalShutdown) -> bool:
+        """Attach the connection of a send; return ``False`` if it was cancelled."""
         with self._lock:
             if self._cancelled:
                 return False
             self._interrupted = False
-            self._socket = sock
+            self._shutdown = shutdown
             return True
 
     def detach(self) -> None:
         """Detach the connection after its answer was read completely."""
         with self._lock:
-            self._socket = None
+            self._shutdown = None
 
     def cancel(self) -> None:
         """End the call for good; the thread that waits for its answer sees it fail."""
@@ -79,10 +80,5 @@
 
     def _shut_down(self) -> None:
         self._interrupted = True
-        if self._socket is None:
-            return
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection is closed already.
-            pass
+        if self._shutdown is not None:
+            self._shutdown.shut_down()
--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -8,7 +8,8 @@
 
 The library also takes the end of the connection for the end of a head, of a size line
 and of the trailers. Here it ends an answer only if its head is whole and neither a
-length nor chunks delimit its body; anywhere else the answer is cut off.
+length nor chunks delimit its body, and only if the server made it; anywhere else the
+answer is cut off.
 """
 
 import enum
@@ -24,6 +25,7 @@
 from urllib3.connection import HTTPConnection
 
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.http.sockets import LocalShutdown
 
 MAX_HEAD_BYTES = 128 * 1024
 """Longest head of an answer, with the informational answers before it: a hundred times
@@ -179,6 +181,7 @@
         sock: socket.socket,
         limit: AnswerLimit,
         clock: Clock,
+        local_shutdown: LocalShutdown | None,
     ) -> None:
         super().__init__()
         self._raw = raw
@@ -188,6 +191,12 @@
         self._free_bytes = FREE_BYTES
         self._taken = 0
         self._part = _Part.NOTHING
+        self._local_shutdown = local_shutdown
+
+    @property
+    def _ended_here(self) -> bool:
+        """Whether this process has ended the connection."""
+        return self._local_shutdown is not None and self._local_shutdown.requested
 
     def start_body(self, delimited: bool) -> None:
         """Read the body from now on; `delimited` if it has a length or chunks."""
@@ -208,7 +217,7 @@
         if timeout is None or seconds < timeout - SLACK_SECONDS:
             self._sock.settimeout(seconds)
         count = self._raw.readinto(memoryview(buffer)[: limit.bytes_left]) or 0
-        if not count and self._part is _Part.DELIMITED:
+        if not count and (self._part is _Part.DELIMITED or self._ended_here):
             raise AnswerCutOff("the connection was closed within the answer")
         if count and self._part is _Part.NOTHING:
             self._part = _Part.DELIMITED
@@ -245,11 +254,14 @@
         *args: object,
         limit: AnswerLimit,
         clock: Clock,
+        local_shutdown: LocalShutdown | None,
         **options: object,
     ) -> None:
         super().__init__(sock, *args, **options)
         self._limit = limit
-        self._source = _BoundedSource(self.fp.detach(), sock, limit, clock)
+        self._source = _BoundedSource(
+            self.fp.detach(), sock, limit, clock, local_shutdown
+        )
         self.fp = io.BufferedReader(self._source)
 
     def begin(self) -> None:
@@ -268,16 +280,24 @@
         Limit of the next answer. Without it the answer must arrive within
         `WHOLE_ANSWER_FACTOR` times the timeout of a read.
     clock : Clock
+    local_shutdown : LocalShutdown or None
+        By which other threads of this process end the connection, if they do.
     """
 
     limit: AnswerLimit | None = None
     clock: Clock = SystemClock()
+    local_shutdown: LocalShutdown | None = None
 
     @property
     def response_class(self) -> Callable[..., http.client.HTTPResponse]:
         """Class of the answers, with the limit of the next one."""
         limit = self.limit or self._default_limit()
-        return partial(_BoundedResponse, limit=limit, clock=self.clock)
+        return partial(
+            _BoundedResponse,
+            limit=limit,
+            clock=self.clock,
+            local_shutdown=self.local_shutdown,
+        )
 
     def _default_limit(self) -> AnswerLimit:
         now = self.clock.monotonic()
--- a/tests/answer_readers.py
+++ b/tests/answer_readers.py
@@ -39,8 +39,8 @@
     return Target("i-1", "s", address, "z", 4)
 
 
-def make_exchange():
-    connections = Connections(SystemClock())
+def make_exchange(connections=None):
+    connections = connections or Connections(SystemClock())
     return Exchange(connections, PlatformTargets(), SystemClock())
 
 
@@ -52,22 +52,22 @@
     )
 
 
-def hedged(address):
-    exchange = make_exchange()
+def hedged(address, exchange=None, handle=None):
+    exchange = exchange or make_exchange()
     return lambda: exchange.send(
         REQUEST,
         make_target(address),
         time.monotonic() + SECONDS,
-        handle=CallHandle(),
+        handle=handle or CallHandle(),
     )
 
 
-def streamed(address):
-    exchange = make_exchange()
+def streamed(address, exchange=None, handle=None):
+    exchange = exchange or make_exchange()
 
     def read():
         until = time.monotonic() + SECONDS
-        opened = exchange.open(REQUEST, make_target(address), until)
+        opened = exchange.open(REQUEST, make_target(address), until, handle=handle)
         if not hasattr(opened, "pieces"):
             return opened
         try:
@@ -82,8 +82,9 @@
     return read
 
 
-def sample(address):
-    runner = SampleRunner(make_exchange(), PlatformSamples(), SystemClock())
+def sample(address, exchange=None, handle=None):
+    exchange = exchange or make_exchange()
+    runner = SampleRunner(exchange, PlatformSamples(), SystemClock())
     lot = make_lot()
     request = replace(lot.samples[0], id="r1")
     return lambda: runner.run(
@@ -92,21 +93,20 @@
         Text(),
         make_target(address),
         SECONDS,
-        RunHandle(SECONDS),
+        handle or RunHandle(SECONDS),
         lambda version: None,
     )
 
 
-def reward_call(address):
+def reward_call(address, exchange=None, handle=None):
+    exchange = exchange or make_exchange()
     targets = [make_target(address)]
-    forwarder, table, _ = make_forwarder_by(
-        make_exchange(), SystemClock(), targets, "z"
-    )
+    forwarder, table, _ = make_forwarder_by(exchange, SystemClock(), targets, "z")
     (view,) = table.views("s")
     caller = RewardCaller(forwarder, PlatformSamples())
     call = RewardCall("r1", "h.example", "/score", b"in")
     return lambda: caller.send(
-        call, view, time.monotonic() + SECONDS, 20.0, CallHandle()
+        call, view, time.monotonic() + SECONDS, 20.0, handle or CallHandle()
     )
 
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 import threading
+from functools import partial
 
 import msgspec
 import pytest
@@ -11,8 +12,10 @@
     NOT_WHOLE,
     READERS,
     SEALED_HEAD,
+    SECONDS,
     engine_order,
     hedged,
+    make_exchange,
     plain,
     process,
     reward_call,
@@ -32,11 +35,13 @@
     Unavailable,
     Uncertain,
 )
+from wigeonfront.forwarding import Connections
 from wigeonfront.platform.duty_calls import PlatformDuties
 from wigeonfront.platform.engine_calls import PlatformEngine
 from wigeonfront.platform.metadata_store import MetadataStore
 from wigeonfront.rollout.lot_answers import LotUncertain
 from wigeonfront.rollout.owner_calls import NotTaken, OwnerClient
+from wigeonfront.rollout.sample_run import RunHandle
 from wigeonfront.spool.calls import Done, SpoolMember
 from wigeonfront.spool.client import SpoolClient
 from wigeonfront.usage.calls import CopyStarts, ProcessStarts, StartClient
@@ -71,6 +76,9 @@
 TARGET_READERS = (plain, hedged, streamed, sample, reward_call)
 NOT_RUN = {"NotExecuted", "RunRefused", "CallRefused"}
 
+ANSWERS_WITH_TEXT = ["length", "chunked", "chunked with trailers", UNDELIMITED]
+ENDED_READERS = (hedged, streamed, sample, reward_call)
+
 JSON_READERS = (store, engine_order)
 """These tell a malformed body from a cut one by the reason only."""
 
@@ -180,6 +188,26 @@
             assert type(outcome).__name__ not in NOT_WHOLE
 
 
+@pytest.mark.parametrize("end", ["interrupt", "move", "cancel", "supersede", "abort"])
+@pytest.mark.parametrize("name", ANSWERS_WITH_TEXT)
+@pytest.mark.parametrize("reader", ENDED_READERS, ids=lambda reader: reader.__name__)
+def test_an_answer_that_this_process_ends_is_not_whole(target, reader, name, end):
+    """The text of a run that was moved was taken for whole if it had no length."""
+    head, rest = ANSWERS[name]
+    answer = head + rest
+    sent = answer if name == UNDELIMITED else answer[:-1]
+    target.script[:] = [(sent, "keep")]
+    connections = Connections(SystemClock())
+    handle = RunHandle(SECONDS)
+    ends = {"abort": partial(connections.abort_calls, "i-1")}
+    timer = threading.Timer(0.1, ends.get(end) or getattr(handle, end))
+    timer.start()
+    outcome = reader(target.address, make_exchange(connections), handle)()
+    assert type(outcome).__name__ in NOT_WHOLE | {"CallerGone", "CallCancelled"}
+    assert "timeout" not in getattr(outcome, "reason", "").lower()
+    timer.join()
+
+
 def write(address):
     put = Put("owners/a", b"1")
     return MetadataStore(address).write((Expect("owners/a", 0),), (put,))
@@ -212,7 +240,7 @@
 
 def acknowledge(address):
     lot = client.Lot("step-8", "rollouts", "judge", 8, 1, ())
-    return client.TrainerClient([address], "t").acknowledge(lot, timeout=0.01)
+    return client.TrainerClient([address], "t").acknowledge(lot, timeout=0.0)
 
 
 REVISION = b'{"revision": 3}'
