test_hedged_forwarding: a closed port that no other test can take

test_a_watched_connection_tries_all_addresses_of_a_host failed once in a run of all tests in eight processes: the connection went to the port that was to be closed. free_address returns a port that is free at the loopback host of its process, but the test used its number at 127.0.0.1, where the targets of other tests listen. With a listener put there by hand the test fails with the same assertion. The port is now bound at 127.0.0.1 without a listener while the test connects; the assertions are the same.

--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -254,10 +254,12 @@
 def test_a_watched_connection_tries_all_addresses_of_a_host(monkeypatch):
     listening = SlowTarget(0.02)
     host, port = "127.0.0.1", int(listening.address.rpartition(":")[2])
-    closed = int(free_address().rpartition(":")[2])
+    # A port that is bound, and on which nobody listens, refuses connections.
+    bound = socket.socket()
+    bound.bind((host, 0))
     found = [
-        (socket.AF_INET, socket.SOCK_STREAM, 6, "", (host, one))
-        for one in (closed, port)
+        (socket.AF_INET, socket.SOCK_STREAM, 6, "", address)
+        for address in (bound.getsockname(), (host, port))
     ]
     monkeypatch.setattr(socket, "getaddrinfo", lambda *args, **kwargs: found)
     connections, _ = make_exchange()
@@ -265,6 +267,7 @@
     connection = connections.acquire(
         "i-1", f"target.example:{port}", handle=CallHandle(), slow=slow
     )
+    bound.close()
     assert isinstance(connection, Connection)
     assert connection.sock.getpeername() == (host, port)
     connection.close()
