Answers: a length that is not a number does not make the body undelimited

An answer with a malformed Content-Length, or with a transfer coding other than chunks, was read until its connection ended and then passed on as whole, wherever it was cut, and for a coding such as "gzip, chunked" with the chunks' size lines as its body. Found by reading, as the same cause: the end of the connection was the end of an answer that delimits its own body.

Cause: http.client ignores a length that is no number and any other transfer coding, and then treats the body as one that ends with the connection.

Change: such a head raises FramingNotUnderstood, which goes the way of a lost connection. No Accept-Encoding of a transfer coding (TE) is ever sent, so no sound server uses one.

--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -51,6 +51,8 @@
 """Bytes of each body that are not taken from the budget, so that short answers still
 arrive while long ones exhaust it."""
 
+FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+
 SLACK_SECONDS = 0.02
 """Time by which a read may pass the deadline, so that its timeout need not be set."""
 
@@ -63,6 +65,10 @@
     """The connection was closed within an answer."""
 
 
+class FramingNotUnderstood(http.client.HTTPException):
+    """The head of an answer delimits its body in a way that is not supported."""
+
+
 class ByteBudget:
     """Limits the bytes of all answers that are being read.
 
@@ -266,10 +272,26 @@
 
     def begin(self) -> None:
         super().begin()
-        self._source.start_body(self.chunked or self.length is not None)
+        self._source.start_body(self._is_delimited())
         if self.length is not None and self.length > self._limit.body_bytes:
             raise AnswerTooLong(f"the answer announces {self.length} bytes")
 
+    def _is_delimited(self) -> bool:
+        """Return whether the body has a length or chunks.
+
+        Raises
+        ------
+        FramingNotUnderstood
+            If the head has a header about it that the library ignores: a length that is
+            not a number, or a transfer coding other than chunks.
+        """
+        if self.chunked or self.length is not None:
+            return True
+        for name in FRAMING_HEADERS:
+            if name in self.headers:
+                raise FramingNotUnderstood(f"{name}: {self.headers[name]!r}")
+        return False
+
 
 class BoundedConnection(HTTPConnection):
     """A connection whose answers are bounded.
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -188,6 +188,30 @@
             assert type(outcome).__name__ not in NOT_WHOLE
 
 
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 1z",
+        b"Content-Length: -1",
+        b"Content-Length: ",
+        b"Content-Length: 15, 16",
+        b"Content-Length: 15\r\nContent-Length: 16",
+        b"Transfer-Encoding: gzip, chunked",
+    ],
+)
+@pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
+def test_an_answer_whose_framing_is_not_understood_is_not_whole(
+    target, reader, framing
+):
+    """A malformed length made the end of the connection the end of the answer."""
+    head = SEALED_HEAD + b"Connection: close\r\n" + framing + b"\r\n\r\n"
+    target.script[:] = [(head + BODY, "close")] * 2
+    outcome = reader(target.address)()
+    assert type(outcome).__name__ in NOT_WHOLE
+    if reader in JSON_READERS:
+        assert outcome.reason in ("cut", "InvalidHeader")
+
+
 @pytest.mark.parametrize("end", ["interrupt", "move", "cancel", "supersede", "abort"])
 @pytest.mark.parametrize("name", ANSWERS_WITH_TEXT)
 @pytest.mark.parametrize("reader", ENDED_READERS, ids=lambda reader: reader.__name__)
