--- a/tests/test_hedged_forwarding.py
+++ b/tests/test_hedged_forwarding.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from rows_fakes import free_address, wait_for
+from rows_fakes import wait_for
 from test_forwarding import (
     EMPTY,
     HEAD,
