Exchange: a cut answer on a reused connection is not an idle connection that closed

A target that broke off within the head of its answer on a reused connection was sent the same request again at once, if the request may be repeated, and its failure was not counted against it.

Cause: Exchange.open took every broken answer on a reused connection for one that the target had closed while it was idle.

Change: AnswerCutOff says that the answer had begun, or that this process ended the connection; resets within an answer raise it too. Broken.cut_off carries it, and only a connection that ended before the first byte allows another send to the same target. A cut answer goes to the forwarder, which counts it and chooses another target if it may.

--- a/src/wigeonfront/forwarding/attempt.py
+++ b/src/wigeonfront/forwarding/attempt.py
@@ -88,10 +88,14 @@
     reason : str
     lost : bool
         Whether the connection was closed or reset before the answer was complete.
+    cut_off : bool
+        Whether that happened after the answer's first byte, or was done by this
+        process. Otherwise the target may just have closed an idle connection.
     """
 
     reason: str
     lost: bool = False
+    cut_off: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -30,7 +30,12 @@
 from wigeonfront.forwarding.handle import CallHandle
 from wigeonfront.forwarding.open_call import OpenCall, do_nothing
 from wigeonfront.forwarding.slow_wait import SlowWait
-from wigeonfront.http.bounded import MAX_BODY_BYTES, PROCESS_BUDGET, AnswerLimit
+from wigeonfront.http.bounded import (
+    MAX_BODY_BYTES,
+    PROCESS_BUDGET,
+    AnswerCutOff,
+    AnswerLimit,
+)
 from wigeonfront.observability.logs import event
 from wigeonfront.targets.target import Target
 
@@ -270,7 +275,9 @@
         )
         if isinstance(outcome, Broken) and outcome.lost:
             self._report_lost_connection(send, outcome.reason)
-        dropped = isinstance(outcome, Broken) and connection.used
+        dropped = (
+            isinstance(outcome, Broken) and connection.used and not outcome.cut_off
+        )
         silent = isinstance(outcome, TimedOut) and until < deadline
         if not isinstance(outcome, OpenCall):
             connection.reset()
@@ -359,7 +366,8 @@
         except TimeoutError:
             return TimedOut()
         except (HTTPError, OSError, http.client.HTTPException) as error:
-            return Broken(f"head:{type(error).__name__}", lost=True)
+            cut_off = isinstance(error, AnswerCutOff)
+            return Broken(f"head:{type(error).__name__}", lost=True, cut_off=cut_off)
         if self._protocol.not_executed(response.status, response.headers):
             self._drain(OpenCall(connection, response, self._connections, handle))
             replaced = self._protocol.replaced(response.status)
--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -62,7 +62,7 @@
 
 
 class AnswerCutOff(http.client.HTTPException):
-    """The connection was closed within an answer."""
+    """The connection was closed or reset within an answer, or by this process."""
 
 
 class FramingNotUnderstood(http.client.HTTPException):
@@ -222,13 +222,23 @@
         timeout = self._sock.gettimeout()
         if timeout is None or seconds < timeout - SLACK_SECONDS:
             self._sock.settimeout(seconds)
-        count = self._raw.readinto(memoryview(buffer)[: limit.bytes_left]) or 0
+        count = self._read(memoryview(buffer)[: limit.bytes_left])
+        limit.bytes_left -= count
+        self._take(count)
+        return count
+
+    def _read(self, buffer: memoryview) -> int:
+        """Read into `buffer`; return 0 only if that may be the end of the answer."""
+        try:
+            count = self._raw.readinto(buffer) or 0
+        except ConnectionError as error:
+            if self._part is _Part.NOTHING and not self._ended_here:
+                raise
+            raise AnswerCutOff("the connection was reset within the answer") from error
         if not count and (self._part is _Part.DELIMITED or self._ended_here):
             raise AnswerCutOff("the connection was closed within the answer")
         if count and self._part is _Part.NOTHING:
             self._part = _Part.DELIMITED
-        limit.bytes_left -= count
-        self._take(count)
         return count
 
     def _take(self, count: int) -> None:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -77,7 +77,7 @@
 NOT_RUN = {"NotExecuted", "RunRefused", "CallRefused"}
 
 ANSWERS_WITH_TEXT = ["length", "chunked", "chunked with trailers", UNDELIMITED]
-ENDED_READERS = (hedged, streamed, sample, reward_call)
+REPEATING_READERS = (hedged, streamed, sample, reward_call)
 
 JSON_READERS = (store, engine_order)
 """These tell a malformed body from a cut one by the reason only."""
@@ -167,6 +167,26 @@
     assert shown_whole == []
 
 
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize(
+    "reader", REPEATING_READERS, ids=lambda reader: reader.__name__
+)
+def test_only_an_idle_connection_that_closes_allows_another_send(target, reader, end):
+    """The target of a cut answer got its request again, as if it had not run."""
+    for cut in range(len(LENGTH)):
+        target.script[:] = [
+            (LENGTH + BODY, "keep"),
+            (LENGTH[:cut], end),
+            (LENGTH + BODY, "keep"),
+        ]
+        target.requests = 0
+        read = reader(target.address)
+        read()
+        outcome = read()
+        assert (type(outcome).__name__ in NOT_WHOLE) == bool(cut)
+        assert target.requests == (2 if cut else 3)
+
+
 @pytest.mark.parametrize("name", ANSWERS)
 @pytest.mark.parametrize("reader", READERS, ids=lambda reader: reader.__name__)
 def test_a_whole_answer_of_each_framing_is_read(target, reader, name):
@@ -214,7 +234,9 @@
 
 @pytest.mark.parametrize("end", ["interrupt", "move", "cancel", "supersede", "abort"])
 @pytest.mark.parametrize("name", ANSWERS_WITH_TEXT)
-@pytest.mark.parametrize("reader", ENDED_READERS, ids=lambda reader: reader.__name__)
+@pytest.mark.parametrize(
+    "reader", REPEATING_READERS, ids=lambda reader: reader.__name__
+)
 def test_an_answer_that_this_process_ends_is_not_whole(target, reader, name, end):
     """The text of a run that was moved was taken for whole if it had no length."""
     head, rest = ANSWERS[name]
