http: a socket that threads share is called so, and stages of an answer say what an end means

Only names and documentation, read anew as a newcomer would: LocalShutdown is SharedSocket with is_shut_down, the parts of an answer are stages that say what a closed connection means at each, and the check of an undelimited body no longer hides in a predicate. make test: 2,936 passed.

--- a/src/wigeonfront/forwarding/connections.py
+++ b/src/wigeonfront/forwarding/connections.py
@@ -22,7 +22,7 @@
 from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.http.bounded import BoundedConnection
 from wigeonfront.http.encoding import parse_address
-from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE, LocalShutdown
+from wigeonfront.http.sockets import NO_DELAY, RESET_ON_CLOSE, SharedSocket
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 """Longest wait for a connection to be established. It is a hundred times a round trip
@@ -80,8 +80,7 @@
     Attributes
     ----------
     http_connection : BoundedConnection
-    shutdown : LocalShutdown
-        Ends the connection from another thread.
+    shared_socket : SharedSocket
     target_id : str
     used : bool
         Whether the connection has carried an answer before.
@@ -92,7 +91,7 @@
     """
 
     http_connection: BoundedConnection
-    shutdown: LocalShutdown
+    shared_socket: SharedSocket
     target_id: str
     used: bool = False
     idle_since: float = 0.0
@@ -104,7 +103,7 @@
 
         The library drops its own reference while the body is still being read.
         """
-        return self.shutdown.sock
+        return self.shared_socket.sock
 
     def close(self) -> None:
         """Close the connection at once, even while another thread reads from it."""
@@ -127,7 +126,7 @@
 
     def shut_down(self) -> None:
         """Make the thread that uses the connection fail; that thread then closes it."""
-        self.shutdown.shut_down()
+        self.shared_socket.shut_down()
 
 
 class Connections:
@@ -256,15 +255,15 @@
         try:
             if handle is None or slow is None:
                 http_connection.connect()
-                shutdown = LocalShutdown(http_connection.sock)
+                shared_socket = SharedSocket(http_connection.sock)
             else:
-                shutdown = self._connect_watched(host, port, handle, slow)
-                http_connection.sock = shutdown.sock
+                shared_socket = self._connect_watched(host, port, handle, slow)
+                http_connection.sock = shared_socket.sock
         except (HTTPError, OSError) as error:
             http_connection.close()
             return NoConnection(_is_refusal(error))
-        http_connection.local_shutdown = shutdown
-        connection = Connection(http_connection, shutdown, target_id)
+        http_connection.shared_socket = shared_socket
+        connection = Connection(http_connection, shared_socket, target_id)
         with self._lock:
             self.opened += 1
             self._in_use.add(connection)
@@ -272,18 +271,18 @@
 
     def _connect_watched(
         self, host: str, port: int, handle: CallHandle, slow: SlowWait
-    ) -> LocalShutdown:
-        """Return the shutdown of a connected socket; `handle` can end the wait."""
+    ) -> SharedSocket:
+        """Return a connected socket; `handle` can end the wait for it."""
         failure = OSError(f"no address of {host}")
         for family, kind, protocol, _, address in socket.getaddrinfo(
             host, port, type=socket.SOCK_STREAM
         ):
-            shutdown = LocalShutdown(socket.socket(family, kind, protocol))
+            shared_socket = SharedSocket(socket.socket(family, kind, protocol))
             try:
-                self._connect_socket(shutdown, address, handle, slow)
-                return shutdown
+                self._connect_socket(shared_socket, address, handle, slow)
+                return shared_socket
             except OSError as error:
-                shutdown.sock.close()
+                shared_socket.sock.close()
                 failure = error
                 if handle.cancelled:
                     break
@@ -291,16 +290,16 @@
 
     def _connect_socket(
         self,
-        shutdown: LocalShutdown,
+        shared_socket: SharedSocket,
         address: tuple[Any, ...],
         handle: CallHandle,
         slow: SlowWait,
     ) -> None:
-        sock = shutdown.sock
+        sock = shared_socket.sock
         for option in _socket_options():
             sock.setsockopt(*option)
         sock.setblocking(False)
-        if not handle.attach(shutdown):
+        if not handle.attach(shared_socket):
             raise ConnectionAbortedError("the call was cancelled")
         error = sock.connect_ex(address)
         if error == errno.EINPROGRESS:
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -256,7 +256,7 @@
             if handle is not None and handle.cancelled:
                 return CallerGone()
             return NotExecuted(connection.reason)
-        if handle is not None and not handle.attach(connection.shutdown):
+        if handle is not None and not handle.attach(connection.shared_socket):
             connection.close()
             return CallerGone()
         send = _Send(
--- a/src/wigeonfront/forwarding/handle.py
+++ b/src/wigeonfront/forwarding/handle.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from wigeonfront.http.sockets import LocalShutdown
+from wigeonfront.http.sockets import SharedSocket
 
 
 class CallHandle:
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._shutdown: LocalShutdown | None = None
+        self._socket: SharedSocket | None = None
         self._cancelled = False
         self._interrupted = False
         self._superseded = False
@@ -42,19 +42,19 @@
         """Whether the head of an answer has arrived."""
         return self._answer_begun
 
-    def attach(self, shutdown: LocalShutdown) -> bool:
-        """Attach the connection of a send; return ``False`` if it was cancelled."""
+    def attach(self, sock: SharedSocket) -> bool:
+        """Attach the socket of a send; return ``False`` if the call was cancelled."""
         with self._lock:
             if self._cancelled:
                 return False
             self._interrupted = False
-            self._shutdown = shutdown
+            self._socket = sock
             return True
 
     def detach(self) -> None:
         """Detach the connection after its answer was read completely."""
         with self._lock:
-            self._shutdown = None
+            self._socket = None
 
     def cancel(self) -> None:
         """End the call for good; the thread that waits for its answer sees it fail."""
@@ -80,5 +80,5 @@
 
     def _shut_down(self) -> None:
         self._interrupted = True
-        if self._shutdown is not None:
-            self._shutdown.shut_down()
+        if self._socket is not None:
+            self._socket.shut_down()
--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -25,7 +25,7 @@
 from urllib3.connection import HTTPConnection
 
 from wigeonfront.clock import Clock, SystemClock
-from wigeonfront.http.sockets import LocalShutdown
+from wigeonfront.http.sockets import SharedSocket
 
 MAX_HEAD_BYTES = 128 * 1024
 """Longest head of an answer, with the informational answers before it: a hundred times
@@ -52,6 +52,7 @@
 arrive while long ones exhaust it."""
 
 FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+"""Headers that say where a body ends."""
 
 SLACK_SECONDS = 0.02
 """Time by which a read may pass the deadline, so that its timeout need not be set."""
@@ -165,21 +166,21 @@
         self.bytes_left = min(self.bytes_left, count)
 
 
-class _Part(enum.Enum):
-    """The part of an answer that is being read; says what a closed connection means."""
+class _Stage(enum.Enum):
+    """What is being read of an answer, which says what a closed connection means."""
 
-    NOTHING = "nothing"
-    """Before the first byte: the server may have closed an idle connection."""
+    AWAITED = "awaited"
+    """No byte has arrived; the server may have closed an idle connection."""
 
     DELIMITED = "delimited"
-    """The head, or a body with a length or in chunks."""
+    """The head, or a body with a length or in chunks: the answer is cut off."""
 
     UNDELIMITED = "undelimited"
-    """A body that ends with the connection."""
+    """A body without either: the answer is complete."""
 
 
 class _BoundedSource(io.RawIOBase):
-    """Reads from a socket within the limit of an answer."""
+    """Reads an answer from a socket within its limit, and fails if it is cut off."""
 
     def __init__(
         self,
@@ -187,7 +188,7 @@
         sock: socket.socket,
         limit: AnswerLimit,
         clock: Clock,
-        local_shutdown: LocalShutdown | None,
+        shared_socket: SharedSocket | None,
     ) -> None:
         super().__init__()
         self._raw = raw
@@ -196,18 +197,18 @@
         self._clock = clock
         self._free_bytes = FREE_BYTES
         self._taken = 0
-        self._part = _Part.NOTHING
-        self._local_shutdown = local_shutdown
+        self._stage = _Stage.AWAITED
+        self._shared_socket = shared_socket
 
     @property
     def _ended_here(self) -> bool:
         """Whether this process has ended the connection."""
-        return self._local_shutdown is not None and self._local_shutdown.requested
+        return self._shared_socket is not None and self._shared_socket.is_shut_down
 
     def start_body(self, delimited: bool) -> None:
         """Read the body from now on; `delimited` if it has a length or chunks."""
         self._limit.start_body()
-        self._part = _Part.DELIMITED if delimited else _Part.UNDELIMITED
+        self._stage = _Stage.DELIMITED if delimited else _Stage.UNDELIMITED
 
     def readable(self) -> bool:
         return True
@@ -232,13 +233,13 @@
         try:
             count = self._raw.readinto(buffer) or 0
         except ConnectionError as error:
-            if self._part is _Part.NOTHING and not self._ended_here:
+            if self._stage is _Stage.AWAITED and not self._ended_here:
                 raise
             raise AnswerCutOff("the connection was reset within the answer") from error
-        if not count and (self._part is _Part.DELIMITED or self._ended_here):
+        if not count and (self._stage is _Stage.DELIMITED or self._ended_here):
             raise AnswerCutOff("the connection was closed within the answer")
-        if count and self._part is _Part.NOTHING:
-            self._part = _Part.DELIMITED
+        if count and self._stage is _Stage.AWAITED:
+            self._stage = _Stage.DELIMITED
         return count
 
     def _take(self, count: int) -> None:
@@ -270,37 +271,38 @@
         *args: object,
         limit: AnswerLimit,
         clock: Clock,
-        local_shutdown: LocalShutdown | None,
+        shared_socket: SharedSocket | None,
         **options: object,
     ) -> None:
         super().__init__(sock, *args, **options)
         self._limit = limit
         self._source = _BoundedSource(
-            self.fp.detach(), sock, limit, clock, local_shutdown
+            self.fp.detach(), sock, limit, clock, shared_socket
         )
         self.fp = io.BufferedReader(self._source)
 
     def begin(self) -> None:
         super().begin()
-        self._source.start_body(self._is_delimited())
+        delimited = self.chunked or self.length is not None
+        if not delimited:
+            self._check_undelimited()
+        self._source.start_body(delimited)
         if self.length is not None and self.length > self._limit.body_bytes:
             raise AnswerTooLong(f"the answer announces {self.length} bytes")
 
-    def _is_delimited(self) -> bool:
-        """Return whether the body has a length or chunks.
+    def _check_undelimited(self) -> None:
+        """Check that the head does not say where the body ends.
+
+        The library ignores a length that is not a number, and transfer codings other
+        than chunks.
 
         Raises
         ------
         FramingNotUnderstood
-            If the head has a header about it that the library ignores: a length that is
-            not a number, or a transfer coding other than chunks.
         """
-        if self.chunked or self.length is not None:
-            return True
         for name in FRAMING_HEADERS:
             if name in self.headers:
                 raise FramingNotUnderstood(f"{name}: {self.headers[name]!r}")
-        return False
 
 
 class BoundedConnection(HTTPConnection):
@@ -312,13 +314,13 @@
         Limit of the next answer. Without it the answer must arrive within
         `WHOLE_ANSWER_FACTOR` times the timeout of a read.
     clock : Clock
-    local_shutdown : LocalShutdown or None
-        By which other threads of this process end the connection, if they do.
+    shared_socket : SharedSocket or None
+        Socket of the connection, if other threads may shut it down.
     """
 
     limit: AnswerLimit | None = None
     clock: Clock = SystemClock()
-    local_shutdown: LocalShutdown | None = None
+    shared_socket: SharedSocket | None = None
 
     @property
     def response_class(self) -> Callable[..., http.client.HTTPResponse]:
@@ -328,7 +330,7 @@
             _BoundedResponse,
             limit=limit,
             clock=self.clock,
-            local_shutdown=self.local_shutdown,
+            shared_socket=self.shared_socket,
         )
 
     def _default_limit(self) -> AnswerLimit:
--- a/src/wigeonfront/http/sockets.py
+++ b/src/wigeonfront/http/sockets.py
@@ -1,4 +1,4 @@
-"""Socket options, and the shutdown of a socket from another thread."""
+"""Socket options, and sockets that another thread may shut down."""
 
 import socket
 import struct
@@ -11,11 +11,11 @@
 dropped, wherever the network holds it."""
 
 
-class LocalShutdown:
-    """Shuts a socket down, and tells its reader that this process did so.
+class SharedSocket:
+    """A socket that one thread reads from and that any thread may shut down.
 
-    To the reader, the end of the connection looks as if the other side had made it,
-    which may be the regular end of an answer.
+    To the reader, such an end looks like one that the other side made, which may be the
+    regular end of an answer. So the socket remembers that it was shut down here.
 
     Parameters
     ----------
@@ -24,17 +24,17 @@
     Examples
     --------
     >>> near, far = socket.socketpair()
-    >>> shutdown = LocalShutdown(near)
-    >>> shutdown.requested
+    >>> shared = SharedSocket(near)
+    >>> shared.is_shut_down
     False
-    >>> shutdown.shut_down()
-    >>> near.recv(1), shutdown.requested
+    >>> shared.shut_down()
+    >>> near.recv(1), shared.is_shut_down
     (b'', True)
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
-        self._requested = False
+        self._is_shut_down = False
 
     @property
     def sock(self) -> socket.socket:
@@ -42,14 +42,14 @@
         return self._sock
 
     @property
-    def requested(self) -> bool:
+    def is_shut_down(self) -> bool:
         """Whether this process has shut the socket down, or is about to."""
-        return self._requested
+        return self._is_shut_down
 
     def shut_down(self) -> None:
         """Make the thread that uses the socket fail; that thread then closes it."""
-        # Set first, so that whoever reads the end finds it set.
-        self._requested = True
+        # Set first, so that a reader that finds the end finds it set.
+        self._is_shut_down = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
