test_cut_answers: timeouts that a busy machine does not reach; one listening target

It is the machine: a program of the standard library alone, that accepts and answers its own calls, took more than 0.2 s (up to 3.9 s) for 84 of 66,997 and 78 of 68,010 calls while the old tests failed, and for none of 187,402 while they passed. A cut answer ends a call at once, so the timeouts of these tests are now 10 s; what they assert is unchanged. test_endless_answers keeps its own, as it measures them.

The listening sockets of the targets of both files are one class. No change of a check.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 
+import answer_readers
 from answer_readers import (
     NOT_WHOLE,
     READERS,
     SEALED_HEAD,
-    SECONDS,
     engine_order,
     hedged,
     make_exchange,
@@ -23,6 +23,7 @@
     store,
     streamed,
 )
+from raw_targets import ListeningTarget
 from rows_fakes import make_lot
 from test_forwarding import read_request
 from wigeonfront import client, duties
@@ -36,6 +37,7 @@
     Uncertain,
 )
 from wigeonfront.forwarding import Connections
+from wigeonfront.platform import engine_calls, metadata_store
 from wigeonfront.platform.duty_calls import PlatformDuties
 from wigeonfront.platform.engine_calls import PlatformEngine
 from wigeonfront.platform.metadata_store import MetadataStore
@@ -83,7 +85,7 @@
 """These tell a malformed body from a cut one by the reason only."""
 
 
-class CuttingTarget:
+class CuttingTarget(ListeningTarget):
     """Answers requests with the steps of a script, each on any connection.
 
     A step is the bytes of an answer and what follows: ``"keep"``, ``"close"`` or
@@ -91,21 +93,11 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.script = []
         self.requests = 0
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
 
-    def _serve(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._run, args=(connection,), daemon=True).start()
-
-    def _run(self, connection):
+    def _answer(self, connection):
         with connection:
             try:
                 while read_request(connection):
@@ -122,8 +114,13 @@
                 # The caller has reset the connection.
                 return
 
-    def close(self):
-        self._listener.close()
+
+@pytest.fixture(autouse=True)
+def long_timeouts(monkeypatch):
+    """A cut answer ends a call at once, so that none has to time out."""
+    monkeypatch.setattr(answer_readers, "SECONDS", 10.0)
+    monkeypatch.setattr(metadata_store, "CALL_SECONDS", 10.0)
+    monkeypatch.setattr(engine_calls, "CALL_SECONDS", 10.0)
 
 
 @pytest.fixture
@@ -163,7 +160,7 @@
         if whole or type(outcome).__name__ in NOT_RUN:
             shown_whole.append(cut)
         if reader in (plain, process):
-            assert target.requests == 1 + reused
+            assert target.requests == 1 + reused, (cut, outcome)
     assert shown_whole == []
 
 
@@ -244,7 +241,7 @@
     sent = answer if name == UNDELIMITED else answer[:-1]
     target.script[:] = [(sent, "keep")]
     connections = Connections(SystemClock())
-    handle = RunHandle(SECONDS)
+    handle = RunHandle(answer_readers.SECONDS)
     ends = {"abort": partial(connections.abort_calls, "i-1")}
     timer = threading.Timer(0.1, ends.get(end) or getattr(handle, end))
     timer.start()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,7 +1,6 @@
 """Answers without an end, by each way in which a process reads answers."""
 
 import itertools
-import socket
 import threading
 import time
 
@@ -17,6 +16,7 @@
     sample,
     store,
 )
+from raw_targets import ListeningTarget
 from wigeonfront.http import bounded
 from wigeonfront.http.bounded import PROCESS_BUDGET, fit_budget
 from wigeonfront.rollout import sample_run
@@ -54,27 +54,17 @@
 }
 
 
-class EndlessTarget:
+class EndlessTarget(ListeningTarget):
     """Answers each request without an end, until the caller closes the connection."""
 
     def __init__(self, first, piece, pause):
-        self._answer = first, piece, pause
+        super().__init__()
+        self._script = first, piece, pause
         self.sent = 0
         self.closed = threading.Event()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
-
-    def _serve(self):
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._send, args=(connection,), daemon=True).start()
-
-    def _send(self, connection):
-        first, piece, pause = self._answer
+
+    def _answer(self, connection):
+        first, piece, pause = self._script
         try:
             connection.recv(65_536)
             connection.sendall(first)
@@ -85,9 +75,6 @@
         except OSError:
             self.closed.set()
 
-    def close(self):
-        self._listener.close()
-
 
 @pytest.fixture(params=ENDLESS.values(), ids=list(ENDLESS))
 def target(request):
