test_cut_answers: a cut 204 that a reader of JSON believes is found, too

The check named two of the three reasons that tell a whole answer to these readers, so that of status 204 only the other seven readers were judged. Now one set serves both tests.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -51,7 +51,8 @@
 from wigeonfront.weights.plan import MoveOrder
 
 BODY = b"id: 1\ndata: x\n\n"
-LENGTH = SEALED_HEAD + b"Content-Length: %d\r\n\r\n" % len(BODY)
+CONTENT_LENGTH = b"Content-Length: %d\r\n\r\n" % len(BODY)
+LENGTH = SEALED_HEAD + CONTENT_LENGTH
 CHUNKED = SEALED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\n" + BODY[:5]
 CHUNKED += b"\r\na;x=y\r\n" + BODY[5:] + b"\r\n0\r\n"
 NO_CONTENT = SEALED_HEAD.replace(b"200 OK", b"204 No Content")
@@ -64,7 +65,10 @@
     "chunked with trailers": (b"", CHUNKED + b"X-Sum: 1\r\nX-More: 2\r\n\r\n"),
     "no content": (NO_CONTENT + b"\r\n", b""),
     "informational": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" + LENGTH + BODY),
-    "closed after it": (SEALED_HEAD + b"Connection: close\r\n" + LENGTH[-22:], BODY),
+    "closed after it": (
+        SEALED_HEAD + b"Connection: close\r\n" + CONTENT_LENGTH,
+        BODY,
+    ),
     "until the end": (SEALED_HEAD + b"Connection: close\r\n\r\n", BODY),
     "refusal": (
         b"HTTP/1.1 503 Busy\r\nWigeonfront-Not-Executed: 1\r\nRetry-After: 9\r\n"
@@ -82,7 +86,9 @@
 REPEATING_READERS = (hedged, streamed, sample, reward_call)
 
 JSON_READERS = (store, engine_order)
-"""These tell a malformed body from a cut one by the reason only."""
+"""These tell a whole answer that they can't use from a cut one by the reason only."""
+
+REASONS_OF_WHOLE = {"malformed", "status 204", "status 503"}
 
 
 class CuttingTarget(ListeningTarget):
@@ -156,7 +162,7 @@
         outcome = read()
         whole = type(outcome).__name__ not in NOT_WHOLE
         if reader in JSON_READERS:
-            whole = outcome.reason in ("malformed", "status 503")
+            whole = outcome.reason in REASONS_OF_WHOLE
         if whole or type(outcome).__name__ in NOT_RUN:
             shown_whole.append(cut)
         if reader in (plain, process):
@@ -196,7 +202,7 @@
         read()
         outcome = read()
         if reader in JSON_READERS:
-            assert outcome.reason in ("malformed", "status 204", "status 503")
+            assert outcome.reason in REASONS_OF_WHOLE
         elif name == "refusal":
             assert type(outcome).__name__ in {*NOT_RUN, "Answer"}
         elif name in WITHOUT_TEXT and reader in (sample, reward_call):
