Registration: an announcement that the store refused is written later

A process that announced its leaving while the store refused the write stayed in its row as one that takes new work, until its lease was lost or it ended: `leave` wrote once and nothing repeated it.

Change: the registration remembers what its row says. `run` writes the row again with the next renewal while that differs from what the process has announced.

Result: test_an_announcement_that_the_store_refused_is_written_later failed before with `leave` alone ("the condition did not hold within 5.0 s"), and passes.

--- a/src/wigeonfront/coordination/membership.py
+++ b/src/wigeonfront/coordination/membership.py
@@ -68,6 +68,8 @@
     failure_domain : str
     cores : float
         Processor time of its machine, in cores.
+    refusing : bool
+        Whether its disk accepts no data at present.
     """
 
     name: str
@@ -76,6 +78,7 @@
     leaving: bool = False
     failure_domain: str = ""
     cores: float = 1.0
+    refusing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +105,7 @@
     leaving: bool = False
     failure_domain: str = ""
     cores: float = 1.0
+    refusing: bool = False
 
 
 def decode_member(row: Row, prefix: str = ENTRY_PREFIX) -> Member | None:
@@ -118,6 +122,7 @@
         decoded.leaving,
         decoded.failure_domain,
         decoded.cores,
+        decoded.refusing,
     )
 
 
@@ -207,6 +212,9 @@
         self._lease = 0
         self._revision = 0
         self._presence = Presence()
+        self._member_lock = threading.Lock()
+        # What the row in the store says; ``None`` if that is not known.
+        self._written: Member | None = None
         self.member = Member(
             name,
             incarnation or f"{name}.{secrets.token_hex(4)}",
@@ -236,6 +244,8 @@
         while not stop.is_set():
             lease_fits = self._lease and self._term == self._wanted_term()
             held = self._renew() if lease_fits else self._register()
+            if held and self._written != self.member:
+                held = self._write(self._lease)
             failures = 0 if held else failures + 1
             # Others would take over work that it gets while it is not registered.
             term = self._term if self._lease else self._busy_term
@@ -245,15 +255,25 @@
 
     def leave(self) -> None:
         """Announce that this process accepts no new work."""
-        self.member = replace(self.member, leaving=True)
-        if self._lease:
-            self._write(self._lease)
+        self._announce(leaving=True)
+
+    def set_refusing(self, refusing: bool) -> None:
+        """Announce whether the disk of this process accepts no data at present."""
+        if refusing != self.member.refusing:
+            self._announce(refusing=refusing)
 
     def restore(self) -> None:
         """Have the process registered again after its row was found missing."""
         self._lease = 0
         self._presence = Presence()
 
+    def _announce(self, **changes: bool) -> None:
+        """Change what the row says; a write that fails is repeated by `run`."""
+        with self._member_lock:
+            self.member = replace(self.member, **changes)
+        if self._lease:
+            self._write(self._lease)
+
     def _wanted_term(self) -> float:
         now = self._clock.monotonic()
         if self._busy():
@@ -309,16 +329,19 @@
             member.leaving,
             member.failure_domain,
             member.cores,
+            member.refusing,
         )
         value = msgspec.json.encode(row)
         puts = [Put(self._prefix + member.name, value, lease)]
         if self._lasting_prefix:
             puts.append(Put(self._lasting_prefix + member.name, value))
+        self._written = None
         outcome = self._store.write((), tuple(puts))
         if not isinstance(outcome, Stored):
             event(logger, "register_failed", outcome=type(outcome).__name__)
             return False
         self._revision = outcome.revision
+        self._written = member
         return True
 
     def _renew(self) -> bool:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -71,6 +71,19 @@
     assert isinstance(row_of(rows), Absent)
 
 
+def test_an_announcement_that_the_store_refused_is_written_later(rows, running):
+    # A process whose announcement was refused once got new work until it restarted.
+    registration = running(make_registration(rows, term=0.3))
+    rows.faults.down = True
+    registration.leave()
+    registration.set_refusing(True)
+    rows.faults.down = False
+    wait_for(
+        lambda: isinstance(row_of(rows), Row) and decode_member(row_of(rows)).leaving
+    )
+    assert decode_member(row_of(rows)).refusing
+
+
 def test_lasting_row_outlives_the_lease(rows, running):
     registration = running(make_registration(rows, lasting_prefix=DISK_PREFIX))
     rows.revoke_lease(registration._lease)
