Spool: a disk that refused an operation recovers without a restart of its process

Lots that were answered with 202 could not be read at the end. Each of the three storage processes had logged `spool_failed` once (6.6, 6.9 and 24.1 s: no space left).

Cause: the first refused write or sync set a flag that nothing cleared. The process stayed registered, so new Lots named it, and refused every seal, so that no next owner could read what the disk held.

A call changes the memory only once its record is synced, so the memory is what the file must hold. A task tries to repair the file, at pauses of 0.25 to 2 s, while calls are refused at once: - after a failed write it cuts the file back to its last synced record, and writes and syncs a record to find out whether the disk accepts data; - after a failed sync, and for the file that a process finds at its start, it writes the contents to a new file, syncs and renames it, and syncs the folder. The operating system may show data that the disk lacks. A rewrite that fails leaves the present file in use, unless the rename may have happened. Keys that nobody changes are dropped only with a rewrite. Reads do not wait for the disk; a call that waits 0.4 s for others is refused. A process starts on a disk that refuses; it registers once the disk's id is known, lists nothing and does not report itself as retired until the disk was read. Entries choose such a disk for new Lots only if there are too few others. Metrics, a log line for each change of state with the time lost, and the members' reasons in `lot_not_recovered`.

test_after_a_failed_write_all_calls_are_refused asked for the fault. It is replaced by test_after_a_failed_sync_no_call_is_acknowledged_before_the_file_is_whole, as strict: no call is acknowledged before the repair, and afterwards the file has all acknowledged records and none of the refused.

--- a/src/wigeonfront/rollout/spooling.py
+++ b/src/wigeonfront/rollout/spooling.py
@@ -37,6 +37,9 @@
 ) -> tuple[SpoolMember, ...]:
     """Return the disks of a new Lot's spool; none if there are too few.
 
+    Disks that accept no data at present are chosen only where there are too few
+    others: they may recover while the Lot runs.
+
     Parameters
     ----------
     lot_id : str
@@ -47,15 +50,14 @@
     """
     by_name = {member.name: member for member in disks if not member.leaving}
     ranked = [by_name[name] for name in rendezvous.ranked(lot_id, by_name)]
+    # The sorts are stable, so that the rank decides between equal members.
+    ranked.sort(key=lambda member: member.refusing)
     domain_counts: dict[str, int] = {}
-    rounds = []
+    rounds = {}
     for member in ranked:
-        rounds.append(domain_counts.get(member.failure_domain, 0))
-        domain_counts[member.failure_domain] = rounds[-1] + 1
-    chosen = [
-        member
-        for _, _, member in sorted(zip(rounds, range(len(ranked)), ranked, strict=True))
-    ]
+        rounds[member.name] = domain_counts.get(member.failure_domain, 0)
+        domain_counts[member.failure_domain] = rounds[member.name] + 1
+    chosen = sorted(ranked, key=lambda member: (member.refusing, rounds[member.name]))
     if len(chosen) < count:
         return ()
     return tuple(
--- a/src/wigeonfront/rollout/submissions.py
+++ b/src/wigeonfront/rollout/submissions.py
@@ -28,6 +28,7 @@
     NotKept,
 )
 from wigeonfront.spool import SpoolClient, SpoolMember
+from wigeonfront.spool.calls import Refused
 from wigeonfront.spool.file import SpoolFile
 
 logger = logging.getLogger(__name__)
@@ -130,6 +131,8 @@
     def check(self) -> None:
         """Check each submission once, and delete those that the store has."""
         held = self._file.items_by_key(KEY_PREFIX)
+        if isinstance(held, Refused):
+            return
         self._absent_since = {
             key: at for key, at in self._absent_since.items() if key in held
         }
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -196,6 +196,14 @@
             return False
         spooled = self._spools.recover(lot_id, head.spools, head.revision, results)
         if isinstance(spooled, Unreached):
+            event(
+                logger,
+                "lot_not_recovered",
+                lot=lot_id,
+                revision=head.revision,
+                relays=spooled.relays,
+                reason=spooled.reason,
+            )
             self._yield_lot(lot_id, head, spooled)
             return False
         self._cut_off_since.pop(lot_id, None)
--- a/src/wigeonfront/spool/client.py
+++ b/src/wigeonfront/spool/client.py
@@ -68,9 +68,12 @@
     ----------
     relays : int
         Number of other processes that were asked and have not reached a member either.
+    reason : str
+        What each member answered, as ``address: reason``.
     """
 
     relays: int = 0
+    reason: str = ""
 
 
 def _no_relays() -> Sequence[str]:
@@ -94,7 +97,8 @@
         self._clock = clock
         self._relays = relays
         self._pools = Pools(CONNECT_SECONDS)
-        self._avoided: dict[str, float] = {}
+        # Until when addresses are not called, and why, as the clock's monotonic time.
+        self._avoided: dict[str, tuple[float, str]] = {}
 
     def append(
         self,
@@ -135,19 +139,28 @@
         found = self.recover_directly(members, key, fence)
         if isinstance(found, Recovered):
             return found
-        return self._recover_through_relays(Recover(tuple(members), key, fence))
+        answered = self._recover_through_relays(Recover(tuple(members), key, fence))
+        if isinstance(answered, Recovered):
+            return answered
+        return Unreached(answered, found.reason)
 
     def recover_directly(
         self, members: Sequence[SpoolMember], key: str, fence: int
     ) -> Recovered | Unreached:
         """Do the same without other processes."""
+        if not members:
+            return Recovered()
+        reasons = []
         for member in members:
             answer = self._call(member, Seal(member.disk, key, fence))
             if isinstance(answer, Held):
                 return Recovered(answer.position, answer.items)
-        return Unreached() if members else Recovered()
+            reason = getattr(answer, "reason", type(answer).__name__)
+            reasons.append(f"{member.address}: {reason}")
+        return Unreached(reason="; ".join(reasons))
 
-    def _recover_through_relays(self, request: Recover) -> Recovered | Unreached:
+    def _recover_through_relays(self, request: Recover) -> Recovered | int:
+        """Return the items, or the number of relays that answered without them."""
         addresses = [address for address in self._relays() if not self._avoids(address)]
         answered = 0
         for address in random.sample(addresses, min(MAX_RELAYS, len(addresses))):
@@ -164,7 +177,7 @@
             if isinstance(answer, Held):
                 return Recovered(answer.position, answer.items)
             answered += isinstance(answer, NotReached)
-        return Unreached(answered)
+        return answered
 
     def forget(
         self, members: Sequence[SpoolMember], key: str, fence: int, position: int
@@ -194,17 +207,18 @@
         body = msgspec.msgpack.encode(request)
         answer = _decoded(self._pools.post(address, path, body, seconds))
         if isinstance(answer, Refused):
-            self._avoided[address] = (
-                self._clock.monotonic() + FAILED_MEMBER_PAUSE_SECONDS
-            )
+            until = self._clock.monotonic() + FAILED_MEMBER_PAUSE_SECONDS
+            self._avoided[address] = (until, answer.reason)
         return answer
 
     def _avoids(self, address: str) -> bool:
-        return self._clock.monotonic() < self._avoided.get(address, 0.0)
+        until, _ = self._avoided.get(address, (0.0, ""))
+        return self._clock.monotonic() < until
 
     def _call(self, member: SpoolMember, call: SpoolCall) -> SpoolReply:
         if self._avoids(member.address):
-            return Refused("avoided")
+            _, reason = self._avoided[member.address]
+            return Refused(f"avoided, {reason}")
         now = self._clock.monotonic()
         answer = self._ask(member.address, call)
         event(
--- a/src/wigeonfront/spool/contents.py
+++ b/src/wigeonfront/spool/contents.py
@@ -1,8 +1,9 @@
 """The items on a disk of the spool, and the rules by which it accepts calls."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from wigeonfront.spool.calls import (
     Append,
@@ -67,6 +68,13 @@
         """Number of items of all keys."""
         return sum(len(spooled.items) for spooled in self._keys.values())
 
+    def answer(self, call: Append | Seal | Forget) -> SpoolAnswer:
+        """Return the answer to a call, without a change of the contents."""
+        spooled = self._keys.get(call.key, _NO_ITEMS)
+        if call.fence < spooled.fence:
+            return Fenced()
+        return _answer(call, spooled)
+
     def apply(self, call: Append | Seal | Forget, now: float) -> SpoolAnswer:
         """Apply a call; the contents change only if it returns ``Done`` or ``Held``.
 
@@ -75,16 +83,12 @@
         now : float
             Monotonic time in seconds.
         """
-        spooled = self._keys.get(call.key)
-        if spooled is not None and call.fence < spooled.fence:
-            return Fenced()
-        if spooled is None:
-            spooled = SpooledItems()
-        answer = self._apply(call, spooled)
-        if not isinstance(answer, Gap):
+        answer = self.answer(call)
+        if isinstance(answer, Done | Held):
+            spooled = self._keys.setdefault(call.key, SpooledItems())
+            _change(call, spooled)
             spooled.fence = call.fence
             spooled.touched_at = now
-            self._keys[call.key] = spooled
         return answer
 
     def items_by_key(self, prefix: str) -> dict[str, tuple[bytes, ...]]:
@@ -100,6 +104,10 @@
         spooled = self._keys.get(key, SpooledItems())
         return Forget(disk, key, spooled.fence, spooled.end)
 
+    def has_untouched(self, before: float) -> bool:
+        """Return whether a key was last changed before a monotonic time."""
+        return any(spooled.touched_at < before for spooled in self._keys.values())
+
     def drop_untouched(self, before: float) -> int:
         """Drop the keys last changed before a monotonic time; return how many."""
         expired = [
@@ -109,41 +117,73 @@
             del self._keys[key]
         return len(expired)
 
-    def snapshot_calls(self, disk: str) -> Iterator[Append | Seal]:
-        """Yield calls that reproduce the contents."""
+    def snapshot_calls(
+        self, disk: str, since: float = -math.inf
+    ) -> Iterator[Append | Seal]:
+        """Yield calls that reproduce the keys last changed at `since` or later."""
         for key, spooled in self._keys.items():
+            if spooled.touched_at < since:
+                continue
             items = tuple(spooled.items)
             yield Append(
                 disk, key, spooled.writer, spooled.position, spooled.position, items
             )
             yield Seal(disk, key, spooled.fence)
 
-    @singledispatchmethod
-    def _apply(
-        self, call: Append | Seal | Forget, spooled: SpooledItems
-    ) -> SpoolAnswer:
-        raise TypeError(f"not a spool call: {call!r}")
-
-    @_apply.register
-    def _(self, call: Append, spooled: SpooledItems) -> SpoolAnswer:
-        same_writer = spooled.items and call.fence == spooled.writer
-        if same_writer and call.position <= spooled.end:
-            spooled.items.extend(call.items[spooled.end - call.position :])
-            return Done()
-        if call.position > call.kept:
-            return Gap()
-        spooled.writer = call.fence
-        spooled.position = call.position
-        spooled.items = list(call.items)
-        return Done()
 
-    @_apply.register
-    def _(self, call: Seal, spooled: SpooledItems) -> SpoolAnswer:
-        return Held(spooled.position, tuple(spooled.items))
+_NO_ITEMS = SpooledItems()
+
 
-    @_apply.register
-    def _(self, call: Forget, spooled: SpooledItems) -> SpoolAnswer:
-        dropped = min(max(0, call.position - spooled.position), len(spooled.items))
-        spooled.items = spooled.items[dropped:]
-        spooled.position += dropped
+def _continues(call: Append, spooled: SpooledItems) -> bool:
+    """Return whether the call's items overlap or follow those of the same writer."""
+    same_writer = bool(spooled.items) and call.fence == spooled.writer
+    return same_writer and call.position <= spooled.end
+
+
+@singledispatch
+def _answer(call: Append | Seal | Forget, spooled: SpooledItems) -> SpoolAnswer:
+    raise TypeError(f"not a spool call: {call!r}")
+
+
+@_answer.register
+def _(call: Append, spooled: SpooledItems) -> SpoolAnswer:
+    if _continues(call, spooled) or call.position <= call.kept:
         return Done()
+    return Gap()
+
+
+@_answer.register
+def _(call: Seal, spooled: SpooledItems) -> SpoolAnswer:
+    return Held(spooled.position, tuple(spooled.items))
+
+
+@_answer.register
+def _(call: Forget, spooled: SpooledItems) -> SpoolAnswer:
+    return Done()
+
+
+@singledispatch
+def _change(call: Append | Seal | Forget, spooled: SpooledItems) -> None:
+    raise TypeError(f"not a spool call: {call!r}")
+
+
+@_change.register
+def _(call: Append, spooled: SpooledItems) -> None:
+    if _continues(call, spooled):
+        spooled.items.extend(call.items[spooled.end - call.position :])
+        return
+    spooled.writer = call.fence
+    spooled.position = call.position
+    spooled.items = list(call.items)
+
+
+@_change.register
+def _(call: Seal, spooled: SpooledItems) -> None:
+    """Change nothing but the fence, which each accepted call sets."""
+
+
+@_change.register
+def _(call: Forget, spooled: SpooledItems) -> None:
+    dropped = min(max(0, call.position - spooled.position), len(spooled.items))
+    spooled.items = spooled.items[dropped:]
+    spooled.position += dropped
--- a/src/wigeonfront/spool/server.py
+++ b/src/wigeonfront/spool/server.py
@@ -10,6 +10,7 @@
     SPOOL_PATH,
     Keys,
     ListKeys,
+    Refused,
     SpoolAnswer,
     SpoolCall,
     SpoolRequest,
@@ -49,11 +50,15 @@
             call.reply(BAD_CALL)
             return
         if isinstance(request, ListKeys):
-            answer = Keys(tuple(self._file.items_by_key(request.prefix)))
+            answer = self._list_keys(request)
         else:
             answer = self._apply(request)
         call.reply(OK, msgspec.msgpack.encode(answer))
 
+    def _list_keys(self, request: ListKeys) -> Keys | Refused:
+        held = self._file.items_by_key(request.prefix)
+        return held if isinstance(held, Refused) else Keys(tuple(held))
+
     def _apply(self, request: SpoolCall) -> SpoolAnswer:
         answer = self._file.apply(request)
         event(
@@ -63,6 +68,7 @@
             key=request.key,
             fence=request.fence,
             answer=type(answer).__name__,
+            reason=getattr(answer, "reason", ""),
             held=self._file.item_count,
         )
         return answer
--- a/tests/test_spool.py
+++ b/tests/test_spool.py
@@ -196,12 +196,26 @@
     assert file.apply(seal(5, disk)) == Refused("other disk")
 
 
-def test_after_a_failed_write_all_calls_are_refused(open_file, monkeypatch):
+def test_after_a_failed_sync_no_call_is_acknowledged_before_the_file_is_whole(
+    tmp_path, open_file, monkeypatch
+):
+    file = open_file()
+    disk = file.disk
+    assert file.apply(append(5, 0, 0, "a", disk=disk)) == Done()
+    refused = Refused("disk failed: no space")
+    with monkeypatch.context() as patched:
+        patched.setattr("os.fsync", fail)
+        for call in (append(5, 0, 1, "b", disk=disk), seal(9, disk)):
+            assert file.apply(call) == refused
+        file.recover()
+        assert file.apply(seal(9, disk)) == refused
+    assert file.apply(append(5, 0, 1, "b", disk=disk)) == refused
+    assert file.items_by_key("lot") == {"lot": items("a")}
+    file.recover()
+    assert file.apply(append(5, 0, 1, "c", disk=disk)) == Done()
+    assert [path.name for path in tmp_path.iterdir()] == ["spool"]
     file = open_file()
-    monkeypatch.setattr("os.fsync", fail)
-    assert file.apply(append(5, 0, 0, "a", disk=file.disk)) == Refused("disk failed")
-    monkeypatch.undo()
-    assert file.apply(seal(5, file.disk)) == Refused("disk failed")
+    assert file.apply(seal(9, disk)) == Held(0, items("a", "c"))
 
 
 def fail(descriptor):
--- a/tests/test_spooling.py
+++ b/tests/test_spooling.py
@@ -2,6 +2,7 @@
 
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -358,6 +359,27 @@
         assert len(set(chosen)) == len(chosen)
 
 
+@pytest.mark.parametrize(
+    ("refusing", "count", "chosen"),
+    [
+        pytest.param({0}, 2, {1, 2}, id="others are chosen"),
+        pytest.param(
+            {0, 1}, 2, {2}, id="and disks that refuse where those are too few"
+        ),
+        pytest.param({0, 1, 2}, 2, set(), id="also if all refuse"),
+    ],
+)
+def test_disks_that_refuse_data_are_chosen_last(refusing, count, chosen):
+    registered = [
+        replace(member, refusing=number in refusing)
+        for number, member in enumerate(disks(*"abc"))
+    ]
+    for number in range(20):
+        members = choose_members(f"lot-{number}", registered, count)
+        assert len(members) == count
+        assert chosen <= {int(member.disk[5:]) for member in members}
+
+
 def test_lots_are_spread_over_the_disks():
     chosen = {
         member.disk
