http: all informational answers are skipped, not only those with status 100

What callers would see: on one kept connection to a server that sends 103 and then the answer, a call gets the 103 with an empty body, and the next call gets this one's answer (the users' reading: 103 "", 200 with the body of request 0, 103 "", 200 of request 1).

Cause: http.client skips only status 100 and takes any other 1xx for the final answer.

Change: below the parsing of answers each 1xx counts as one to skip (RFC 9110, 15.2), within the limit of a head. 101, which no request asks for, is a broken answer.

--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -10,6 +10,9 @@
 and of the trailers. Here it ends an answer only if its head is whole and neither a
 length nor chunks delimit its body, and only if the server made it; anywhere else the
 answer is cut off.
+
+Of the informational answers before an answer (RFC 9110, section 15.2) the library skips
+only those with status 100. Here all are skipped, within the limit of the head.
 """
 
 import enum
@@ -20,6 +23,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from http import HTTPStatus
 
 from urllib3 import HTTPConnectionPool
 from urllib3.connection import HTTPConnection
@@ -283,6 +287,8 @@
 
     def begin(self) -> None:
         super().begin()
+        if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise FramingNotUnderstood("status 101, which no request asks for")
         delimited = self.chunked or self.length is not None
         if not delimited:
             self._check_undelimited()
@@ -290,6 +296,14 @@
         if self.length is not None and self.length > self._limit.body_bytes:
             raise AnswerTooLong(f"the answer announces {self.length} bytes")
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line; each that the library is to skip has status 100."""
+        version, status, reason = super()._read_status()
+        informational = HTTPStatus.CONTINUE <= status < HTTPStatus.OK
+        if informational and status != HTTPStatus.SWITCHING_PROTOCOLS:
+            status = HTTPStatus.CONTINUE
+        return version, status, reason
+
     def _check_undelimited(self) -> None:
         """Check that the head does not say where the body ends.
 
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -65,6 +65,12 @@
     "chunked with trailers": (b"", CHUNKED + b"X-Sum: 1\r\nX-More: 2\r\n\r\n"),
     "no content": (NO_CONTENT + b"\r\n", b""),
     "informational": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" + LENGTH + BODY),
+    "several informational": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n"
+        + LENGTH
+        + BODY,
+    ),
     "closed after it": (
         SEALED_HEAD + b"Connection: close\r\n" + CONTENT_LENGTH,
         BODY,
