Logs: a write that the output refused does not end all logging

Where the output is a file, one write on a full disk ended the thread that writes log lines, and the process logged nothing more.

Change: the lines of that write count as dropped, and later ones are written.

Result: test_lines_that_the_output_refused_are_counted_and_later_ones_written failed before, and passes.

--- a/src/wigeonfront/observability/logs.py
+++ b/src/wigeonfront/observability/logs.py
@@ -61,8 +61,9 @@
 class BoundedHandler(logging.Handler):
     """A log handler that writes in its own thread, so that logging never blocks.
 
-    While `QUEUE_LINES` lines are queued, further lines are dropped and counted. The
-    count is logged with the next lines that are written.
+    While `QUEUE_LINES` lines are queued, further lines are dropped and counted, and so
+    are lines that the output refuses, such as a file on a full disk. The count is
+    logged with the next lines that are written.
 
     Parameters
     ----------
@@ -109,7 +110,10 @@
             try:
                 self._stream.write("\n".join(lines) + "\n")
                 self._stream.flush()
-            except (OSError, ValueError):
+            except OSError:
+                with self._count_lock:
+                    self._dropped += dropped + line_count
+            except ValueError:
                 # The output is closed, and there is no other place to report that.
                 return
             finally:
--- a/tests/test_logs_bounded.py
+++ b/tests/test_logs_bounded.py
@@ -43,6 +43,31 @@
     assert written + sum(map(count_of, dropped)) == lines + 1
 
 
+class RefusingStream(BlockedStream):
+    """An output that refuses some writes, such as a file on a full disk."""
+
+    def __init__(self):
+        super().__init__()
+        self.refusals = 2
+
+    def write(self, text):
+        if self.refusals:
+            self.refusals -= 1
+            raise OSError("no space")
+        self.lines += text.splitlines()
+
+
+def test_lines_that_the_output_refused_are_counted_and_later_ones_written():
+    # One write that the output refused ended all logging of the process.
+    stream = RefusingStream()
+    handler = logs.BoundedHandler(stream)
+    record = logging.LogRecord("x", logging.INFO, "", 0, "event=%d", (1,), None)
+    for _ in range(3):
+        handler.emit(record)
+        handler.drain(3.0)
+    assert stream.lines == ["event=1", "event=log_lines_dropped count=2"]
+
+
 def count_of(line):
     return int(line.rpartition("=")[2])
 
