test_submissions: an outage begins once the entries are registered

The log of a failure: the outage begins before an entry is registered (`register_failed`), which then rightly answers "another entry may own the Lot".

--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -48,6 +48,8 @@
 def add_entry(deployed, name):
     entry = deployed.add_entry(name)
     wait_for(lambda: len(entry._view.disks()) == DISKS)
+    # Only a registered entry knows in an outage that no other one owns its Lots.
+    wait_for(lambda: entry._registration.registered)
     return entry
 
 
