Soak: disks that refuse data for a while

`--full-disks`, beside `--disks`: a soft RLIMIT_FSIZE of 0 or of the spool's size on a storage process that the soak started, alone, or in an outage of the store whose end an entry is killed at. An option of its own, as the draws of seeds that other tests keep would change with new faults under `--disks`.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -124,6 +124,11 @@
         action="store_true",
         help="storage processes accept results, and disks are lost",
     )
+    parser.add_argument(
+        "--full-disks",
+        action="store_true",
+        help="disks refuse data for a while; only with --disks",
+    )
     parser.add_argument(
         "--clocks", action="store_true", help="wall clocks differ and jump"
     )
@@ -138,6 +143,8 @@
     arguments = parser.parse_args()
     if arguments.crashing and arguments.scored:
         parser.error("--crashing cannot be combined with --scored")
+    if arguments.full_disks and not arguments.disks:
+        parser.error("--full-disks needs --disks")
     options = Options(
         arguments.one_version,
         arguments.scored,
@@ -145,6 +152,7 @@
         arguments.clocks,
         arguments.crashing,
         arguments.processes,
+        arguments.full_disks,
     )
     first, _, last = arguments.seeds.partition("-")
     failed_seeds = 0
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -1,7 +1,9 @@
 """Entry and storage processes, with stand-ins and relays around them."""
 
+import contextlib
 import itertools
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -38,6 +40,9 @@
 The system tolerates the loss of one disk at a time.
 """
 
+FULL_DISK_SECONDS = 1.0
+"""Time for which a disk is full in an outage: Lots and results are written to it."""
+
 MAX_CLOCK_ERROR_SECONDS = 8.0
 """Maximum error of a wall clock, in either direction."""
 
@@ -92,6 +97,8 @@
         `scored`.
     entries : int
         Number of entry processes.
+    full_disks : bool
+        Disks refuse data for a while, one or more at a time; needs `disks`.
     """
 
     one_version: bool = False
@@ -100,6 +107,7 @@
     clocks: bool = False
     crashing: bool = False
     entries: int = 3
+    full_disks: bool = False
 
 
 @dataclass
@@ -183,6 +191,18 @@
 
     folder: Path
 
+    def limit_files(self, size: int) -> None:
+        """Let the process write no file beyond `size` bytes, as if its disk were full.
+
+        The limit ends with the process.
+        """
+        if self.popen is None or self.popen.poll() is not None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            _, hard = resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE)
+            limit = size if hard == resource.RLIM_INFINITY else min(size, hard)
+            resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, (limit, hard))
+
 
 class Cluster:
     """A store, engines, services, and the entry and storage processes under test.
@@ -356,6 +376,7 @@
             entry.resume()
             entry.relay.heal()
             entry.relay.delay = 0.0
+        self._free_disks()
         for process in self._processes:
             process.held = False
             process.start()
@@ -403,6 +424,12 @@
                 "kill_everything": self._kill_everything,
                 "outage": self._store_down,
             }
+        if self.options.full_disks:
+            optional |= {
+                "fill_disk": self._fill_disk,
+                "fill_disk_in_outage": self._fill_disk_in_outage,
+                "free_disks": lambda entry: self._free_disks(),
+            }
         if self.options.clocks:
             optional["clock_jumps"] = self._clock_jumps
         return optional | {
@@ -446,6 +473,26 @@
             disk.popen.wait(5)
         (disk.folder / "spool").unlink(missing_ok=True)
 
+    def _fill_disk(self, entry: EntryProcess) -> None:
+        """Let a disk accept no data, or none beyond the end of its spool."""
+        disk = self.random.choice(self.disks)
+        spool = disk.folder / "spool"
+        size = spool.stat().st_size if spool.exists() else 0
+        disk.limit_files(self.random.choice((0, size)))
+
+    def _fill_disk_in_outage(self, entry: EntryProcess) -> None:
+        """Fill a disk in an outage of the store, and kill an entry after it."""
+        self._store_down(entry)
+        self._fill_disk(entry)
+        time.sleep(FULL_DISK_SECONDS)
+        self._free_disks()
+        self._store_up(entry)
+        self._kill(entry)
+
+    def _free_disks(self) -> None:
+        for disk in self.disks:
+            disk.limit_files(resource.RLIM_INFINITY)
+
     def _kill_everything(self, entry: EntryProcess) -> None:
         for process in self._processes:
             self._kill(process)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,6 +44,13 @@
     assert result.accepted > 0
 
 
+def test_lots_survive_disks_that_refuse_data_for_a_while():
+    # A disk that had refused one write was out of use until its process restarted.
+    result = run_seed(8, 6.0, Options(disks=True, full_disks=True))
+    assert result.violations == []
+    assert result.accepted > 0
+
+
 def test_requests_that_crash_targets_are_quarantined_under_faults():
     result = run_seed(7, 4.0, Options(crashing=True))
     assert result.violations == []
