Disk faults: a file read only by a later attempt; mutations of the spool

The model compares at either moment now, as strictly.

Two mutations name the lines that moved, with the same effect; three new ones: a disk that stays out of use, a failed sync that counts, and a refused call in memory.

--- a/benchmarks/mutations/decisions.py
+++ b/benchmarks/mutations/decisions.py
@@ -420,7 +420,7 @@
     _mutation(
         "a sealed disk accepts results of an earlier owner",
         "spool/contents.py",
-        "        if spooled is not None and call.fence < spooled.fence:",
+        "        if call.fence < spooled.fence:",
         "        if False:",
         "test_spool.py",
     ),
@@ -434,10 +434,31 @@
     _mutation(
         "results after a gap are accepted",
         "spool/contents.py",
-        "        if call.position > call.kept:",
-        "        if False:",
+        "    if _continues(call, spooled) or call.position <= call.kept:",
+        "    if True:",
         "test_spool.py",
     ),
+    _mutation(
+        "a disk that has refused a write stays out of use",
+        "spool/file.py",
+        "            failure, self._failure = self._failure, None",
+        "            failure = self._failure",
+        "test_spool_disk_faults.py",
+    ),
+    _mutation(
+        "a file whose sync failed counts as whole",
+        "spool/file.py",
+        "        self._sound = False\n        self._files.sync(self._file)",
+        "        self._files.sync(self._file)",
+        "test_spool_disk_faults.py",
+    ),
+    _mutation(
+        "a refused call changes what the memory holds",
+        "spool/file.py",
+        "        answer = self._contents.answer(call)",
+        "        answer = self._contents.apply(call, 0.0)",
+        "test_spool_disk_faults.py",
+    ),
     _mutation(
         "results that a later owner has replaced are accepted",
         "rollout/spooling.py",
--- a/tests/test_spool_disk_faults.py
+++ b/tests/test_spool_disk_faults.py
@@ -118,11 +118,17 @@
         return not isinstance(answer, Refused)
 
     def recover(self):
+        read_before = self.is_read()
         self.file.recover()
         self.note_id()
+        if not read_before:
+            self.check_after_restart()
         if self.file.failure is None:
             self.in_doubt = None
 
+    def is_read(self):
+        return self.file.item_count is not None
+
     def restart(self):
         """End the process without its knowledge, and start it again."""
         self.open()
@@ -137,7 +143,7 @@
         assert state_of(self.file._contents) == contents_after(self.acknowledged)
 
     def check_after_restart(self):
-        if isinstance(self.file.items_by_key(""), Refused):
+        if not self.is_read():
             return
         found = state_of(self.file._contents)
         if found != contents_after(self.acknowledged):
