--- a/tests/test_storage_node.py
+++ b/tests/test_storage_node.py
@@ -24,10 +24,7 @@
 
 @pytest.fixture
 def refusals(monkeypatch):
-    """Names of the folder operations that every disk refuses, as long as they are in.
-
-    The operations `os.fsync` and `os.write` stand for those of real files.
-    """
+    """Names of the folder operations that every disk refuses while they are in it."""
     names = set()
 
     def guarded(name, operation):
