--- a/Makefile
+++ b/Makefile
@@ -13,10 +13,12 @@
 run: $(VENV)/ready
 	$(RUN) -m quickstart.run --deployment both --seconds $(SECONDS)
 
-## Run all tests in parallel processes, as they spend most of their time waiting.
+## Run all tests in parallel processes, as they spend most of their time waiting, and
+## then those that measure a process, one at a time.
 TEST_PROCESSES ?= 8
 test: $(VENV)/ready
-	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist worksteal
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist worksteal -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 ## Check the format and lint.
 lint: $(VENV)/ready
