Allocator: large blocks go back to the system whatever was freed before

Callers saw a process grow far beyond what it held: with sixty bodies of 8 MiB refused one after the other, an entry whose budget for bodies was 57 MB took 153 MB of 128.

Cause: glibc raises the size from which it maps blocks by themselves to the largest block that was ever freed. Bodies then come from the heaps of many threads; a growing buffer leaves gaps there, which only the same threads can use.

Change: the threshold is set once at start, which turns its growth off.

--- a/src/wigeonfront/commands/run.py
+++ b/src/wigeonfront/commands/run.py
@@ -6,6 +6,7 @@
 import sys
 from importlib import import_module
 
+from wigeonfront import allocator
 from wigeonfront.commands import exit_codes
 from wigeonfront.node.loading import node_settings
 from wigeonfront.node.settings import NodeSettings
@@ -40,6 +41,7 @@
     # The signal asks for a reload. It is ignored, because the process follows all that
     # may change in the platform's store.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    allocator.separate_large_blocks()
     logs.configure(settings.name, settings.log_level)
     code = import_module(_MODULES[type(given)]).run(settings)
     logs.flush(LOG_FLUSH_SECONDS)
