http: requests are read within bounds of bytes, time, memory and threads

What callers saw: a crowd that sends heads, size lines, extensions, trailers or bodies without an end, or stops just short of their end, took 160 to 2410 MB of a process that may use 128, and would end it. Callers that send a byte now and then held all threads, so that no ordinary caller was answered. A body in small chunks took time that grows with the square of its size: the largest legal one got 503.

Cause: the library reads and the product checked afterwards. A chunk, a size line, a trailer or an unread body was read in one piece of the size that the caller named, only silence ended a slow caller, and nothing counted what all callers hold together.

Change: one source below all parsing (http/source.py), like the one for answers, knows the deadline of what is read; framing.py decides where a body ends and decodes chunks in pieces; body.py reads a body once its bytes are taken from a budget (budget.py), which they leave when the call ends. The process has one budget for requests and answers. While others lack a thread or room, the calls that stood still longest give way (waiting.py). A refused caller gets its answer: the rest of its body is discarded within bounds. It holds for all servers of all roles, for read and unread parts of a request.

Refusals: 503 with Retry-After for room or a thread, 408 for lateness, 413, 400; nothing of such a request has run. Contradictory lengths are refused, and 100 Continue is sent only for a body that is read.

--- a/src/wigeonfront/api/front.py
+++ b/src/wigeonfront/api/front.py
@@ -19,7 +19,7 @@
 from wigeonfront.api.quarantine import QUARANTINE_PATH, QuarantineCalls
 from wigeonfront.api.requests import REQUESTS_PATH, RequestCalls
 from wigeonfront.configuration import Configuration
-from wigeonfront.http.raw import BodyTooLarge, RawCall
+from wigeonfront.http.raw import BodyNotRead, RawCall
 from wigeonfront.observability.logs import event
 
 logger = logging.getLogger(__name__)
@@ -96,8 +96,11 @@
             error.answer(call)
         except BodyError as error:
             ApiError(400, "bad_body", str(error)).answer(call)
-        except BodyTooLarge:
-            ApiError(413, "body_too_large").answer(call)
+        except BodyNotRead as error:
+            call.note_refusal(error)
+            ApiError(error.status, error.code, str(error), error.retry_after).answer(
+                call
+            )
         event(logger, "api_call", method=call.method, path=call.path)
 
     def _answer(self, call: RawCall) -> None:
--- a/src/wigeonfront/forwarding/exchange.py
+++ b/src/wigeonfront/forwarding/exchange.py
@@ -31,8 +31,8 @@
 from wigeonfront.forwarding.open_call import OpenCall, do_nothing
 from wigeonfront.forwarding.slow_wait import SlowWait
 from wigeonfront.http.bounded import (
+    ANSWER_BUDGET,
     MAX_BODY_BYTES,
-    PROCESS_BUDGET,
     AnswerCutOff,
     AnswerLimit,
 )
@@ -359,7 +359,7 @@
             deadline,
             send.body.deadline,
             send.body.max_bytes,
-            budget=PROCESS_BUDGET if send.body.held else None,
+            budget=ANSWER_BUDGET if send.body.held else None,
         )
         try:
             response = http_connection.getresponse()
--- a/src/wigeonfront/http/bounded.py
+++ b/src/wigeonfront/http/bounded.py
@@ -19,7 +19,6 @@
 import http.client
 import io
 import socket
-import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -29,6 +28,7 @@
 from urllib3.connection import HTTPConnection
 
 from wigeonfront.clock import Clock, SystemClock
+from wigeonfront.http.budget import ANSWER_BUDGET, ByteBudget
 from wigeonfront.http.sockets import SharedSocket
 
 MAX_HEAD_BYTES = 128 * 1024
@@ -41,16 +41,6 @@
 WHOLE_ANSWER_FACTOR = 2.0
 """Time for a whole answer, as a multiple of the longest wait for its head."""
 
-DEFAULT_BUDGET_BYTES = 128 * 1024 * 1024
-"""Budget of a process that does not say how much memory it may use."""
-
-BUDGET_SHARE = 0.25
-"""Share of a process's memory that answers may take while they are read. Joining the
-pieces of a body takes as much again."""
-
-SINGLE_SHARE = 0.5
-"""Share of the budget that one answer may take."""
-
 FREE_BYTES = 64 * 1024
 """Bytes of each body that are not taken from the budget, so that short answers still
 arrive while long ones exhaust it."""
@@ -74,67 +64,6 @@
     """The head of an answer delimits its body in a way that is not supported."""
 
 
-class ByteBudget:
-    """Limits the bytes of all answers that are being read.
-
-    Parameters
-    ----------
-    limit : int
-        Largest number of bytes.
-
-    Examples
-    --------
-    >>> budget = ByteBudget(10)
-    >>> budget.take(8), budget.take(8)
-    (True, False)
-    >>> budget.release(8)
-    >>> budget.take(8)
-    True
-    """
-
-    def __init__(self, limit: int) -> None:
-        self._lock = threading.Lock()
-        self._limit = limit
-        self._taken = 0
-
-    def resize(self, limit: int) -> None:
-        """Change the limit."""
-        with self._lock:
-            self._limit = limit
-
-    @property
-    def taken(self) -> int:
-        """Bytes that are held now."""
-        return self._taken
-
-    @property
-    def largest(self) -> int:
-        """Largest number of bytes that one answer may take."""
-        return int(SINGLE_SHARE * self._limit)
-
-    def take(self, count: int) -> bool:
-        """Count bytes that were read; return ``False`` if they exceed the limit."""
-        with self._lock:
-            if self._taken + count > self._limit:
-                return False
-            self._taken += count
-            return True
-
-    def release(self, count: int) -> None:
-        """Count bytes as no longer held."""
-        with self._lock:
-            self._taken -= count
-
-
-PROCESS_BUDGET = ByteBudget(DEFAULT_BUDGET_BYTES)
-"""Budget of this process; see `fit_budget`."""
-
-
-def fit_budget(memory_bytes: int) -> None:
-    """Adjust the budget of this process to the memory that the process may use."""
-    PROCESS_BUDGET.resize(int(BUDGET_SHARE * memory_bytes))
-
-
 @dataclass(slots=True)
 class AnswerLimit:
     """What one answer may take.
@@ -157,7 +86,7 @@
     body_deadline: float
     body_bytes: int = MAX_BODY_BYTES
     bytes_left: int = MAX_HEAD_BYTES
-    budget: ByteBudget | None = field(default=PROCESS_BUDGET)
+    budget: ByteBudget | None = field(default=ANSWER_BUDGET)
 
     def start_body(self) -> None:
         """Apply the limits of the body from now on."""
--- a/src/wigeonfront/http/raw.py
+++ b/src/wigeonfront/http/raw.py
@@ -15,10 +15,40 @@
 
 from cheroot import server as cheroot_server
 
+from wigeonfront.clock import SystemClock
+from wigeonfront.http.body import (
+    DISCARD_BYTES,
+    RETRY_SECONDS,
+    BodyCutOff,
+    BodyNotRead,
+    BodyReader,
+    BodyTooLarge,
+    discard,
+)
 from wigeonfront.http.encoding import JSON_TYPE, encode, parse_address
+from wigeonfront.http.framing import BadFraming, Framing, framing_of
+from wigeonfront.http.source import (
+    POLL_SECONDS,
+    CallerReader,
+    CallerSource,
+    CallerWriter,
+    CallGivesWay,
+    ConnectionLimits,
+)
 from wigeonfront.http.threads import STOP_SECONDS, ThreadPoolOnDemand
 from wigeonfront.observability.logs import event
 
+__all__ = [
+    "BodyCutOff",
+    "BodyNotRead",
+    "BodyTooLarge",
+    "ConnectionLimits",
+    "RawCall",
+    "RawHandler",
+    "RawServer",
+    "close_all",
+]
+
 logger = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 512
@@ -33,22 +63,30 @@
 about 20 KB. With the library's default of 10, each call of further callers would need a
 new connection."""
 
-DEFAULT_IDLE_SECONDS = 15.0
-DEFAULT_HEADER_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Bytes of one connection that may have arrived and not been read. With a round trip
+of 6 ms, callers send at most 10 MB a second."""
 
-Headers = tuple[tuple[str, str], ...]
+DEFAULT_BODY_SECONDS = 120.0
+"""Time for the body of a call whose handler names no deadline."""
 
+Headers = tuple[tuple[str, str], ...]
 
-class BodyTooLarge(Exception):  # noqa: N818
-    """The body of the request is longer than the handler accepts."""
 
+class _HeaderReader(cheroot_server.HeaderReader):
+    """Reads the headers of one request.
 
-class BodyCutOff(Exception):  # noqa: N818
-    """The caller closed the connection, or broke the framing, within the body."""
+    Repeated headers that say who calls, or where the body ends, are joined; the library
+    keeps only the last one. An expectation is kept back, which the library would
+    confirm before it is known whether the body will be read.
 
+    Attributes
+    ----------
+    expectation : bytes
+        Value of the ``Expect`` header; empty if there is none.
+    """
 
-class _HeaderReader(cheroot_server.HeaderReader):
-    """Joins repeated ``Authorization`` headers; the library keeps only the last one."""
+    expectation = b""
 
     def __call__(
         self, rfile: object, hdict: dict[bytes, bytes] | None = None
@@ -56,24 +94,159 @@
         """Read the headers into `hdict`."""
         joined = _RepeatedHeaders()
         super().__call__(rfile, joined)
+        self.expectation = joined.pop(b"Expect", b"")
         headers = {} if hdict is None else hdict
         headers.update(joined)
         return headers
 
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if not key_name or key_name != key_name.strip():
+            raise ValueError("Illegal header name.")
+        return super()._transform_key(key_name)
+
 
 class _RepeatedHeaders(dict[bytes, bytes]):
+    _JOINED = frozenset((b"Authorization", b"Content-Length", b"Transfer-Encoding"))
+
     def __setitem__(self, name: bytes, value: bytes) -> None:
-        if name == b"Authorization" and name in self:
+        if name in self._JOINED and name in self:
             value = b", ".join((self[name], value))
         super().__setitem__(name, value)
 
 
 class _Request(cheroot_server.HTTPRequest):
-    header_reader = _HeaderReader()
+    """A request whose body is left to `RawCall`.
+
+    Attributes
+    ----------
+    framing : Framing
+        Where the body ends, once the head was read.
+    """
+
+    framing: Framing
+
+    def __init__(self, *args: object, **options: object) -> None:
+        super().__init__(*args, **options)
+        self.header_reader = _HeaderReader()
+        self._confirmed = False
+
+    @property
+    def awaits_confirmation(self) -> bool:
+        """Whether the caller may send its body or not, as nobody has asked for it."""
+        return bool(self.header_reader.expectation) and not self._confirmed
+
+    def parse_request(self) -> None:
+        """Read the head within its time."""
+        source = self.conn.rfile.source
+        source.start_request()
+        try:
+            super().parse_request()
+        except CallGivesWay:
+            if source.head_started:
+                self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, RETRY_SECONDS)
+
+    def read_request_headers(self) -> bool:
+        """Read the headers and check where the body ends."""
+        if not super().read_request_headers():
+            return False
+        framing = framing_of(self.inheaders, self.request_protocol)
+        if isinstance(framing, BadFraming):
+            self.simple_response("400 Bad Request", framing.reason)
+            return False
+        self.framing = framing
+        return True
+
+    def confirm_body(self) -> None:
+        """Ask the caller for the body if it waits for that."""
+        self._confirmed = True
+        expected = self.header_reader.expectation.lower() == b"100-continue"
+        if expected and self.response_protocol == "HTTP/1.1":
+            self.conn.wfile.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def respond(self) -> None:
+        """Answer the request; unlike the library's method, it reads no body."""
+        self.server.gateway(self).respond()
+        self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse a request whose head was not understood."""
+        self.conn.rest_bytes = DISCARD_BYTES
+        super().simple_response(status, msg)
+
+    def refuse(self, status: HTTPStatus, retry_after: float) -> None:
+        """Refuse a request of which only a part has arrived."""
+        self.close_connection = True
+        answer = (
+            f"HTTP/1.1 {status.value} {status.phrase}\r\nRetry-After: {retry_after:g}"
+            "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+        self.conn.wfile.write(answer.encode())
 
 
 class _Connection(cheroot_server.HTTPConnection):
+    """A connection whose bytes are read within the limits of its server.
+
+    Attributes
+    ----------
+    rest_bytes : int
+        Bytes that may follow what was read, and are discarded before the connection is
+        closed so that its caller gets the answer.
+    """
+
     RequestHandlerClass = _Request
+    rest_bytes = 0
+
+    def __init__(
+        self, server: "_Server", sock: socket.socket, makefile: object = None
+    ) -> None:
+        super().__init__(server, sock, lambda sock, mode, size: None)
+        sock.settimeout(POLL_SECONDS)
+        source = CallerSource(
+            sock, server, lambda: server.limits, server.requests.lacking
+        )
+        self.rfile = CallerReader(source)
+        self.wfile = CallerWriter(sock, lambda: server.limits)
+
+    def close(self) -> None:
+        """Close the connection; a caller that still sends gets its answer first."""
+        if self.rest_bytes:
+            self._discard_rest()
+        super().close()
+
+    def _discard_rest(self) -> None:
+        left, self.rest_bytes = self.rest_bytes, 0
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The caller has closed the connection already.
+            return
+        discard(self.rfile, left, SystemClock())
+
+
+class _Server(cheroot_server.HTTPServer):
+    """The library's server, with the limits of its connections.
+
+    Attributes
+    ----------
+    limits : ConnectionLimits
+    """
+
+    ConnectionClass = _Connection
+    limits = ConnectionLimits()
+
+    @staticmethod
+    def bind_socket(sock: socket.socket, address: object) -> socket.socket:
+        """Bind the listening socket, from which connections inherit their buffers."""
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        return cheroot_server.HTTPServer.bind_socket(sock, address)
+
+    def set_limits(self, limits: ConnectionLimits) -> None:
+        """Apply limits to all connections from now on."""
+        self.limits = limits
+        self.timeout = limits.idle_seconds
+        self.max_request_header_size = limits.head_bytes
 
 
 class RawCall:
@@ -84,15 +257,27 @@
     request : cheroot.server.HTTPRequest
     closing : callable
         Returns whether connections are to be closed after the current answer.
+    on_refusal : callable
+        Called with the reason if the body is not read.
     """
 
     def __init__(
-        self, request: cheroot_server.HTTPRequest, closing: Callable[[], bool]
+        self,
+        request: cheroot_server.HTTPRequest,
+        closing: Callable[[], bool],
+        on_refusal: Callable[[str], None],
     ) -> None:
         self._request = request
         self._closing = closing
+        self._on_refusal = on_refusal
         self._answer_started = False
-        self._body_read = False
+        self._limits: ConnectionLimits = request.server.limits
+        self._body = BodyReader(
+            request.conn.rfile,
+            request.framing,
+            self._limits.head_bytes,
+            request.confirm_body,
+        )
         self.headers: Headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.inheaders.items()
@@ -133,53 +318,50 @@
         """Return the value of a header, or an empty string if it is missing."""
         return self._by_name.get(name.lower(), "")
 
-    def body(self, max_bytes: int) -> bytes:
+    def body(
+        self, max_bytes: int, deadline: float | None = None, copies: int = 1
+    ) -> bytes:
         """Return the complete body.
 
-        Raises
-        ------
-        BodyTooLarge
-            If the body is longer than `max_bytes`.
-        BodyCutOff
-            If the end of the body did not arrive.
-        """
-        self._body_read = True
-        length = int(self.header("Content-Length") or 0)
-        if length > max_bytes:
-            raise BodyTooLarge
-        try:
-            if self._is_chunked:
-                body = self._read_chunks()
-            else:
-                body = self._request.rfile.read(length)
-        except (OSError, ValueError) as error:
-            raise BodyCutOff(str(error)) from error
-        if len(body) > max_bytes:
-            raise BodyTooLarge
-        if len(body) < length:
-            raise BodyCutOff
-        return body
-
-    def _read_chunks(self) -> bytes:
-        """Return a chunked body.
-
-        The library takes the end of the connection for the end of the last size line,
-        and leaves the trailers on the connection, in front of the next request.
+        Parameters
+        ----------
+        max_bytes : int
+        deadline : float, optional
+            Monotonic time by which the body must have arrived.
+        copies : int
+            Number of times that the call holds the body at once, in any form.
 
         Raises
         ------
-        ValueError
-            If the body does not end with an empty line.
+        BodyNotRead
+            If the body can't be read; the server then refuses the call.
         """
-        rfile = self._request.rfile
-        body = rfile.read()
-        for _ in rfile.read_trailer_lines():
-            pass
-        return body
+        if deadline is None:
+            deadline = time.monotonic() + DEFAULT_BODY_SECONDS
+        return self._body.read(max_bytes, deadline, copies)
+
+    def note_refusal(self, error: BodyNotRead) -> None:
+        """Log and count that the body was not read."""
+        self._on_refusal(error.code)
+        event(
+            logger,
+            "body_not_read",
+            reason=error.code,
+            status=int(error.status),
+            detail=str(error),
+            request_target=self.target[:200],
+        )
 
-    @property
-    def _is_chunked(self) -> bool:
-        return self._request.chunked_read
+    def finish(self) -> None:
+        """Give back what the call holds, and prepare for what follows it."""
+        self._body.release()
+        request = self._request
+        if request.close_connection or not self._body.skip_rest():
+            request.close_connection = True
+            if not self._body.ended:
+                self._request.conn.rest_bytes = self._body.rest_bytes(
+                    self._limits.body_bytes + DISCARD_BYTES
+                )
 
     def reply(
         self, status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = ()
@@ -205,8 +387,8 @@
         request.outheaders = [
             (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
         ]
-        unread = self._is_chunked and not self._body_read
         # The unread rest of a body must not be parsed as the next request.
+        unread = not self._body.rest_is_short or request.awaits_confirmation
         if self._closing() or unread or status in (400, 408, 413, 431):
             request.close_connection = True
         self._answer_started = True
@@ -254,6 +436,8 @@
         Largest number of calls that are served at once.
     max_idle : int
         Largest number of idle connections that are kept open.
+    on_refusal : callable, optional
+        Called with the reason for which the body of a call was not read.
     """
 
     def __init__(
@@ -262,20 +446,18 @@
         handler: RawHandler,
         threads: int,
         max_idle: int = MAX_IDLE_CONNECTIONS,
+        on_refusal: Callable[[str], None] = lambda reason: None,
     ) -> None:
         self._handler = handler
+        self._on_refusal = on_refusal
         self._close_connections = False
         self._calls_lock = threading.Lock()
         self._open_calls = 0
-        self._server = cheroot_server.HTTPServer(
-            parse_address(address), gateway=self._make_gateway()
-        )
-        self._server.ConnectionClass = _Connection
+        self._server = _Server(parse_address(address), gateway=self._make_gateway())
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.keep_alive_conn_limit = max_idle
-        self._server.timeout = DEFAULT_IDLE_SECONDS
         self._server.shutdown_timeout = STOP_SECONDS
-        self._server.max_request_header_size = DEFAULT_HEADER_BYTES
+        self._server.set_limits(ConnectionLimits())
         self._server.server_name = "wigeonfront"
         self._server.requests = ThreadPoolOnDemand(self._server, threads)
         self._server.error_log = _log_server_error
@@ -295,8 +477,12 @@
         return self._open_calls
 
     def _serve(self, request: cheroot_server.HTTPRequest) -> None:
+        call = RawCall(request, lambda: self._close_connections, self._on_refusal)
         with self._counted():
-            self._answer(RawCall(request, lambda: self._close_connections))
+            try:
+                self._answer(call)
+            finally:
+                call.finish()
 
     @contextmanager
     def _counted(self) -> Iterator[None]:
@@ -311,7 +497,9 @@
     def _answer(self, call: RawCall) -> None:
         try:
             self._handler(call)
-        except (OSError, BodyCutOff) as error:
+        except BodyNotRead as error:
+            self._refuse(call, error)
+        except OSError as error:
             # The caller's connection is lost, so no answer can be sent.
             call.abort()
             event(logger, "caller_lost", level=logging.DEBUG, detail=str(error))
@@ -322,10 +510,20 @@
             else:
                 call.reply(500)
 
-    def set_limits(self, idle_seconds: float, header_bytes: int) -> None:
-        """Set the idle timeout of connections and the size limit of headers."""
-        self._server.timeout = idle_seconds
-        self._server.max_request_header_size = header_bytes
+    def _refuse(self, call: RawCall, error: BodyNotRead) -> None:
+        """Answer a call whose body was not read, and which therefore has not run."""
+        call.note_refusal(error)
+        headers = []
+        if error.retry_after:
+            headers.append(("Retry-After", f"{error.retry_after:g}"))
+        try:
+            call.reply(error.status, headers=headers)
+        except OSError:
+            call.abort()
+
+    def set_limits(self, limits: ConnectionLimits) -> None:
+        """Apply limits to all connections from now on."""
+        self._server.set_limits(limits)
 
     def bind(self) -> None:
         """Listen on the address.
--- a/src/wigeonfront/http/threads.py
+++ b/src/wigeonfront/http/threads.py
@@ -50,6 +50,15 @@
         if self._spare_threads < SPARE_THREADS:
             self._resize_requested.set()
 
+    def lacking(self) -> int:
+        """Return the number of connections for which there is no thread, nor will be.
+
+        They wait until another call ends.
+        """
+        if not self.qsize or len(self._threads) < self.max:
+            return 0
+        return max(0, self.qsize - self.idle)
+
     def stop(self, timeout: float = STOP_SECONDS) -> None:
         """End all threads; calls in progress get `timeout` seconds to end."""
         self._stopping = True
--- a/src/wigeonfront/node/entry.py
+++ b/src/wigeonfront/node/entry.py
@@ -32,9 +32,10 @@
     ReportServer,
 )
 from wigeonfront.forwarding.streams import StreamForwarder
-from wigeonfront.http.bounded import fit_budget
-from wigeonfront.http.raw import RawCall, RawServer, close_all
+from wigeonfront.http.budget import fit_budgets
+from wigeonfront.http.raw import ConnectionLimits, RawCall, RawServer, close_all
 from wigeonfront.node.assigning import EntryAssignment
+from wigeonfront.node.caller_metrics import CallerMetrics
 from wigeonfront.node.duties import make_duties
 from wigeonfront.node.engine_orders import make_fleet
 from wigeonfront.node.following import ConfigurationFollower, TargetFollower
@@ -332,23 +333,36 @@
     def _make_servers(self) -> dict[str, RawServer]:
         """Return the servers by the names of their tasks."""
         settings = self._settings
+        refusals_of = CallerMetrics(self._metrics).refusals_of
         servers = {
             "ready": RawServer(
-                settings.ready_address, self._answer_ready, READY_THREADS
+                settings.ready_address,
+                self._answer_ready,
+                READY_THREADS,
+                on_refusal=refusals_of("ready"),
             ),
             "peer": RawServer(
                 settings.peer_address,
                 self._make_peer_calls().answer,
                 PEER_THREADS,
                 PEER_CONNECTIONS,
+                refusals_of("peer"),
             ),
         }
         if settings.front_address:
-            answer = self._make_front().handle
-            servers["front"] = RawServer(settings.front_address, answer, CALL_THREADS)
+            servers["front"] = RawServer(
+                settings.front_address,
+                self._make_front().handle,
+                CALL_THREADS,
+                on_refusal=refusals_of("front"),
+            )
         if settings.api_address:
-            answer = make_api(self._interface_parts()).handle
-            servers["api"] = RawServer(settings.api_address, answer, CALL_THREADS)
+            servers["api"] = RawServer(
+                settings.api_address,
+                make_api(self._interface_parts()).handle,
+                CALL_THREADS,
+                on_refusal=refusals_of("api"),
+            )
         return servers
 
     def _make_peer_calls(self) -> PeerCalls:
@@ -503,9 +517,14 @@
         ]
 
     def _on_configuration(self, new: Configuration) -> None:
-        limits = new.limits
+        limits = ConnectionLimits(
+            idle_seconds=new.limits.idle_seconds,
+            head_seconds=new.limits.header_seconds,
+            head_bytes=new.limits.header_bytes,
+            body_bytes=new.limits.body_bytes,
+        )
         for server in self._caller_servers():
-            server.set_limits(limits.idle_seconds, limits.header_bytes)
+            server.set_limits(limits)
         self._table.set_plain_services(new.plain_services)
         self._runner.wake()
         self._fleet.update()
@@ -559,5 +578,5 @@
 
 def run(settings: NodeSettings) -> int:
     """Run an entry until it gets a stop signal; return the exit code."""
-    fit_budget(settings.memory_bytes)
+    fit_budgets(settings.memory_bytes)
     return run_node(EntryNode(settings, SystemClock()), "entry", settings.name)
--- a/src/wigeonfront/node/side.py
+++ b/src/wigeonfront/node/side.py
@@ -16,7 +16,7 @@
 from wigeonfront.coordination.relay import RoutedStore
 from wigeonfront.coordination.rights import Rights
 from wigeonfront.coordination.rows import Unavailable
-from wigeonfront.http.bounded import fit_budget
+from wigeonfront.http.budget import fit_budgets
 from wigeonfront.node.engine_place import EnginePlace
 from wigeonfront.node.following import ConfigurationFollower
 from wigeonfront.node.metrics_page import METRICS_PORT, MetricsPage
@@ -155,5 +155,5 @@
 
 def run(settings: NodeSettings) -> int:
     """Run a side until it gets a stop signal; return the exit code."""
-    fit_budget(settings.memory_bytes)
+    fit_budgets(settings.memory_bytes)
     return run_node(SideNode(settings, SystemClock()), "side", settings.name)
--- a/src/wigeonfront/node/storage.py
+++ b/src/wigeonfront/node/storage.py
@@ -22,8 +22,9 @@
 from wigeonfront.coordination.mirror import Mirror
 from wigeonfront.coordination.relay import RoutedStore
 from wigeonfront.coordination.rows import Put, Stored
-from wigeonfront.http.bounded import fit_budget
+from wigeonfront.http.budget import fit_budgets
 from wigeonfront.http.raw import RawServer, close_all
+from wigeonfront.node.caller_metrics import CallerMetrics
 from wigeonfront.node.following import BadRowLog
 from wigeonfront.node.metrics_page import METRICS_PORT, MetricsPage
 from wigeonfront.node.process import run_node
@@ -96,12 +97,14 @@
         self._leaving = False
         if settings.data_folder:
             self._spool = SpoolFile(Path(settings.data_folder), clock)
+            metrics = _spool_metrics(self._spool)
             self._server = RawServer(
-                settings.peer_address, SpoolServer(self._spool).answer, SPOOL_THREADS
-            )
-            self._page = MetricsPage(
-                settings.host, METRICS_PORT, _spool_metrics(self._spool)
+                settings.peer_address,
+                SpoolServer(self._spool).answer,
+                SPOOL_THREADS,
+                on_refusal=CallerMetrics(metrics).refusals_of("spool"),
             )
+            self._page = MetricsPage(settings.host, METRICS_PORT, metrics)
             self._submissions = SubmissionRecovery(
                 self._spool,
                 LotRepository(self._store, settings.store_value_bytes),
@@ -239,5 +242,5 @@
 
 def run(settings: NodeSettings) -> int:
     """Run a storage process until it gets a stop signal; return the exit code."""
-    fit_budget(settings.memory_bytes)
+    fit_budgets(settings.memory_bytes)
     return run_node(StorageNode(settings, SystemClock()), "storage", settings.name)
--- a/src/wigeonfront/platform/front.py
+++ b/src/wigeonfront/platform/front.py
@@ -17,7 +17,7 @@
 from wigeonfront.forwarding.forwarder import Ended, Forwarder
 from wigeonfront.forwarding.steps import DropRequest, Fail, ReturnAnswer
 from wigeonfront.forwarding.streams import StreamForwarder
-from wigeonfront.http.raw import BodyCutOff, BodyTooLarge, RawCall
+from wigeonfront.http.raw import RawCall
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Counter, Histogram
 from wigeonfront.platform import headers as names
@@ -140,21 +140,15 @@
         admitted: Admitted,
         started: float,
     ) -> None:
-        try:
-            body = call.body(configuration.limits.body_bytes)
-        except BodyTooLarge:
-            call.reply(413)
-            return
-        except BodyCutOff as error:
-            event(logger, "body_cut_off", route=route.name, detail=str(error))
-            call.reply(400)
-            return
+        deadline = self._deadline(call, started)
         if route.kind is RouteKind.LOTS:
-            self._lots.submit(call, route, body, configuration, admitted)
+            self._lots.submit(call, route, configuration, admitted, deadline)
         else:
+            if route.kind is not RouteKind.STREAMING:
+                deadline = min(deadline, started + route.timeout)
+            body = call.body(configuration.limits.body_bytes, deadline)
             keyed = configuration.accounts is not None
             request = _request(call, route, body, admitted, keyed)
-            deadline = self._deadline(call, started)
             version = configuration.version
             if route.kind is RouteKind.STREAMING:
                 self._streams.forward(request, route, started, deadline, call)
@@ -182,7 +176,6 @@
         deadline: float,
         started: float,
     ) -> None:
-        deadline = min(deadline, started + route.timeout)
         ended = self._forwarder.forward(request, route, deadline, call.socket)
         status = _answer(ended, call, request.id)
         self._metrics.answers.increment(kind=route.kind.value, status=status)
--- a/src/wigeonfront/platform/lot_front.py
+++ b/src/wigeonfront/platform/lot_front.py
@@ -18,6 +18,7 @@
 from wigeonfront.observability.logs import event
 from wigeonfront.platform import headers as names
 from wigeonfront.platform.lot_calls import BadLot, decode_lot, encode_page
+from wigeonfront.rollout.lot import Lot
 from wigeonfront.rollout.lot_answers import (
     RETRY_SECONDS,
     Accepted,
@@ -34,6 +35,10 @@
 
 MAX_WAIT_SECONDS = 1.0
 
+LOT_COPIES = 2
+"""Copies of a Lot that its submission holds at once: the body and the samples, and then
+the samples and their encoded form for the store."""
+
 LOT_PATH = "/lots/"
 SAMPLE_PATH = "/items/"
 
@@ -67,21 +72,34 @@
         self,
         call: RawCall,
         route: Route,
-        body: bytes,
         configuration: Configuration,
         admitted: Admitted,
+        deadline: float,
     ) -> None:
-        """Store a Lot, start running it and answer the call."""
+        """Read a Lot until a monotonic time, store it, and start running it."""
         name = call.header(names.ATTEMPT_ID)
         lot_id = _lot_id_of(name, configuration, admitted)
-        now = self._clock.time()
-        lot = decode_lot(lot_id, route, body, now, admitted.account)
+        lot = self._read_lot(call, lot_id, route, configuration, admitted, deadline)
         if isinstance(lot, BadLot) or call.method != "POST" or not name:
             event(logger, "bad_lot", lot=lot_id, reason=getattr(lot, "reason", ""))
             call.reply(400)
             return
         _answer(self._lots.submit(lot), call)
 
+    def _read_lot(
+        self,
+        call: RawCall,
+        lot_id: str,
+        route: Route,
+        configuration: Configuration,
+        admitted: Admitted,
+        deadline: float,
+    ) -> Lot | BadLot:
+        """Return the Lot in the body of a call; the body itself is not kept."""
+        body = call.body(configuration.limits.body_bytes, deadline, LOT_COPIES)
+        now = self._clock.time()
+        return decode_lot(lot_id, route, body, now, admitted.account)
+
     def answer(
         self, call: RawCall, configuration: Configuration, admitted: Admitted
     ) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -17,8 +17,11 @@
     store,
 )
 from raw_targets import ListeningTarget
-from wigeonfront.http import bounded
-from wigeonfront.http.bounded import PROCESS_BUDGET, fit_budget
+from wigeonfront.http.budget import (
+    ANSWER_BUDGET,
+    DEFAULT_MEMORY_BYTES,
+    fit_budgets,
+)
 from wigeonfront.rollout import sample_run
 from wigeonfront.rollout.events import EventReader
 from wigeonfront.rollout.run_outcomes import RunBroken
@@ -86,9 +89,9 @@
 @pytest.fixture(autouse=True)
 def small_budget():
     """Give this process so little memory that the shared limit is reached first."""
-    fit_budget(4 * BUDGET_BYTES)
+    fit_budgets(4 * BUDGET_BYTES)
     yield
-    PROCESS_BUDGET.resize(bounded.DEFAULT_BUDGET_BYTES)
+    fit_budgets(DEFAULT_MEMORY_BYTES)
 
 
 LONGEST = {store: 4.5, engine_order: 6.5}
@@ -106,7 +109,7 @@
     assert time.monotonic() - began < LONGEST.get(reader, SECONDS) + 0.5
     assert target.sent < BUDGET_BYTES + SOCKET_BYTES
     assert type(outcome).__name__ in NOT_WHOLE
-    assert PROCESS_BUDGET.taken == 0
+    assert ANSWER_BUDGET.taken == 0
     assert target.closed.wait(1.0)
 
 
@@ -135,9 +138,9 @@
 
 def test_short_answers_arrive_while_long_ones_take_the_whole_budget():
     whole = EndlessTarget(HEAD + b"Content-Length: 2\r\n\r\nok", b"", 0.05)
-    assert PROCESS_BUDGET.take(BUDGET_BYTES)
+    assert ANSWER_BUDGET.take(BUDGET_BYTES)
     try:
         assert plain(whole.address)().body == b"ok"
     finally:
-        PROCESS_BUDGET.release(BUDGET_BYTES)
+        ANSWER_BUDGET.release(BUDGET_BYTES)
         whole.close()
