Lots: the largest legal one is accepted, with few copies at once

What callers saw: a Lot of 24 MiB of samples, 32 MiB as JSON, was answered 504 in doubt, or took 236 MB of an entry that may use 150 where the store takes larger calls. Many large Lots at once took 532 MB of 128, as every entry that has seen a Lot keeps its samples for good.

Cause: the body, its text, the samples, their base64 and the JSON of one call to the store were held at once. Nothing bounded the samples of the Lots that a process holds.

Change: bodies are decoded from the JSON without a copy as text. A Lot of more than 2 MiB is written in several calls before its head row; its rows have a digest of their content in their keys, so that writers of different content never mix, and the head row names the digest. Samples of running Lots have a budget; a Lot that doesn't fit is refused with 503 before anything is written, unless it is the only one. Samples of Lots that aren't run here are kept up to 4 MiB.

All checks stay.

--- a/src/wigeonfront/platform/lot_calls.py
+++ b/src/wigeonfront/platform/lot_calls.py
@@ -1,7 +1,5 @@
 """Decodes the platform's calls about Lots and encodes their answers."""
 
-import base64
-import binascii
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Annotated
@@ -37,14 +35,15 @@
     id: Id
     host: Id
     path: RequestTarget
-    body: str = ""
+    # JSON has no bytes: bodies are base64 text, which the decoder checks.
+    body: bytes = b""
 
 
 class _Item(msgspec.Struct, frozen=True):
     id: str
     path: str
     headers: dict[str, str] = {}
-    body: str = ""
+    body: bytes = b""
     # Prompt tokens plus the largest number of output tokens.
     tokens: int = 0
     group: str = ""
@@ -121,7 +120,7 @@
     try:
         wire = msgspec.json.decode(body, type=_Submission)
         samples = tuple(_sample(item, wire.model) for item in wire.items)
-    except (msgspec.DecodeError, UnicodeDecodeError, binascii.Error) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return BadLot(str(error)[:200])
     if len({sample.id for sample in samples}) != len(samples):
         return BadLot("two items have the same id")
@@ -148,7 +147,7 @@
         id=item.id,
         path=item.path,
         headers=tuple(item.headers.items()),
-        body=base64.b64decode(item.body, validate=True),
+        body=item.body,
         group=item.group,
         model=fields.get(names.MODEL.lower(), model),
         expected_tokens=_expected_tokens(fields),
@@ -159,8 +158,7 @@
 def _reward_call(wire: _Scorer | None) -> RewardCall | None:
     if wire is None:
         return None
-    body = base64.b64decode(wire.body, validate=True)
-    return RewardCall(wire.id, wire.host, wire.path, body)
+    return RewardCall(wire.id, wire.host, wire.path, wire.body)
 
 
 def _expected_tokens(fields: dict[str, str]) -> int:
--- a/src/wigeonfront/rollout/head.py
+++ b/src/wigeonfront/rollout/head.py
@@ -37,6 +37,8 @@
         Revision of the row. It is not part of the row's value.
     spools : tuple of SpoolMember
         Disks that may hold results which the store has not accepted.
+    digest : str
+        Digest in the keys of the rows that hold the samples; empty if there is none.
     """
 
     owner: str
@@ -46,6 +48,7 @@
     submitted_at: float = 0.0
     revision: int = 0
     spools: tuple[SpoolMember, ...] = ()
+    digest: str = ""
 
 
 def encode_head(head: Head) -> bytes:
@@ -67,10 +70,11 @@
         wire.submitted_at,
         row.revision,
         wire.spools,
+        wire.digest,
     )
 
 
-class _HeadRow(msgspec.Struct):
+class _HeadRow(msgspec.Struct, omit_defaults=True):
     """The value of a head row, encoded as JSON."""
 
     owner: str
@@ -79,6 +83,7 @@
     parts: int
     submitted_at: float
     spools: tuple[SpoolMember, ...] = ()
+    digest: str = ""
 
     @classmethod
     def of(cls, head: Head) -> "_HeadRow":
@@ -89,6 +94,7 @@
             head.parts,
             head.submitted_at,
             head.spools,
+            head.digest,
         )
 
 
--- a/src/wigeonfront/rollout/known_lots.py
+++ b/src/wigeonfront/rollout/known_lots.py
@@ -2,12 +2,14 @@
 
 import logging
 import threading
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.coordination.mirror import Mirror
+from wigeonfront.http.budget import LOT_BUDGET
 from wigeonfront.observability.logs import event
 from wigeonfront.rollout.head import HEAD_PREFIX, Head, LotState, decode_head
 from wigeonfront.rollout.lot import Lot, SampleResult
@@ -20,6 +22,12 @@
 
 logger = logging.getLogger(__name__)
 
+SAMPLE_CACHE_BYTES = 4 * 1024 * 1024
+"""Bytes of samples that are kept for calls that read the bodies of single ones."""
+
+LOADED_COPIES = 2
+"""Copies of a Lot's samples while it is read: as rows, and decoded."""
+
 
 @dataclass(slots=True)
 class KnownLot:
@@ -31,8 +39,6 @@
         Number of samples.
     results : list of SampleResult
         The first results of the Lot, in the order of their positions.
-    lot : Lot or None
-        The Lot with its samples, once it has been read.
     final : bool
         Whether the Lot has ended, so that no results follow.
     owner : str
@@ -44,7 +50,6 @@
 
     total: int
     results: list[SampleResult] = field(default_factory=list)
-    lot: Lot | None = None
     final: bool = False
     owner: str = ""
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -62,6 +67,41 @@
                 self.final = final
 
 
+class SampleCache:
+    """The Lots that were read last, with their samples, up to a number of bytes.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Largest size of all bodies together. A larger Lot is not kept.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._lock = threading.Lock()
+        self._lots: OrderedDict[str, Lot] = OrderedDict()
+        self._bytes = 0
+
+    def get(self, lot_id: str) -> Lot | None:
+        """Return a Lot if it is kept."""
+        with self._lock:
+            lot = self._lots.get(lot_id)
+            if lot is not None:
+                self._lots.move_to_end(lot_id)
+            return lot
+
+    def add(self, lot: Lot) -> None:
+        """Keep a Lot, and drop those that were used least recently."""
+        with self._lock:
+            if lot.id in self._lots:
+                return
+            self._lots[lot.id] = lot
+            self._bytes += lot.body_bytes
+            while self._bytes > self._max_bytes:
+                _, dropped = self._lots.popitem(last=False)
+                self._bytes -= dropped.body_bytes
+
+
 class KnownLots:
     """The Lots that this process does not run.
 
@@ -98,6 +138,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._known: dict[str, KnownLot] = {}
+        self._samples = SampleCache(SAMPLE_CACHE_BYTES)
 
     def heads(self) -> dict[str, Head]:
         """Return the heads of the Lots in the mirror, by the Lot's id."""
@@ -138,7 +179,7 @@
         lot = progress.lot
         known = self.add(lot.id, KnownLot(len(lot.samples)))
         with known.lock:
-            known.lot = lot
+            self._samples.add(lot)
             if len(progress.kept) >= len(known.results):
                 known.results = list(progress.kept)
                 known.final = known.final or (final and not progress.in_doubt)
@@ -272,17 +313,47 @@
                 return "" if ended and not near else member.address
         return ""
 
-    def load(self, lot_id: str) -> Lot | LotUnknown | LotUnavailable:
-        """Return a Lot with all its samples."""
+    def keep_samples(self, lot: Lot) -> None:
+        """Keep a Lot for reads of its samples, which then need no call to the store."""
+        self._samples.add(lot)
+
+    def load(
+        self, lot_id: str, to_run: bool = False
+    ) -> Lot | LotUnknown | LotUnavailable:
+        """Return a Lot with all its samples.
+
+        Parameters
+        ----------
+        lot_id : str
+        to_run : bool
+            Whether this process will run the Lot, so that it is read although there is
+            no room for its samples.
+        """
         known = self._find(lot_id)
         if not isinstance(known, KnownLot):
             return known
-        if known.lot is None:
-            head = self._mirrored_head(lot_id) or self._repository.head(lot_id)
-            if not isinstance(head, Head):
-                return LotUnavailable("head unreadable")
-            lot = self._repository.load(lot_id, head.parts)
-            if not isinstance(lot, Lot):
-                return LotUnavailable("samples unreadable")
-            known.lot = lot
-        return known.lot
+        cached = self._samples.get(lot_id)
+        if cached is not None:
+            return cached
+        head = self._mirrored_head(lot_id) or self._repository.head(lot_id)
+        if not isinstance(head, Head):
+            return LotUnavailable("head unreadable")
+        return self._read_samples(lot_id, head, to_run)
+
+    def _read_samples(
+        self, lot_id: str, head: Head, to_run: bool
+    ) -> Lot | LotUnavailable:
+        size = LOADED_COPIES * self._repository.largest_size(head.parts)
+        if to_run:
+            LOT_BUDGET.add(size)
+        elif not LOT_BUDGET.take(size, own=0):
+            event(logger, "lot_without_room", lot=lot_id, bytes=size)
+            return LotUnavailable("no room")
+        try:
+            lot = self._repository.load(lot_id, head.parts, head.digest)
+        finally:
+            LOT_BUDGET.release(size)
+        if not isinstance(lot, Lot):
+            return LotUnavailable("samples unreadable")
+        self._samples.add(lot)
+        return lot
--- a/src/wigeonfront/rollout/lot.py
+++ b/src/wigeonfront/rollout/lot.py
@@ -102,6 +102,11 @@
     single_version: bool = False
     account: str = ""
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the bodies of all samples."""
+        return sum(len(sample.body) for sample in self.samples)
+
 
 @dataclass(frozen=True, slots=True)
 class SampleResult:
--- a/src/wigeonfront/rollout/lots.py
+++ b/src/wigeonfront/rollout/lots.py
@@ -9,6 +9,7 @@
 from wigeonfront.clock import Clock
 from wigeonfront.coordination.membership import Member, Presence
 from wigeonfront.coordination.mirror import Mirror
+from wigeonfront.http.budget import LOT_BUDGET
 from wigeonfront.observability.logs import event
 from wigeonfront.rollout.acceptance import Deferred, LotAcceptance
 from wigeonfront.rollout.head import Head, LotState
@@ -155,8 +156,9 @@
             return self._admit(lot)
         outcome = self._owners.submit(owner.address, lot)
         if isinstance(outcome, Accepted):
-            known = KnownLot(len(lot.samples), [], lot, owner=owner.address)
+            known = KnownLot(len(lot.samples), owner=owner.address)
             self._known.add(lot.id, known)
+            self._known.keep_samples(lot)
             return outcome
         if isinstance(outcome, LotRefused) and not self._may_be_kept(lot.id):
             event(
@@ -193,7 +195,7 @@
             if that is not known.
         """
         if self._admission is None:
-            return _unless_in_doubt(self._accept(lot), doubt)
+            return _unless_in_doubt(self._accept_with_room(lot), doubt)
         waited = self._admission.refused_for(lot)
         decision = self._admission.admit(
             lot, lambda: not doubt and self._surely_unknown(lot.id)
@@ -204,7 +206,7 @@
             doubt = doubt or decision.reason
         # The Lot is due as counted from its first submission.
         lot = replace(lot, submitted_at=lot.submitted_at - waited)
-        outcome = _unless_in_doubt(self._accept(lot), doubt)
+        outcome = _unless_in_doubt(self._accept_with_room(lot), doubt)
         self._admission.settled(
             lot.id,
             kept=isinstance(outcome, Accepted),
@@ -221,6 +223,30 @@
     def _may_be_kept(self, lot_id: str) -> bool:
         return self._admission is not None and self._admission.may_be_kept(lot_id)
 
+    def _accept_with_room(self, lot: Lot) -> Accepted | LotRefused | LotUncertain:
+        """Accept a Lot if its samples fit in the memory for Lots.
+
+        A Lot fits in any case if this process runs no other.
+        """
+        size = lot.body_bytes
+        if not LOT_BUDGET.take(size, own=0):
+            event(
+                logger,
+                "lot_without_room",
+                lot=lot.id,
+                bytes=size,
+                taken=LOT_BUDGET.taken,
+                limit=LOT_BUDGET.limit,
+            )
+            if not self._surely_unknown(lot.id):
+                return LotUncertain("no room")
+            return LotRefused("no room")
+        try:
+            return self._accept(lot)
+        finally:
+            # Once the Lot runs, the runner holds its bytes.
+            LOT_BUDGET.release(size)
+
     def _accept(self, lot: Lot) -> Accepted | LotRefused | LotUncertain:
         """Store a Lot and begin to run it."""
         # A leaving process could not finish the Lot. Without an owner it is taken over
@@ -478,7 +504,7 @@
     def _make_head(self, progress: LotProgress, owner: str, state: LotState) -> Head:
         """Return a new head row for a Lot that this process owned."""
         lot = progress.lot
-        parts = self._repository.part_count(lot)
+        parts, digest = self._repository.stored_form(lot)
         return Head(
             owner,
             state,
@@ -487,6 +513,7 @@
             lot.submitted_at,
             progress.head_revision,
             progress.spools,
+            digest,
         )
 
     # --- ownership -----------------------------------------------------------
--- a/src/wigeonfront/rollout/repository.py
+++ b/src/wigeonfront/rollout/repository.py
@@ -8,8 +8,9 @@
 the key is absent, so that the positions of results never change.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from hashlib import blake2b
 from types import MappingProxyType
 
 import msgspec
@@ -44,6 +45,12 @@
 """Size of one row of samples as a share of the largest value. Values are sent as base64
 text in a body whose limit may be the same."""
 
+WRITE_BYTES = 2 * 1024 * 1024
+"""Bytes of samples that are written at once. A larger Lot is written in several calls:
+the store, and the copies that a call needs, have limits."""
+
+DIGEST_BYTES = 16
+
 TEXT_BYTES = 250_000
 """Limit of the unfinished texts that are written with a batch of results: enough for
 some hundred long samples."""
@@ -90,6 +97,36 @@
     """The store has no such Lot."""
 
 
+class StoredSamples:
+    """The samples of a Lot as the rows that hold them.
+
+    The rows of a large Lot are written before its head row, and have a digest of their
+    content in their keys.
+
+    Parameters
+    ----------
+    data : bytes
+        The encoded Lot.
+    part_bytes : int
+        Largest value of a row.
+    """
+
+    def __init__(self, data: bytes, part_bytes: int) -> None:
+        self._data = data
+        self._part_bytes = part_bytes
+        self.parts = -(-len(data) // part_bytes)
+        self.digest = ""
+        if len(data) > WRITE_BYTES:
+            self.digest = blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+    def rows(self, lot_id: str, first: int, end: int) -> Iterator[Put]:
+        """Yield the rows with the numbers from `first` on, and before `end`."""
+        for number in range(first, min(end, self.parts)):
+            start = number * self._part_bytes
+            part = self._data[start : start + self._part_bytes]
+            yield Put(_part_key(lot_id, number, self.digest), part)
+
+
 class LotRepository:
     """Reads and writes Lots as rows of a `RowStore`.
 
@@ -117,17 +154,23 @@
         spools : tuple of SpoolMember
             Disks for results that the store does not accept.
         """
-        parts = self._parts(lot)
+        stored = self._stored(lot)
         head = Head(
             owner,
             LotState.OPEN,
             len(lot.samples),
-            len(parts),
+            stored.parts,
             lot.submitted_at,
             spools=spools,
+            digest=stored.digest,
         )
         puts = [Put(head_key(lot.id), encode_head(head))]
-        puts.extend(Put(_part_key(lot.id, n), part) for n, part in enumerate(parts))
+        if stored.digest:
+            failure = self._write_parts(lot.id, stored)
+            if failure is not None:
+                return failure
+        else:
+            puts.extend(stored.rows(lot.id, 0, stored.parts))
         expected = (Expect(head_key(lot.id), 0),)
         doubt = ""
         for _ in range(WRITE_ATTEMPTS):
@@ -141,14 +184,39 @@
             doubt = getattr(outcome, "reason", "lease")
         return InDoubt(doubt)
 
-    def part_count(self, lot: Lot) -> int:
-        """Return the number of rows that hold the samples of a Lot."""
-        return len(self._parts(lot))
+    def _write_parts(self, lot_id: str, stored: "StoredSamples") -> NotKept | None:
+        """Write the samples of a large Lot before its head row.
+
+        Without the head row they belong to no Lot, and other writers of the same
+        samples write the same rows. So a write whose answer is lost may be repeated.
 
-    def _parts(self, lot: Lot) -> list[bytes]:
-        data = _encode(lot)
-        size = self._part_bytes
-        return [data[start : start + size] for start in range(0, len(data), size)]
+        Returns
+        -------
+        NotKept or None
+            ``None`` if all are written.
+        """
+        at_once = max(1, WRITE_BYTES // self._part_bytes)
+        for first in range(0, stored.parts, at_once):
+            puts = tuple(stored.rows(lot_id, first, first + at_once))
+            for _ in range(WRITE_ATTEMPTS):
+                outcome = self._store.write((), puts)
+                if isinstance(outcome, Stored | Unavailable):
+                    break
+            if not isinstance(outcome, Stored):
+                return NotKept(getattr(outcome, "reason", type(outcome).__name__))
+        return None
+
+    def largest_size(self, parts: int) -> int:
+        """Return the largest size of an encoded Lot in that many rows, in bytes."""
+        return parts * self._part_bytes
+
+    def stored_form(self, lot: Lot) -> tuple[int, str]:
+        """Return the number of rows that hold a Lot's samples, and their digest."""
+        stored = self._stored(lot)
+        return stored.parts, stored.digest
+
+    def _stored(self, lot: Lot) -> "StoredSamples":
+        return StoredSamples(_encode(lot), self._part_bytes)
 
     def _resolve_accept(
         self, lot_id: str, owner: str, sent_before: bool
@@ -173,17 +241,17 @@
             return NoLot()
         return decode_head(row) or NotKept("malformed head")
 
-    def load(self, lot_id: str, parts: int) -> Lot | NoLot | NotKept:
+    def load(self, lot_id: str, parts: int, digest: str = "") -> Lot | NoLot | NotKept:
         """Read a Lot with its samples."""
         data = bytearray()
         for number in range(parts):
-            row = self._store.get(_part_key(lot_id, number))
+            row = self._store.get(_part_key(lot_id, number, digest))
             if isinstance(row, Unavailable):
                 return NotKept(row.reason)
             if isinstance(row, Absent):
                 return NoLot()
             data += row.value
-        return msgspec.msgpack.decode(bytes(data), type=Lot)
+        return msgspec.msgpack.decode(data, type=Lot)
 
     def results(self, lot_id: str, after: int) -> list[SampleResult] | NotKept:
         """Read the results from position `after` on, at which a batch must begin.
@@ -345,8 +413,9 @@
     return kept
 
 
-def _part_key(lot_id: str, number: int) -> str:
-    return f"{DATA_PREFIX}{lot_id}/{number:04d}"
+def _part_key(lot_id: str, number: int, digest: str) -> str:
+    prefix = f"{DATA_PREFIX}{lot_id}/"
+    return f"{prefix}{digest}/{number:04d}" if digest else f"{prefix}{number:04d}"
 
 
 def _result_key(lot_id: str, position: int) -> str:
--- a/src/wigeonfront/rollout/runner.py
+++ b/src/wigeonfront/rollout/runner.py
@@ -15,6 +15,7 @@
 from wigeonfront.clock import Clock
 from wigeonfront.configuration import Configuration
 from wigeonfront.coordination.membership import Presence
+from wigeonfront.http.budget import LOT_BUDGET
 from wigeonfront.observability.logs import event
 from wigeonfront.observability.metrics import Registry
 from wigeonfront.rollout.after_run import GiveUp, TextWhole, next_step, outcome_of
@@ -205,6 +206,9 @@
             )
             progress.presence_revision = self._presence().since_revision
             progress.required_groups = self._incomplete.groups_left(lot)
+            if known is not None:
+                LOT_BUDGET.release(known.lot.body_bytes)
+            LOT_BUDGET.add(lot.body_bytes)
             self._lots[lot.id] = progress
             self._run_revisions[lot.id] = head_revision
             whole = [state for state in progress.open.values() if state.text.whole]
@@ -277,6 +281,7 @@
             progress = self._lots.pop(lot_id, None)
             if progress is None:
                 return None
+            LOT_BUDGET.release(progress.lot.body_bytes)
             progress.ended = True
             self._incomplete.note(progress)
             runs = [run for run in self._runs.values() if run.progress is progress]
--- a/src/wigeonfront/rollout/submissions.py
+++ b/src/wigeonfront/rollout/submissions.py
@@ -83,8 +83,10 @@
 
     def put(self, lot: Lot, spools: Sequence[SpoolMember]) -> Stored:
         """Write a Lot to all of its disks; return whether they have it."""
+        if not spools or lot.body_bytes > MAX_SPOOLED_BYTES:
+            return Stored.NONE
         data = msgspec.msgpack.encode(Submission(lot, tuple(spools)))
-        if not spools or len(data) > MAX_SPOOLED_BYTES:
+        if len(data) > MAX_SPOOLED_BYTES:
             return Stored.NONE
         key = KEY_PREFIX + lot.id
         done = self._spool.append(spools, key, FENCE, 0, 0, (data,))
--- a/src/wigeonfront/rollout/takeover.py
+++ b/src/wigeonfront/rollout/takeover.py
@@ -190,7 +190,7 @@
 
     def _adopt(self, lot_id: str, head: Head) -> bool:
         """Run a Lot that this process owns, from the state that the last owner left."""
-        lot = self._known.load(lot_id)
+        lot = self._known.load(lot_id, to_run=True)
         results = self._repository.results(lot_id, 0)
         if not isinstance(lot, Lot) or not isinstance(results, list):
             return False
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import threading
+import time
 from functools import partial
 
 import msgspec
@@ -18,6 +19,7 @@
     MEBIBYTE,
     PROMISES,
     REFUSALS,
+    START_SECONDS,
     Crowd,
     CrowdedDeployment,
     Usage,
@@ -48,6 +50,7 @@
 """Descriptors that a process may keep after a crowd, such as pooled connections."""
 
 DESCRIPTOR_SECONDS = 60.0
+RETRY_SECONDS = 0.2
 LETTERS = b"a" * 65_536
 LINES = b"X-Filler: 0123456789\r\n" * 500
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -384,11 +387,16 @@
 def read_results(deployment, lot):
     """Return the states of all samples of a Lot, read as its trainer reads them."""
     states, after, total = {}, 0, 1
+    until = time.monotonic() + START_SECONDS
     while after < total:
         path = f"/lots/{lot}?after={after}"
         status, answer = request(
             deployment.front, "GET", path, headers={"Wigeonfront-Wait-Ms": "1000"}
         )
+        if status == 503 and time.monotonic() < until:
+            # Whether the lost owner had shown results isn't known yet.
+            time.sleep(RETRY_SECONDS)
+            continue
         assert status == 200
         page = msgspec.json.decode(answer)
         total, after = page["total"], page["next"]
