http: calls beyond the queue are refused; refusals reach peers; less work for a body

What callers saw: connections that waited for a thread were accepted without a bound, and what they had sent waited in memory. A refusal of a body within the limits of a call between processes could be lost, as only a megabyte of the rest was discarded.

Cause: the library's queue has no bound, and refused connections of a full queue would keep their sockets until a garbage collection. The longest body to discard was that of the configuration, which these servers don't have.

Change: at most 512 connections are queued, further ones get 503; their sockets are closed at once. The rest of a body is discarded up to the limit that its handler named. Bodies are dispatched by a function, as a dispatched method costs several microseconds.

--- a/src/wigeonfront/api/lots.py
+++ b/src/wigeonfront/api/lots.py
@@ -34,6 +34,10 @@
 PAGE_BYTES = 900_000
 """Longest text of a page of results; only its first result may exceed it alone."""
 
+LOT_COPIES = 3
+"""Copies of a Lot that its submission holds at once: the body, its payloads, and the
+samples."""
+
 ACCEPTED = 202
 SEPARATOR = "!"
 """Separates the parts of an id. Each part is percent-encoded, ``!`` included, so
@@ -85,7 +89,8 @@
 
     def submit(self, call: RawCall, configuration: Configuration) -> None:
         """Store a Lot and run it; answer 202 also if it is stored already."""
-        body = decode_body(call.body(configuration.limits.body_bytes), LotBody)
+        limit = configuration.limits.body_bytes
+        body = decode_body(call.body(limit, copies=LOT_COPIES), LotBody)
         route = named_route(configuration, body.route, RouteKind.LOTS)
         admitted = self._authenticator.admit(call, configuration, [route])
         id = scoped_id(admitted, configuration, lot_id(body.trainer, body.lot))
--- a/src/wigeonfront/http/body.py
+++ b/src/wigeonfront/http/body.py
@@ -8,7 +8,7 @@
 import io
 import threading
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import singledispatch
 from http import HTTPStatus
 
 from wigeonfront.clock import Clock, SystemClock
@@ -50,6 +50,7 @@
 KEPT_REST_BYTES = 64 * 1024
 """Longest unread rest of a body after which the connection is kept."""
 
+_CLOCK = SystemClock()
 _FINE_CHUNKS_LOCK = threading.Lock()
 """Held while chunks of few bytes are decoded: by one thread, so that those of other
 calls find the interpreter free."""
@@ -136,9 +137,10 @@
         self._max_line_bytes = max_line_bytes
         self._on_start = on_start
         self._budget = budget
-        self._clock = clock or SystemClock()
+        self._clock = clock or _CLOCK
         self._free_bytes = FREE_BYTES
         self._copies = 1
+        self._max_bytes = 0
         self._read_bytes = 0
         self._ended = framing == FixedLength(0)
         self._failed = False
@@ -176,13 +178,14 @@
         if self._ended:
             return b""
         self._reader.source.start_body(deadline)
+        self._max_bytes = max_bytes
         self._copies = copies
         # A buffer of this type hands over its bytes without copying them.
         buffer = io.BytesIO()
         # Cleared below, unless an error ends the read.
         self._failed = True
         try:
-            self._read_into(self._framing, buffer, max_bytes)
+            _read_into(self._framing, self, buffer)
         except MalformedChunksError as error:
             raise BodyMalformed(str(error)) from error
         except CallLate as error:
@@ -196,45 +199,40 @@
         self._ended = True
         return buffer.getvalue()
 
-    @singledispatchmethod
-    def _read_into(self, framing: Framing, buffer: io.BytesIO, max_bytes: int) -> None:
-        raise TypeError(f"not a framing: {framing!r}")
-
-    @_read_into.register
-    def _(self, framing: FixedLength, buffer: io.BytesIO, max_bytes: int) -> None:
-        if framing.count > max_bytes:
+    def read_length(self, count: int, buffer: io.BytesIO) -> None:
+        """Read a body of `count` bytes into `buffer`."""
+        if count > self._max_bytes:
             raise BodyTooLarge
-        self._hold(framing.count)
+        self._hold(count)
         self._on_start()
-        while self._read_bytes < framing.count:
-            left = framing.count - self._read_bytes
-            piece = self._reader.read1(min(left, PIECE_BYTES))
+        while self._read_bytes < count:
+            piece = self._reader.read1(min(count - self._read_bytes, PIECE_BYTES))
             if not piece:
                 raise BodyCutOff("the connection was closed within the body")
             self._read_bytes += len(piece)
             buffer.write(piece)
 
-    @_read_into.register
-    def _(self, framing: Chunked, buffer: io.BytesIO, max_bytes: int) -> None:
+    def read_chunks(self, buffer: io.BytesIO) -> None:
+        """Read a chunked body into `buffer`."""
         decoder = ChunkDecoder(self._max_line_bytes)
         self._on_start()
         while not decoder.ended:
             data = self._reader.peek()
             if not data:
                 raise BodyCutOff("the connection was closed within the body")
-            pieces = self._decode(decoder, data, max_bytes)
-            if decoder.announced > max_bytes:
+            pieces = self._decode(decoder, data)
+            if decoder.announced > self._max_bytes:
                 raise BodyTooLarge
             self._hold(sum(map(len, pieces)))
             for piece in pieces:
                 buffer.write(piece)
 
-    def _decode(self, decoder: ChunkDecoder, data: bytes, max_bytes: int) -> list:
+    def _decode(self, decoder: ChunkDecoder, data: bytes) -> list[bytes]:
         if decoder.fine:
             with _FINE_CHUNKS_LOCK:
-                consumed, pieces = decoder.feed(data, max_bytes)
+                consumed, pieces = decoder.feed(data, self._max_bytes)
         else:
-            consumed, pieces = decoder.feed(data, max_bytes)
+            consumed, pieces = decoder.feed(data, self._max_bytes)
         self._reader.read(consumed)
         self._read_bytes += consumed
         return pieces
@@ -259,6 +257,8 @@
                 self._reader.source.pause()
                 if self._take(count):
                     return
+        except CallGivesWay as error:
+            raise NoRoom("other calls lack a thread") from error
         finally:
             PROCESS_WAITS.change_without_room(-1)
         raise NoRoom(f"no room for {count} bytes beside {wait.held}")
@@ -273,8 +273,9 @@
     def release(self) -> None:
         """Give back what the body has taken from the budget."""
         wait = self._reader.source.wait
-        self._budget.release(wait.held)
-        wait.held = 0
+        if wait.held:
+            self._budget.release(wait.held)
+            wait.held = 0
 
     # --- what no handler has read ----------------------------------------------
 
@@ -302,12 +303,29 @@
         Parameters
         ----------
         max_bytes : int
-            Largest number of bytes of the whole body.
+            Longest legal body, if no handler has named another one.
         """
         if self._gave_way:
             # All that has arrived was read, and nothing came for a while.
             return 0
-        return max(0, max_bytes - self._read_bytes)
+        longest = self._max_bytes or max_bytes
+        return max(0, longest + DISCARD_BYTES - self._read_bytes)
+
+
+@singledispatch
+def _read_into(framing: Framing, body: BodyReader, buffer: io.BytesIO) -> None:
+    """Read a body into `buffer` by the way in which it is delimited."""
+    raise TypeError(f"not a framing: {framing!r}")
+
+
+@_read_into.register
+def _(framing: FixedLength, body: BodyReader, buffer: io.BytesIO) -> None:
+    body.read_length(framing.count, buffer)
+
+
+@_read_into.register
+def _(framing: Chunked, body: BodyReader, buffer: io.BytesIO) -> None:
+    body.read_chunks(buffer)
 
 
 def discard(reader: CallerReader, max_bytes: int, clock: Clock) -> None:
--- a/src/wigeonfront/http/raw.py
+++ b/src/wigeonfront/http/raw.py
@@ -211,6 +211,8 @@
 
     def close(self) -> None:
         """Close the connection; a caller that still sends gets its answer first."""
+        # The library leaves some sockets to the garbage collector.
+        self.linger = False
         if self.rest_bytes:
             self._discard_rest()
         super().close()
@@ -359,9 +361,8 @@
         if request.close_connection or not self._body.skip_rest():
             request.close_connection = True
             if not self._body.ended:
-                self._request.conn.rest_bytes = self._body.rest_bytes(
-                    self._limits.body_bytes + DISCARD_BYTES
-                )
+                longest = self._limits.body_bytes
+                request.conn.rest_bytes = self._body.rest_bytes(longest)
 
     def reply(
         self, status: int, body: bytes = b"", headers: Iterable[tuple[str, str]] = ()
@@ -388,7 +389,9 @@
             (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
         ]
         # The unread rest of a body must not be parsed as the next request.
-        unread = not self._body.rest_is_short or request.awaits_confirmation
+        unread = not self._body.rest_is_short
+        if request.awaits_confirmation and not self._body.ended:
+            unread = True
         if self._closing() or unread or status in (400, 408, 413, 431):
             request.close_connection = True
         self._answer_started = True
--- a/src/wigeonfront/http/source.py
+++ b/src/wigeonfront/http/source.py
@@ -16,6 +16,8 @@
 POLL_SECONDS = 0.25
 """Longest time for which a read blocks before its limits are checked again."""
 
+_CLOCK = SystemClock()
+
 READ_BYTES = 8 * 1024
 """Size of the buffer of each connection."""
 
@@ -81,7 +83,7 @@
         self._sock = sock
         self._limits = limits
         self._lacking = lacking
-        self._clock = clock or SystemClock()
+        self._clock = clock or _CLOCK
         self._wait = Wait(server, self._clock.monotonic())
         self._deadline: float | None = None
         self._idle_seconds = limits().idle_seconds
--- a/src/wigeonfront/http/threads.py
+++ b/src/wigeonfront/http/threads.py
@@ -1,5 +1,6 @@
 """A thread pool that grows with the number of concurrent calls."""
 
+import queue
 import threading
 from typing import Any
 
@@ -12,6 +13,10 @@
 SPARE_THREADS = 8
 """Idle threads that a pool keeps so that calls do not wait for a thread to start."""
 
+MAX_QUEUED = 512
+"""Connections with a request that may wait for a thread, as many as may wait to be
+accepted. Further ones are refused, as what they send waits in memory."""
+
 POOL_CHECK_SECONDS = 10.0
 """Interval between checks for idle threads that are not needed."""
 
@@ -45,7 +50,15 @@
         self._started.wait()
 
     def put(self, obj: Any) -> None:
-        """Queue a connection on which a request has arrived."""
+        """Queue a connection on which a request has arrived.
+
+        Raises
+        ------
+        queue.Full
+            If too many are queued; the server then answers with 503.
+        """
+        if self.qsize >= MAX_QUEUED:
+            raise queue.Full
         super().put(obj)
         if self._spare_threads < SPARE_THREADS:
             self._resize_requested.set()
--- a/tests/test_thread_pool.py
+++ b/tests/test_thread_pool.py
@@ -7,7 +7,7 @@
 
 from rows_fakes import free_address
 from wigeonfront.http import threads as thread_pool
-from wigeonfront.http.client import Answer, Pool
+from wigeonfront.http.client import Answer, Pool, Unanswered
 from wigeonfront.http.raw import RawServer
 from wigeonfront.supervisor import Supervisor
 
@@ -122,3 +122,27 @@
     assert all(thread.daemon for thread in threads)
     gate.opened.set()
     wait()
+
+
+def test_calls_beyond_the_queue_are_refused_and_do_not_run(monkeypatch, gate, serve):
+    """What callers send while they wait for a thread is held in memory."""
+    monkeypatch.setattr(thread_pool, "MAX_QUEUED", 2)
+    address = serve(threads=1)
+    running = start_calls(address, 1)
+    assert gate.reached.acquire(timeout=MAX_WAIT_SECONDS)
+    others = start_calls(address, 12)
+    time.sleep(0.5)
+    gate.opened.set()
+    answers = running() + others()
+    refused = [answer for answer in answers if not _served(answer)]
+    assert len(refused) >= 6
+    assert all(isinstance(answer, Answer | Unanswered) for answer in refused)
+    # One call has been counted above.
+    runs = 1
+    while gate.reached.acquire(blocking=False):
+        runs += 1
+    assert runs == len(answers) - len(refused)
+
+
+def _served(answer):
+    return isinstance(answer, Answer) and answer.status == 200
