--- a/src/wigeonfront/http/body.py
+++ b/src/wigeonfront/http/body.py
@@ -1,8 +1,8 @@
 """Reads the bodies of requests, whatever delimits them.
 
 The bytes of a body are taken from the budget of all requests before they are read, or
-as its chunks are announced, and stay taken until the call ends. A body that doesn't fit
-waits for a moment, during which calls that stand still give way.
+as its chunks arrive, and stay taken until the call ends. A body that doesn't fit waits
+for a moment, in which stalled calls are shed.
 """
 
 import io
@@ -20,7 +20,7 @@
     Framing,
     MalformedChunksError,
 )
-from wigeonfront.http.source import CallerReader, CallGivesWay, CallLate
+from wigeonfront.http.source import CallerReader, CallLate, CallShed
 from wigeonfront.http.waiting import PROCESS_WAITS
 
 FREE_BYTES = 16 * 1024
@@ -29,13 +29,13 @@
 
 ROOM_SECONDS = 1.0
 """Time for which a body waits until it fits in the budget: twice that after which a
-call that stands still gives way."""
+stalled call is shed."""
 
 PIECE_BYTES = 32 * 1024
 """Largest part of a body that is read at once."""
 
 RETRY_SECONDS = 1.0
-"""Value of ``Retry-After`` where other calls hold what a call needs."""
+"""Value of ``Retry-After`` in a refusal for a shortage."""
 
 DISCARD_BYTES = 1024 * 1024
 """Bytes of an unread body that are discarded beyond the largest legal body."""
@@ -100,11 +100,11 @@
     code = "body_late"
 
 
-class NoRoom(BodyNotRead):
-    """Other calls hold the memory or the thread that the body needs."""
+class Overloaded(BodyNotRead):
+    """Other calls occupy the memory that the body needs, or need its thread."""
 
     status = HTTPStatus.SERVICE_UNAVAILABLE
-    code = "no_room"
+    code = "overloaded"
     retry_after = RETRY_SECONDS
 
 
@@ -118,7 +118,7 @@
     max_line_bytes : int
         Longest size line of a chunk, and longest trailer section.
     on_start : callable
-        Called before the first byte is read, once the body has room.
+        Called before the first byte is read, once its memory is taken.
     budget : ByteBudget
     clock : Clock
     """
@@ -144,7 +144,7 @@
         self._read_bytes = 0
         self._ended = framing == FixedLength(0)
         self._failed = False
-        self._gave_way = False
+        self._shed = False
 
     @property
     def ended(self) -> bool:
@@ -190,9 +190,9 @@
             raise BodyMalformed(str(error)) from error
         except CallLate as error:
             raise BodyLate("the body has not arrived in time") from error
-        except CallGivesWay as error:
-            self._gave_way = True
-            raise NoRoom("other calls lack what this one holds") from error
+        except CallShed as error:
+            self._shed = True
+            raise Overloaded("stalled while others were short") from error
         except OSError as error:
             raise BodyCutOff(str(error)) from error
         self._failed = False
@@ -238,11 +238,11 @@
         return pieces
 
     def _hold(self, count: int) -> None:
-        """Take bytes from the budget until `release`, and wait for a moment for room.
+        """Take bytes from the budget until `release`; wait a moment if it has none.
 
         Raises
         ------
-        NoRoom
+        Overloaded
         """
         free = min(count, self._free_bytes)
         self._free_bytes -= free
@@ -251,17 +251,17 @@
         if not count or self._take(count):
             return
         until = self._clock.monotonic() + ROOM_SECONDS
-        PROCESS_WAITS.change_without_room(1)
+        PROCESS_WAITS.change_short_of_memory(1)
         try:
             while self._clock.monotonic() < until:
                 self._reader.source.pause()
                 if self._take(count):
                     return
-        except CallGivesWay as error:
-            raise NoRoom("other calls lack a thread") from error
+        except CallShed as error:
+            raise Overloaded("others were short of threads") from error
         finally:
-            PROCESS_WAITS.change_without_room(-1)
-        raise NoRoom(f"no room for {count} bytes beside {wait.held}")
+            PROCESS_WAITS.change_short_of_memory(-1)
+        raise Overloaded(f"no memory for {count} bytes beside {wait.held}")
 
     def _take(self, count: int) -> bool:
         wait = self._reader.source.wait
@@ -292,7 +292,7 @@
                 if not piece:
                     return False
                 self._read_bytes += len(piece)
-        except (OSError, CallGivesWay):
+        except (OSError, CallShed):
             return False
         self._ended = True
         return True
@@ -305,7 +305,7 @@
         max_bytes : int
             Longest legal body, if no handler has named another one.
         """
-        if self._gave_way:
+        if self._shed:
             # All that has arrived was read, and nothing came for a while.
             return 0
         longest = self._max_bytes or max_bytes
@@ -314,7 +314,7 @@
 
 @singledispatch
 def _read_into(framing: Framing, body: BodyReader, buffer: io.BytesIO) -> None:
-    """Read a body into `buffer` by the way in which it is delimited."""
+    """Read a body, delimited by `framing`, into `buffer`."""
     raise TypeError(f"not a framing: {framing!r}")
 
 
@@ -343,6 +343,6 @@
             if not piece:
                 return
             left -= len(piece)
-    except (OSError, CallGivesWay):
+    except (OSError, CallShed):
         # The answer was sent; more can't be done for this caller.
         return
--- a/src/wigeonfront/http/source.py
+++ b/src/wigeonfront/http/source.py
@@ -1,8 +1,8 @@
 """Reads the bytes of a caller's connection within the limits of the call.
 
 All parts of a request are read through a `CallerSource`: its head, its body, and what
-is discarded after a refusal. It ends a read that takes too long, or that gives way to
-other callers, whatever is being parsed from its bytes.
+is discarded after a refusal. It ends a read that takes too long, or that is shed under
+load, whatever is being parsed from its bytes.
 """
 
 import io
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from wigeonfront.clock import Clock, SystemClock
-from wigeonfront.http.waiting import PROCESS_WAITS, Lacking, Wait
+from wigeonfront.http.waiting import PROCESS_WAITS, ThreadShortage, Wait
 
 POLL_SECONDS = 0.25
 """Longest time for which a read blocks before its limits are checked again."""
@@ -30,8 +30,8 @@
         super().__init__("timed out")
 
 
-class CallGivesWay(Exception):  # noqa: N818
-    """The call was given up because other callers lack what it holds."""
+class CallShed(Exception):  # noqa: N818
+    """The call has stalled, and others are short of what it occupies."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,8 +66,8 @@
         The server that accepted the connection.
     limits : callable
         Returns the `ConnectionLimits` in force.
-    lacking : callable
-        Returns the number of calls that no thread of the server serves.
+    thread_shortage : callable
+        Returns the number of connections of the server that wait for a thread.
     clock : Clock
     """
 
@@ -76,13 +76,13 @@
         sock: socket.socket,
         server: object,
         limits: Callable[[], ConnectionLimits],
-        lacking: Lacking,
+        thread_shortage: ThreadShortage,
         clock: Clock | None = None,
     ) -> None:
         super().__init__()
         self._sock = sock
         self._limits = limits
-        self._lacking = lacking
+        self._thread_shortage = thread_shortage
         self._clock = clock or _CLOCK
         self._wait = Wait(server, self._clock.monotonic())
         self._deadline: float | None = None
@@ -127,7 +127,7 @@
         return True
 
     def readinto(self, buffer: bytearray | memoryview) -> int | None:
-        """Read what has arrived; return ``None`` if nothing has and that is enough."""
+        """Read what has arrived; ``None`` if nothing has and the read must not wait."""
         if not self._blocking:
             return None
         try:
@@ -159,27 +159,27 @@
         return self._sock.recv_into(buffer)
 
     def _check(self) -> None:
-        """End the read if its time is over or if it has to give way.
+        """End the read if its time is over or if it is shed.
 
         Raises
         ------
         CallLate
-        CallGivesWay
+        CallShed
         """
         now = self._clock.monotonic()
         idle = now - self._wait.since >= self._idle_seconds
         if idle or (self._deadline is not None and now >= self._deadline):
             raise CallLate
-        if PROCESS_WAITS.gives_way(self._wait, now, self._lacking()):
-            raise CallGivesWay
+        if PROCESS_WAITS.is_shed(self._wait, now, self._thread_shortage()):
+            raise CallShed
 
     def pause(self) -> None:
-        """Wait for a moment for something else than bytes.
+        """Wait for a moment for memory.
 
         Raises
         ------
         CallLate
-        CallGivesWay
+        CallShed
         """
         PROCESS_WAITS.add(self._wait)
         try:
--- a/src/wigeonfront/http/threads.py
+++ b/src/wigeonfront/http/threads.py
@@ -63,10 +63,10 @@
         if self._spare_threads < SPARE_THREADS:
             self._resize_requested.set()
 
-    def lacking(self) -> int:
-        """Return the number of connections for which there is no thread, nor will be.
+    def shortage(self) -> int:
+        """Return the number of connections that wait until another call ends.
 
-        They wait until another call ends.
+        Connections for which a thread can still be started don't count.
         """
         if not self.qsize or len(self._threads) < self.max:
             return 0
--- a/src/wigeonfront/http/waiting.py
+++ b/src/wigeonfront/http/waiting.py
@@ -1,17 +1,17 @@
-"""Calls that wait for bytes of their callers, and which of them gives way.
+"""Calls that wait for bytes of their callers, and which of them is shed under load.
 
-A caller that sends slowly, or stops, holds a thread, and what it has sent so far. While
-other callers lack a thread, or room for their bodies, the call that has waited longest
-without a byte gives way: it has not run, and its caller may repeat it. Without such a
-lack every call may wait until its own deadline.
+A caller that sends slowly, or stops, occupies a thread and the memory of what it has
+sent so far. While other calls are short of threads, or of memory for their bodies, the
+call that has stalled longest is refused: it has not run, and its caller may repeat it.
+Without a shortage every call may wait until its own deadline.
 """
 
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-STANDSTILL_SECONDS = 0.5
-"""Time without a byte after which a call may give way: many times the usual pause
+STALL_SECONDS = 0.5
+"""Time without a byte after which a call may be shed: many times the usual pause
 between two packets of one body."""
 
 
@@ -34,32 +34,23 @@
     held: int = 0
 
 
-def gives_way(
-    wait: Wait, waits: Iterable[Wait], now: float, lacking: int, holding: bool
-) -> bool:
-    """Return whether a call is among those that have to give way.
+def is_shed(wait: Wait, rivals: Iterable[Wait], now: float, shortage: int) -> bool:
+    """Return whether a call is among those that are shed.
 
     Parameters
     ----------
     wait : Wait
-    waits : iterable of Wait
-        All calls that wait, with this one.
+    rivals : iterable of Wait
+        All calls that wait and occupy what others are short of, with this one.
     now : float
         Monotonic time.
-    lacking : int
-        Number of other calls that lack what this one holds.
-    holding : bool
-        Whether only calls that hold bytes count, on all servers; otherwise the calls
-        of the same server count.
+    shortage : int
+        Number of other calls that are short of what this one occupies.
     """
-    if not lacking or now - wait.since < STANDSTILL_SECONDS:
+    if not shortage or now - wait.since < STALL_SECONDS:
         return False
-    if holding:
-        rivals = [other for other in waits if other.held]
-    else:
-        rivals = [other for other in waits if other.server is wait.server]
-    longer = sum(other.since < wait.since for other in rivals)
-    return longer < lacking
+    stalled_longer = sum(rival.since < wait.since for rival in rivals)
+    return stalled_longer < shortage
 
 
 @dataclass(slots=True)
@@ -68,7 +59,7 @@
 
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _waits: set[Wait] = field(default_factory=set)
-    _without_room: int = 0
+    _short_of_memory: int = 0
 
     def add(self, wait: Wait) -> None:
         """Count a call as waiting."""
@@ -85,34 +76,38 @@
         """Number of calls that wait."""
         return len(self._waits)
 
-    def change_without_room(self, change: int) -> None:
-        """Count calls that lack room for their bodies."""
+    def change_short_of_memory(self, change: int) -> None:
+        """Change the number of calls that wait for memory for their bodies."""
         with self._lock:
-            self._without_room += change
+            self._short_of_memory += change
 
-    def gives_way(self, wait: Wait, now: float, lacking_threads: int) -> bool:
-        """Return whether a call has to give way now.
+    def is_shed(self, wait: Wait, now: float, short_of_threads: int) -> bool:
+        """Return whether a call is shed now.
+
+        Calls occupy the threads of their own server, and the memory of the process.
 
         Parameters
         ----------
         wait : Wait
         now : float
             Monotonic time.
-        lacking_threads : int
-            Calls of the same server that no thread serves.
+        short_of_threads : int
+            Number of connections of the same server that wait for a thread.
         """
-        if not lacking_threads and not (wait.held and self._without_room):
+        short_of_memory = self._short_of_memory if wait.held else 0
+        if not short_of_threads and not short_of_memory:
             return False
         with self._lock:
             waits = list(self._waits)
-        if gives_way(wait, waits, now, lacking_threads, holding=False):
+        on_server = (other for other in waits if other.server is wait.server)
+        if is_shed(wait, on_server, now, short_of_threads):
             return True
-        lacking_room = self._without_room if wait.held else 0
-        return gives_way(wait, waits, now, lacking_room, holding=True)
+        with_memory = (other for other in waits if other.held)
+        return is_shed(wait, with_memory, now, short_of_memory)
 
 
 PROCESS_WAITS = Waits()
 """The calls to all servers of this process that wait for bytes."""
 
-Lacking = Callable[[], int]
-"""Returns the number of calls that no thread of a server serves."""
+ThreadShortage = Callable[[], int]
+"""Returns the number of connections of a server that wait for a thread."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -17,6 +17,7 @@
 )
 from wigeonfront.http.encoding import parse_address
 from wigeonfront.http.raw import ConnectionLimits, RawServer
+from wigeonfront.http.source import POLL_SECONDS
 from wigeonfront.http.waiting import PROCESS_WAITS
 
 MAX_BYTES = 100_000
@@ -291,7 +292,7 @@
     server.start()
     with closing(socket.create_connection(parse_address(server.address))) as caller:
         caller.sendall(b"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
-        time.sleep(2 * raw.POLL_SECONDS)
+        time.sleep(2 * POLL_SECONDS)
         received = answers(caller)
     server.stop()
     assert received.endswith(b"\r\n\r\n" + data)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -1,16 +1,16 @@
-"""Which of the calls that wait for bytes gives way, and when."""
+"""Which of the calls that wait for bytes is shed, and when."""
 
 import pytest
 
-from wigeonfront.http.waiting import STANDSTILL_SECONDS, Wait, Waits, gives_way
+from wigeonfront.http.waiting import STALL_SECONDS, Wait, Waits, is_shed
 
 NOW = 100.0
 LONG, LONGER, LONGEST = NOW - 1, NOW - 2, NOW - 3
-SHORT = NOW - STANDSTILL_SECONDS / 2
+SHORT = NOW - STALL_SECONDS / 2
 
 
 @pytest.mark.parametrize(
-    ("since", "others", "lacking", "expected"),
+    ("since", "others", "shortage", "expected"),
     [
         (LONG, [], 0, False),
         (LONG, [], 1, True),
@@ -22,33 +22,38 @@
         (LONG, [LONGER, LONGEST], 9, True),
     ],
 )
-@pytest.mark.parametrize("holding", [False, True])
-def test_the_calls_that_have_waited_longest_give_way(
-    since, others, lacking, expected, holding
+def test_the_calls_that_have_stalled_longest_are_shed(
+    since, others, shortage, expected
 ):
-    wait = Wait("server", since, held=1)
-    waits = [wait, *(Wait("server", other, held=1) for other in others)]
-    assert gives_way(wait, waits, NOW, lacking, holding) is expected
+    wait = Wait("server", since)
+    rivals = [wait, *(Wait("server", other) for other in others)]
+    assert is_shed(wait, rivals, NOW, shortage) is expected
 
 
 @pytest.mark.parametrize(
-    ("other", "holding", "expected"),
+    ("other", "short_of_memory", "short_of_threads", "expected"),
     [
-        # Only calls of the same server use its threads.
-        (Wait("other", LONGEST, held=1), False, True),
-        (Wait("server", LONGEST), False, False),
+        # Only calls of the same server occupy its threads.
+        (Wait("other", LONGEST, held=1), 0, 1, True),
+        (Wait("server", LONGEST), 0, 1, False),
         # The memory is that of the whole process.
-        (Wait("other", LONGEST, held=1), True, False),
-        (Wait("server", LONGEST), True, True),
+        (Wait("other", LONGEST, held=1), 1, 0, False),
+        (Wait("server", LONGEST), 1, 0, True),
     ],
 )
-def test_only_calls_that_hold_what_others_lack_are_compared(other, holding, expected):
+def test_only_calls_that_occupy_what_others_need_are_compared(
+    other, short_of_memory, short_of_threads, expected
+):
     wait = Wait("server", LONG, held=1)
-    assert gives_way(wait, [wait, other], NOW, 1, holding) is expected
+    waits = Waits()
+    waits.add(wait)
+    waits.add(other)
+    waits.change_short_of_memory(short_of_memory)
+    assert waits.is_shed(wait, NOW, short_of_threads) is expected
 
 
 @pytest.mark.parametrize(
-    ("held", "without_room", "lacking_threads", "expected"),
+    ("held", "short_of_memory", "short_of_threads", "expected"),
     [
         (0, 0, 0, False),
         (0, 1, 0, False),
@@ -57,13 +62,13 @@
         (1, 0, 0, False),
     ],
 )
-def test_a_call_gives_way_for_a_thread_or_for_room(
-    held, without_room, lacking_threads, expected
+def test_a_call_is_shed_for_a_thread_or_for_memory(
+    held, short_of_memory, short_of_threads, expected
 ):
     waits = Waits()
     wait = Wait("server", LONG, held)
     waits.add(wait)
-    waits.change_without_room(without_room)
-    assert waits.gives_way(wait, NOW, lacking_threads) is expected
+    waits.change_short_of_memory(short_of_memory)
+    assert waits.is_shed(wait, NOW, short_of_threads) is expected
     waits.remove(wait)
     assert waits.count == 0
