--- a/src/wigeonfront/rollout/repository.py
+++ b/src/wigeonfront/rollout/repository.py
@@ -109,6 +109,13 @@
         The encoded Lot.
     part_bytes : int
         Largest value of a row.
+
+    Attributes
+    ----------
+    parts : int
+        Number of rows.
+    digest : str
+        Digest of the content of a large Lot; empty for others.
     """
 
     def __init__(self, data: bytes, part_bytes: int) -> None:
