--- a/tests/test_lot_repository.py
+++ b/tests/test_lot_repository.py
@@ -1,11 +1,13 @@
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from rows_fakes import make_lot, make_store
+from wigeonfront.rollout import repository as repository_module
 from wigeonfront.rollout.events import Text
 from wigeonfront.rollout.head import Head, LotState
-from wigeonfront.rollout.lot import SampleResult
+from wigeonfront.rollout.lot import Lot, Sample, SampleResult
 from wigeonfront.rollout.repository import (
     AlreadyKept,
     InDoubt,
@@ -190,3 +192,82 @@
 
 OwnersRace.TestCase.settings = settings(max_examples=150, stateful_step_count=30)
 TestOwnersRace = OwnersRace.TestCase
+
+
+# --- Lots that are too large for one call ------------------------------------
+
+
+def large_lot(submitted_at=0.0):
+    body = bytes(range(256)) * 200
+    samples = tuple(
+        Sample(f"s{n}", "/lots-in/x", (), body, group="g") for n in range(60)
+    )
+    return Lot("large", "h", "/lots-in/", samples, submitted_at=submitted_at)
+
+
+LARGE_VALUE_BYTES = 100_000
+
+
+@pytest.fixture
+def small_writes(monkeypatch):
+    """Write at most two rows of samples at once."""
+    monkeypatch.setattr(repository_module, "WRITE_BYTES", 120_000)
+
+
+class CountingStore:
+    """Passes writes on to a store, and remembers how many rows each has."""
+
+    def __init__(self, rows):
+        self._rows = rows
+        self.sizes = []
+
+    def __getattr__(self, name):
+        return getattr(self._rows, name)
+
+    def write(self, expected, puts=(), deletes=()):
+        self.sizes.append(len(puts))
+        return self._rows.write(expected, puts, deletes)
+
+
+def test_a_large_lot_is_written_in_several_calls_and_read_back_whole(small_writes):
+    store = CountingStore(make_store())
+    repository = LotRepository(store, LARGE_VALUE_BYTES)
+    assert isinstance(repository.accept(large_lot(), "e1"), Kept)
+    head = repository.head("large")
+    assert head.parts > 32
+    # The head row comes last, alone.
+    assert max(store.sizes) == 2
+    assert store.sizes[-1] == 1
+    assert repository.load("large", head.parts, head.digest) == large_lot()
+    assert repository.stored_form(large_lot()) == (head.parts, head.digest)
+
+
+@pytest.mark.parametrize("applied", [True, False])
+def test_a_lost_answer_to_a_part_is_repeated(small_writes, applied):
+    rows = make_store()
+    rows.faults.lose_writes = 2
+    rows.faults.apply_lost_writes = applied
+    repository = LotRepository(rows, LARGE_VALUE_BYTES)
+    assert isinstance(repository.accept(large_lot(), "e1"), Kept)
+    head = repository.head("large")
+    assert repository.load("large", head.parts, head.digest) == large_lot()
+
+
+def test_a_large_lot_whose_parts_are_not_written_is_certainly_not_kept(small_writes):
+    rows = make_store()
+    rows.faults.lose_writes = 9
+    rows.faults.apply_lost_writes = True
+    repository = LotRepository(rows, LARGE_VALUE_BYTES)
+    assert isinstance(repository.accept(large_lot(), "e1"), NotKept)
+    assert repository.head("large") == NoLot()
+
+
+def test_two_writers_of_one_large_lot_do_not_mix_their_parts(small_writes):
+    """Each entry that receives a submission notes another time of it."""
+    rows = make_store()
+    repository = LotRepository(rows, LARGE_VALUE_BYTES)
+    assert isinstance(repository.accept(large_lot(1.0), "e1"), Kept)
+    assert repository.accept(large_lot(2.0), "e2") == AlreadyKept()
+    head = repository.head("large")
+    assert head.owner == "e1"
+    assert repository.load("large", head.parts, head.digest) == large_lot(1.0)
