--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -137,6 +137,11 @@
         action="store_true",
         help="some requests crash the targets that run them; not with --scored",
     )
+    parser.add_argument(
+        "--hostile",
+        action="store_true",
+        help="crowds of callers send without an end, or stop short and stay",
+    )
     parser.add_argument(
         "--processes", type=int, default=OPTIONS.entries, help="number of entries"
     )
@@ -153,6 +158,7 @@
         arguments.crashing,
         arguments.processes,
         arguments.full_disks,
+        arguments.hostile,
     )
     first, _, last = arguments.seeds.partition("-")
     failed_seeds = 0
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -11,9 +11,11 @@
 import threading
 import time
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from random import Random
 
+from benchmarks.soak.hostile import KINDS, HostileCrowd
 from platform_standins import deployment
 from platform_standins.crashing import CrashingService
 from platform_standins.deployment import ENGINES, MODEL, PLAIN
@@ -99,6 +101,8 @@
         Number of entry processes.
     full_disks : bool
         Disks refuse data for a while, one or more at a time; needs `disks`.
+    hostile : bool
+        Crowds of callers send requests without an end, or stop short and stay.
     """
 
     one_version: bool = False
@@ -108,6 +112,7 @@
     crashing: bool = False
     entries: int = 3
     full_disks: bool = False
+    hostile: bool = False
 
 
 @dataclass
@@ -430,6 +435,11 @@
                 "fill_disk_in_outage": self._fill_disk_in_outage,
                 "free_disks": lambda entry: self._free_disks(),
             }
+        if self.options.hostile:
+            optional |= {
+                f"hostile_{kind.replace(' ', '_')}": partial(self._crowd, kind)
+                for kind in KINDS
+            }
         if self.options.clocks:
             optional["clock_jumps"] = self._clock_jumps
         return optional | {
@@ -497,6 +507,9 @@
         for process in self._processes:
             self._kill(process)
 
+    def _crowd(self, kind: str, entry: EntryProcess) -> None:
+        HostileCrowd(entry.front, kind).start()
+
     def _clock_jumps(self, entry: EntryProcess) -> None:
         if entry.clock is not None:
             entry.clock.write_text(str(self._clock_error()))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,13 @@
     assert result.accepted > 0
 
 
+def test_guarantees_hold_beside_callers_that_do_not_behave():
+    result = run_seed(9, 4.0, Options(hostile=True, disks=True))
+    assert result.violations == []
+    assert result.accepted > 0
+    assert any("hostile" in fault for fault in result.faults)
+
+
 def test_requests_that_crash_targets_are_quarantined_under_faults():
     result = run_seed(7, 4.0, Options(crashing=True))
     assert result.violations == []
