Tests: one reader of a process's addresses, and one ordinary call

test_crowds.py and crowds.py each took an address out of a settings file by its lines, and three closures made an ordinary call. `address_of` reads the file as TOML, and `CrowdedDeployment.ordinary` makes the calls. All assertions, crowds and bounds stay.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+import tomllib
 from collections.abc import Callable, Iterable
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -102,7 +103,7 @@
         self.entry = self.cluster.entries[0]
         self.front = self.entry.front
         self.peer = self.entry.control
-        self.ready = f"{self.entry.host}:{_port_after(self.front, self.entry)}"
+        self.ready = address_of(self.entry, "ready")
         self.metrics = f"{self.entry.host}:9464"
         self.api = f"{self.entry.host}:{free_port(self.entry.host)}"
         monkeypatch.setenv("WIGEONFRONT_API_ADDRESS", self.api)
@@ -134,16 +135,26 @@
         except (OSError, http.client.HTTPException) as error:
             return repr(error)
 
+    def ordinary(self, address, **call):
+        """Return a call of `status_of` that yields ``True`` if it gets status 200.
+
+        Otherwise it yields what it got instead.
+        """
+
+        def make():
+            status = self.status_of(address, **call)
+            return status == 200 or status
+
+        return make
+
     def close(self):
         self.cluster.close()
         self.service.stop()
 
 
-def _port_after(front, entry):
-    """Return the port of the readiness checks, which the settings file names."""
-    text = entry.boot.read_text()
-    line = next(line for line in text.splitlines() if line.startswith("ready"))
-    return line.rpartition(":")[2].strip('"')
+def address_of(process, server):
+    """Return the address of a server of a process, which its settings file names."""
+    return tomllib.loads(process.boot.read_text())["listen"][server]
 
 
 def request(address, method, path, body=b"", headers=(), chunk=0):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -23,6 +23,7 @@
     Crowd,
     CrowdedDeployment,
     Usage,
+    address_of,
     digest,
     gathered,
     head,
@@ -195,11 +196,7 @@
 
 
 def plain_call(deployment):
-    def call():
-        status = deployment.status_of(deployment.front)
-        return status == 200 or status
-
-    return call
+    return deployment.ordinary(deployment.front)
 
 
 def check_none_ran(deployment, callers, statuses):
@@ -272,11 +269,7 @@
         "endless": partial(endless, length_of(HUGE), LETTERS, **start),
         "short": partial(dripping_body, **start),
     }[kind]
-
-    def page():
-        status = deployment.status_of(address, path, b"", "GET")
-        return status == 200 or status
-
+    page = deployment.ordinary(address, path=path, body=b"", method="GET")
     check_crowd(deployment, address, Crowd(count, pieces), page)
 
 
@@ -298,24 +291,14 @@
 def test_calls_to_a_storage_process(crowded, name):
     deployment = crowded(disks=True)
     disk = deployment.cluster.disks[0]
-    address = f"{disk.host}:{_control_port(disk)}"
+    address = address_of(disk, "control")
     call = msgspec.msgpack.encode(ListKeys("submission/"))
-
-    def list_keys():
-        status = deployment.status_of(address, SPOOL_PATH, call)
-        return status == 200 or status
-
+    list_keys = deployment.ordinary(address, path=SPOOL_PATH, body=call)
     wait_for(lambda: list_keys() is True, 30.0)
     crowd = Crowd(30, partial(PEERS[name], path=SPOOL_PATH))
     check_crowd(deployment, address, crowd, list_keys, disk)
 
 
-def _control_port(disk):
-    text = disk.boot.read_text()
-    line = next(line for line in text.splitlines() if line.startswith("control"))
-    return line.rpartition(":")[2].strip('"')
-
-
 # --- many whole requests at once ----------------------------------------------
 
 
